--- /dev/null
+++ b/internal/conf/document.go
@@ -0,0 +1,229 @@
+// Package conf reads INI documents into messages of the schema. Defaults, bounds and explanations of the keys come
+// from the schema, and every fault names file, section and key.
+package conf
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gopkg.in/ini.v1"
+
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// loadOptions keep duplicates visible, so that they can be reported instead of silently merged.
+var loadOptions = ini.LoadOptions{
+	AllowShadows:               true,
+	AllowNonUniqueSections:     true,
+	AllowDuplicateShadowValues: true,
+	SkipUnrecognizableLines:    false,
+	IgnoreInlineComment:        false,
+}
+
+// Split returns the sections of an INI document with their keys in canonical form, one "key = value" a line and sorted by key.
+// It returns Faults when the document is not INI or repeats a section or a key.
+func Split(file string, data []byte) (map[string]string, error) {
+	parsed, err := ini.LoadSources(loadOptions, data)
+	if err != nil {
+		return nil, Faults{NewFault(file, "", "", err.Error())}
+	}
+	var faults Faults
+	sections := make(map[string]string)
+	for _, section := range parsed.Sections() {
+		name := section.Name()
+		if name == ini.DefaultSection && len(section.Keys()) == 0 {
+			continue
+		}
+		if _, ok := sections[name]; ok {
+			faults = append(faults, NewFault(file, name, "", "section appears twice"))
+			continue
+		}
+		body, repeated := canonical(file, section)
+		faults = append(faults, repeated...)
+		sections[name] = body
+	}
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return sections, nil
+}
+
+func canonical(file string, section *ini.Section) (string, Faults) {
+	var faults Faults
+	lines := make([]string, 0, len(section.Keys()))
+	for _, key := range section.Keys() {
+		if len(key.ValueWithShadows()) > 1 {
+			faults = append(faults, NewFault(file, section.Name(), key.Name(), "key appears twice"))
+		}
+		lines = append(lines, key.Name()+" = "+key.Value()+"\n")
+	}
+	sort.Strings(lines)
+	return strings.Join(lines, ""), faults
+}
+
+// Decode reads the canonical body of one section into a message whose fields carry the key option.
+// Keys that are left out take their default. It returns Faults for unknown keys, missing required keys and values out of bounds.
+func Decode(file, section, body string, into proto.Message) error {
+	parsed, err := ini.LoadSources(loadOptions, []byte(body))
+	if err != nil {
+		return Faults{NewFault(file, section, "", err.Error())}
+	}
+	values := parsed.Section(ini.DefaultSection).KeysHash()
+	message := into.ProtoReflect()
+	fields := message.Descriptor().Fields()
+	var faults Faults
+	for i := range fields.Len() {
+		field := fields.Get(i)
+		name := string(field.Name())
+		value, given := values[name]
+		delete(values, name)
+		if problem := setField(message, field, value, given); problem != "" {
+			faults = append(faults, NewFault(file, section, name, problem))
+		}
+	}
+	for name := range values {
+		faults = append(faults, NewFault(file, section, name, "unknown key"))
+	}
+	sort.Slice(faults, func(i, j int) bool { return faults[i].key < faults[j].key })
+	return faults.Err()
+}
+
+// Load reads the settings of a node.
+func Load(file string, data []byte) (*wire.Settings, error) {
+	sections, err := Split(file, data)
+	if err != nil {
+		return nil, err
+	}
+	settings := &wire.Settings{}
+	message := settings.ProtoReflect()
+	fields := message.Descriptor().Fields()
+	var faults Faults
+	for i := range fields.Len() {
+		field := fields.Get(i)
+		name := string(field.Name())
+		body := sections[name]
+		delete(sections, name)
+		if err := Decode(file, name, body, message.Mutable(field).Message().Interface()); err != nil {
+			faults = faults.With(err)
+		}
+	}
+	for name := range sections {
+		faults = append(faults, NewFault(file, name, "", "unknown section"))
+	}
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+// setField sets one field and returns what is wrong with the value, or an empty string.
+func setField(message protoreflect.Message, field protoreflect.FieldDescriptor, value string, given bool) string {
+	key := proto.GetExtension(field.Options(), wire.E_Key).(*wire.Key)
+	if !given || value == "" {
+		if key.GetRequired() {
+			return "required key is missing (" + key.GetText() + ")"
+		}
+		value = key.GetDefault()
+		if value == "" {
+			return ""
+		}
+	}
+	if allowed := key.GetOneOf(); len(allowed) > 0 && !slices.Contains(allowed, value) {
+		return fmt.Sprintf("%q is not one of %s", value, strings.Join(allowed, ", "))
+	}
+	if field.IsList() {
+		return setList(message, field, value)
+	}
+	parsed, problem := parseScalar(field, value)
+	if problem != "" {
+		return problem
+	}
+	if problem := checkBounds(field, key, value); problem != "" {
+		return problem
+	}
+	message.Set(field, parsed)
+	return ""
+}
+
+func setList(message protoreflect.Message, field protoreflect.FieldDescriptor, value string) string {
+	list := message.Mutable(field).List()
+	for _, item := range strings.Split(value, ",") {
+		item = strings.TrimSpace(item)
+		if item == "" {
+			return "list has an empty item"
+		}
+		list.Append(protoreflect.ValueOfString(item))
+	}
+	return ""
+}
+
+func parseScalar(field protoreflect.FieldDescriptor, value string) (protoreflect.Value, string) {
+	switch field.Kind() {
+	case protoreflect.StringKind:
+		return protoreflect.ValueOfString(value), ""
+	case protoreflect.BoolKind:
+		parsed, err := strconv.ParseBool(value)
+		if err != nil {
+			return protoreflect.Value{}, fmt.Sprintf("%q is not true or false", value)
+		}
+		return protoreflect.ValueOfBool(parsed), ""
+	case protoreflect.Uint32Kind:
+		parsed, err := strconv.ParseUint(value, 10, 32)
+		if err != nil {
+			return protoreflect.Value{}, fmt.Sprintf("%q is not a whole number", value)
+		}
+		return protoreflect.ValueOfUint32(uint32(parsed)), ""
+	case protoreflect.DoubleKind:
+		parsed, err := strconv.ParseFloat(value, 64)
+		if err != nil || parsed != parsed {
+			return protoreflect.Value{}, fmt.Sprintf("%q is not a number", value)
+		}
+		return protoreflect.ValueOfFloat64(parsed), ""
+	case protoreflect.MessageKind:
+		parsed, err := time.ParseDuration(value)
+		if err != nil {
+			return protoreflect.Value{}, fmt.Sprintf("%q is not a duration such as 250ms or 30s", value)
+		}
+		return protoreflect.ValueOfMessage(durationpb.New(parsed).ProtoReflect()), ""
+	default:
+		return protoreflect.Value{}, "the schema has no INI notation for this key"
+	}
+}
+
+func checkBounds(field protoreflect.FieldDescriptor, key *wire.Key, value string) string {
+	number, ok := measure(field, value)
+	if !ok {
+		return ""
+	}
+	if low, ok := measure(field, key.GetMin()); ok && number < low {
+		return fmt.Sprintf("%s is below the minimum %s", value, key.GetMin())
+	}
+	if high, ok := measure(field, key.GetMax()); ok && number > high {
+		return fmt.Sprintf("%s is above the maximum %s", value, key.GetMax())
+	}
+	return ""
+}
+
+// measure returns a value as a number that can be compared: durations in nanoseconds.
+func measure(field protoreflect.FieldDescriptor, value string) (float64, bool) {
+	if value == "" {
+		return 0, false
+	}
+	switch field.Kind() {
+	case protoreflect.Uint32Kind, protoreflect.DoubleKind:
+		number, err := strconv.ParseFloat(value, 64)
+		return number, err == nil
+	case protoreflect.MessageKind:
+		duration, err := time.ParseDuration(value)
+		return float64(duration), err == nil
+	default:
+		return 0, false
+	}
+}
--- /dev/null
+++ b/internal/plans/rank.go
@@ -0,0 +1,67 @@
+// Package plans holds immutable snapshots of the operators' two lists: the plans, and what each plan may use.
+package plans
+
+import (
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// Rank orders work by urgency; a lower value is more urgent.
+type Rank int
+
+// The ranks, most urgent first.
+const (
+	Urgent Rank = iota
+	Routine
+	Bulk
+
+	// NumRanks is the number of ranks.
+	NumRanks = 3
+)
+
+// Ranks lists all ranks, most urgent first.
+func Ranks() [NumRanks]Rank { return [NumRanks]Rank{Urgent, Routine, Bulk} }
+
+// String returns the rank as written in the list of plans.
+func (r Rank) String() string {
+	switch r {
+	case Urgent:
+		return "urgent"
+	case Routine:
+		return "routine"
+	default:
+		return "bulk"
+	}
+}
+
+// Wire returns the rank as sent between nodes.
+func (r Rank) Wire() wire.Rank {
+	switch r {
+	case Urgent:
+		return wire.Rank_RANK_URGENT
+	case Routine:
+		return wire.Rank_RANK_ROUTINE
+	default:
+		return wire.Rank_RANK_BULK
+	}
+}
+
+// FromWire returns the rank of a message; an unspecified rank is Bulk.
+func FromWire(r wire.Rank) Rank {
+	switch r {
+	case wire.Rank_RANK_URGENT:
+		return Urgent
+	case wire.Rank_RANK_ROUTINE:
+		return Routine
+	default:
+		return Bulk
+	}
+}
+
+func parseRank(text string) Rank {
+	for _, rank := range Ranks() {
+		if rank.String() == text {
+			return rank
+		}
+	}
+	return Bulk
+}
--- /dev/null
+++ b/internal/shards/vms.go
@@ -0,0 +1,88 @@
+// Package shards holds immutable snapshots of what the platform publishes about the fleet: the VMs, and for each
+// collection its searchers, index snapshots and partition maps.
+package shards
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/fireflylanding/fireflylanding/internal/conf"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// VMsPrefix precedes the region in the key of a VM list.
+const VMsPrefix = "vms/"
+
+// VM is one section of a VM list.
+type VM struct {
+	id          string
+	entry       bool
+	address     string
+	peerAddress string
+	region      string
+	zone        string
+	leaving     bool
+}
+
+// NewVM returns the entry VM with the given place and addresses, for tests and tools.
+func NewVM(id, region, zone, address, peerAddress string) VM {
+	return VM{id: id, entry: true, region: region, zone: zone, address: address, peerAddress: peerAddress}
+}
+
+// ID returns the name of the VM.
+func (v VM) ID() string { return v.id }
+
+// Entry reports whether the VM runs a node of the system; otherwise it runs a searcher.
+func (v VM) Entry() bool { return v.entry }
+
+// Address returns the address and TCP port for callers or sub-requests.
+func (v VM) Address() string { return v.address }
+
+// PeerAddress returns the address and UDP port for other nodes.
+func (v VM) PeerAddress() string { return v.peerAddress }
+
+// Region returns the region.
+func (v VM) Region() string { return v.region }
+
+// AvailabilityZone returns the availability zone.
+func (v VM) AvailabilityZone() string { return v.zone }
+
+// Leaving reports whether the platform says that the VM is leaving.
+func (v VM) Leaving() bool { return v.leaving }
+
+// Left returns the same VM marked as leaving.
+func (v VM) Left() VM {
+	v.leaving = true
+	return v
+}
+
+// ParseVMs reads the sections of one region's VM list, sorted by id. It returns conf.Faults when any section is invalid.
+func ParseVMs(key string, sections map[string]string) ([]VM, error) {
+	vms := make([]VM, 0, len(sections))
+	var faults conf.Faults
+	for id, body := range sections {
+		section := &wire.VMSection{}
+		if err := conf.Decode(key, id, body, section); err != nil {
+			faults = faults.With(err)
+			continue
+		}
+		vms = append(vms, newVM(id, section))
+	}
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	slices.SortFunc(vms, func(a, b VM) int { return strings.Compare(a.id, b.id) })
+	return vms, nil
+}
+
+func newVM(id string, section *wire.VMSection) VM {
+	return VM{
+		id:          id,
+		entry:       section.GetKind() == "entry",
+		address:     section.GetAddress(),
+		peerAddress: section.GetPeerAddress(),
+		region:      section.GetRegion(),
+		zone:        section.GetAvailabilityZone(),
+		leaving:     section.GetState() == "leaving",
+	}
+}
