--- /dev/null
+++ b/internal/token/verdict.go
@@ -0,0 +1,86 @@
+package token
+
+import "github.com/fireflylanding/fireflylanding/internal/wire"
+
+// State is what the issuer knows of a token. States only advance: Issued, Running, then one of the final states.
+type State uint8
+
+// The states of a token. Completed, NotRun and Unknown are final.
+const (
+	Issued State = iota
+	Running
+	Completed
+	NotRun
+	Unknown
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Issued:
+		return "issued"
+	case Running:
+		return "running"
+	case Completed:
+		return "completed"
+	case NotRun:
+		return "not_run"
+	default:
+		return "unknown"
+	}
+}
+
+// Reason returns the reason with which a resend of a token in this state is refused; for Issued it is unspecified.
+func (s State) Reason() wire.Reason {
+	switch s {
+	case Issued:
+		return wire.Reason_REASON_UNSPECIFIED
+	case Running:
+		return wire.Reason_REASON_TOKEN_RUNNING
+	case Completed:
+		return wire.Reason_REASON_TOKEN_COMPLETED
+	case NotRun:
+		return wire.Reason_REASON_TOKEN_NOT_RUN
+	default:
+		return wire.Reason_REASON_TOKEN_UNKNOWN
+	}
+}
+
+func (s State) final() bool { return s == Completed || s == NotRun || s == Unknown }
+
+// Verdict is the result of Begin: Run, Known, Elsewhere, Invalid or Expired.
+type Verdict interface{ verdict() }
+
+// Run allows the request to run. The caller must report the end with Finish.
+type Run struct{ sequence uint64 }
+
+// Known is the verdict on a token that was presented before; the request must not run.
+type Known struct{ state State }
+
+// Elsewhere is the verdict on a well-formed token of another address or incarnation. Its MAC has not been checked. When the address is
+// the issuer's own, the incarnation that issued the token is gone.
+type Elsewhere struct{ origin Origin }
+
+// Invalid is the verdict on a token that is malformed, fails authentication or was never issued; the request was not run.
+type Invalid struct{}
+
+// Expired is the verdict on a token that has left the window; whether it ran is unknown.
+type Expired struct{}
+
+func (Run) verdict()       {}
+func (Known) verdict()     {}
+func (Elsewhere) verdict() {}
+func (Invalid) verdict()   {}
+func (Expired) verdict()   {}
+
+// Sequence returns the number to pass to Finish.
+func (r Run) Sequence() uint64 { return r.sequence }
+
+// State returns the recorded state, which is never Issued.
+func (k Known) State() State { return k.state }
+
+// Address returns the address of the process that issued the token.
+func (e Elsewhere) Address() string { return e.origin.address }
+
+// Incarnation returns the incarnation of the process that issued the token.
+func (e Elsewhere) Incarnation() uint64 { return e.origin.incarnation }
