--- /dev/null
+++ b/internal/place/owners.go
@@ -0,0 +1,88 @@
+package place
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/fireflylanding/fireflylanding/internal/shards"
+)
+
+const (
+	// numOwners counts primary, secondary and standby.
+	numOwners = 3
+	// numReaders is the number of readers of one key in each region.
+	numReaders = 2
+)
+
+// Owners returns the primary, the secondary and the standby owner of a group of shards in a region, fewer when there are fewer VMs.
+// Their availability zones differ where the region has enough of them. A region without a live entry VM takes owners from all regions.
+func Owners(collection string, group int, region string, vms []shards.VM) []shards.VM {
+	subject := seed("owner", collection, strconv.Itoa(group), region)
+	candidates := score(vms, subject, servingIn(region))
+	if len(candidates) == 0 {
+		candidates = score(vms, subject, serving)
+	}
+	return spreadZones(candidates, numOwners)
+}
+
+// Readers returns the VMs of a region that watch a key at the configuration service, in distinct availability zones where possible.
+func Readers(key, region string, vms []shards.VM) []shards.VM {
+	return spreadZones(score(vms, seed("reader", key), servingIn(region)), numReaders)
+}
+
+// spreadZones takes up to n VMs by rank, each from a zone that is not yet represented while there is one.
+func spreadZones(candidates []scored, n int) []shards.VM {
+	n = min(n, len(candidates))
+	chosen := make([]shards.VM, 0, n)
+	for len(chosen) < n {
+		best := bestIndex(candidates, func(s scored) bool { return !hasZone(chosen, zoneOf(s.vm)) })
+		if best < 0 {
+			best = bestIndex(candidates, func(scored) bool { return true })
+		}
+		chosen = append(chosen, *candidates[best].vm)
+		candidates = slices.Delete(candidates, best, best+1)
+	}
+	return chosen
+}
+
+// bestIndex returns the index of the first candidate by rank that qualifies, or -1.
+func bestIndex(candidates []scored, qualifies func(scored) bool) int {
+	best := -1
+	for i, candidate := range candidates {
+		if best >= 0 && compare(candidate, candidates[best]) >= 0 {
+			continue
+		}
+		if qualifies(candidate) {
+			best = i
+		}
+	}
+	return best
+}
+
+func hasZone(vms []shards.VM, z zone) bool {
+	for i := range vms {
+		if zoneOf(&vms[i]) == z {
+			return true
+		}
+	}
+	return false
+}
+
+// Order returns the live entry VMs in the order of a directory answer: those in the caller's availability zone first, each part by
+// rendezvous hash of the caller's id.
+func Order(caller, zone string, vms []shards.VM) []shards.VM {
+	ranked := score(vms, seed("caller", caller), serving)
+	slices.SortFunc(ranked, compare)
+	ordered := make([]shards.VM, 0, len(ranked))
+	for _, s := range ranked {
+		if s.vm.AvailabilityZone() == zone {
+			ordered = append(ordered, *s.vm)
+		}
+	}
+	for _, s := range ranked {
+		if s.vm.AvailabilityZone() != zone {
+			ordered = append(ordered, *s.vm)
+		}
+	}
+	return ordered
+}
