Add member: published list joined with direct evidence

Suspicion needs a failure or 3 s without an answer to a question: a node exchanges messages with few of the others, so mere silence says nothing.

--- /dev/null
+++ b/internal/member/view_test.go
@@ -0,0 +1,366 @@
+package member
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fireflylanding/fireflylanding/internal/shards"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func list(n int) []shards.VM {
+	vms := make([]shards.VM, n)
+	for i := range vms {
+		vms[i] = shards.NewVM(fmt.Sprintf("vm-%d", i), "r", "z", "", "")
+	}
+	return vms
+}
+
+// newView returns the view of vm-0 with n listed VMs.
+func newView(n int) *View {
+	v := New(NewNode("vm-0", 1), Settings{})
+	v.Published(start, list(n))
+	return v
+}
+
+// step is one call on the view, after a delay.
+type step struct {
+	after time.Duration
+	call  func(v *View, now time.Time)
+}
+
+func heard(id string, incarnation uint64) step {
+	return step{call: func(v *View, now time.Time) { v.Heard(now, id, incarnation) }}
+}
+
+func stopping(id string, incarnation uint64) step {
+	return step{call: func(v *View, now time.Time) { v.Stopping(now, id, incarnation) }}
+}
+
+func asked(id string) step {
+	return step{call: func(v *View, now time.Time) { v.Asked(now, id) }}
+}
+
+func failed(id string) step {
+	return step{call: func(v *View, now time.Time) { v.Failed(now, id) }}
+}
+
+func rumour(id string, incarnation uint64) step {
+	return step{call: func(v *View, now time.Time) { v.Rumour(now, id, incarnation) }}
+}
+
+func paused() step {
+	return step{call: func(v *View, now time.Time) { v.Paused(now) }}
+}
+
+func wait(d time.Duration) step {
+	return step{after: d, call: func(v *View, now time.Time) { v.Snapshot(now) }}
+}
+
+// Guards against states that do not follow from list and evidence: rumours taken as fact, suspicion without a question, late messages
+// of former processes, and evidence from before a pause.
+func TestStates(t *testing.T) {
+	type state struct{ reachable, leaving, doubtful bool }
+	live := state{reachable: true}
+	suspect := state{}
+	leaving := state{reachable: true, leaving: true}
+	doubtful := state{reachable: true, doubtful: true}
+	tests := map[string]struct {
+		steps []step
+		want  state
+	}{
+		"listed without evidence":               {want: live},
+		"silent but not asked":                  {steps: []step{heard("vm-1", 7), wait(time.Hour)}, want: live},
+		"asked, not yet 3 s":                    {steps: []step{asked("vm-1"), wait(2999 * time.Millisecond)}, want: live},
+		"no answer for 3 s":                     {steps: []step{asked("vm-1"), wait(3 * time.Second)}, want: suspect},
+		"no answer, asked again":                {steps: []step{asked("vm-1"), wait(2 * time.Second), asked("vm-1"), wait(time.Second)}, want: suspect},
+		"answer in time":                        {steps: []step{asked("vm-1"), wait(time.Second), heard("vm-1", 7), wait(3 * time.Second)}, want: live},
+		"failure":                               {steps: []step{heard("vm-1", 7), failed("vm-1")}, want: suspect},
+		"heard after a failure":                 {steps: []step{failed("vm-1"), wait(time.Second), heard("vm-1", 7)}, want: live},
+		"rumour":                                {steps: []step{rumour("vm-1", 7)}, want: doubtful},
+		"rumours never make suspect":            {steps: []step{rumour("vm-1", 7), wait(time.Hour), rumour("vm-1", 7)}, want: doubtful},
+		"fresh contact beats a rumour":          {steps: []step{heard("vm-1", 7), wait(2 * time.Second), rumour("vm-1", 7)}, want: live},
+		"contact ends a rumour":                 {steps: []step{rumour("vm-1", 7), wait(time.Second), heard("vm-1", 7)}, want: live},
+		"rumour about a former process":         {steps: []step{heard("vm-1", 7), heard("vm-1", 8), wait(time.Minute), rumour("vm-1", 7)}, want: live},
+		"stopping":                              {steps: []step{stopping("vm-1", 7)}, want: leaving},
+		"stopping is not taken back":            {steps: []step{stopping("vm-1", 7), heard("vm-1", 7)}, want: leaving},
+		"new process after stopping":            {steps: []step{stopping("vm-1", 7), heard("vm-1", 8)}, want: live},
+		"late stop message of a former process": {steps: []step{heard("vm-1", 7), heard("vm-1", 8), stopping("vm-1", 7)}, want: live},
+		"late contact of a former process":      {steps: []step{heard("vm-1", 7), heard("vm-1", 8), failed("vm-1"), wait(time.Second), heard("vm-1", 7)}, want: suspect},
+		"pause ends a failure":                  {steps: []step{failed("vm-1"), wait(time.Minute), paused()}, want: live},
+		"pause ends silence":                    {steps: []step{asked("vm-1"), wait(time.Minute), paused()}, want: live},
+		"pause ends a rumour":                   {steps: []step{rumour("vm-1", 7), paused()}, want: live},
+		"failed anew after a pause":             {steps: []step{failed("vm-1"), paused(), wait(time.Second), failed("vm-1")}, want: suspect},
+		"silent anew after a pause":             {steps: []step{paused(), asked("vm-1"), wait(3 * time.Second)}, want: suspect},
+		"leaving outlives a pause":              {steps: []step{stopping("vm-1", 7), paused()}, want: leaving},
+		"own id is ignored":                     {steps: []step{failed("vm-0"), rumour("vm-0", 1), stopping("vm-0", 1)}, want: live},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := newView(3)
+			now := start
+			for _, s := range test.steps {
+				now = now.Add(s.after)
+				s.call(v, now)
+			}
+			m := v.Snapshot(now)
+			if got := (state{m.Reachable("vm-1"), m.Leaving("vm-1"), m.Doubtful("vm-1")}); got != test.want {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+			inLive := slices.ContainsFunc(m.Live(), func(vm shards.VM) bool { return vm.ID() == "vm-1" })
+			if want := test.want.reachable && !test.want.leaving; inLive != want {
+				t.Errorf("in Live: got %v, want %v", inLive, want)
+			}
+			if !m.Reachable("vm-0") || m.Leaving("vm-0") {
+				t.Errorf("this node must be reachable and not leaving")
+			}
+		})
+	}
+}
+
+// Guards against a list whose leaving VMs receive work, and against unlisted nodes.
+func TestPublished(t *testing.T) {
+	v := newView(3)
+	vms := list(3)
+	vms[1] = vms[1].Left()
+	v.Heard(start, "unlisted", 9)
+	v.Published(start, vms)
+	m := v.Snapshot(start)
+	if !m.Leaving("vm-1") || len(m.Live()) != 2 {
+		t.Errorf("leaving: got %v, live %d; want true, 2", m.Leaving("vm-1"), len(m.Live()))
+	}
+	if !m.Reachable("unlisted") {
+		t.Errorf("a node that was heard is not reachable because the list lags")
+	}
+	if m.Reachable("unknown") {
+		t.Errorf("a node that is neither listed nor heard is reachable")
+	}
+	v.Published(start.Add(2*evidenceKept), vms)
+	if v.Snapshot(start.Add(2 * evidenceKept)).Reachable("unlisted") {
+		t.Errorf("evidence about an unlisted node is kept without limit")
+	}
+}
+
+// Guards against a node that does not notice that it is cut off, or says so right after a pause or when nobody is listed.
+func TestAlone(t *testing.T) {
+	tests := map[string]struct {
+		listed int
+		steps  []step
+		want   bool
+	}{
+		"just started":           {listed: 3},
+		"nobody heard for 3 s":   {listed: 3, steps: []step{wait(3 * time.Second)}, want: true},
+		"somebody heard":         {listed: 3, steps: []step{wait(2 * time.Second), heard("vm-2", 5), wait(2 * time.Second)}},
+		"heard when alone":       {listed: 3, steps: []step{wait(time.Minute), heard("vm-2", 5)}},
+		"silent again":           {listed: 3, steps: []step{heard("vm-2", 5), wait(3 * time.Second)}, want: true},
+		"only node":              {listed: 1, steps: []step{wait(time.Minute)}},
+		"right after a pause":    {listed: 3, steps: []step{heard("vm-2", 5), wait(time.Hour), paused(), wait(2 * time.Second)}},
+		"silence after a pause":  {listed: 3, steps: []step{paused(), wait(3 * time.Second)}, want: true},
+		"a rumour is no contact": {listed: 3, steps: []step{wait(time.Minute), rumour("vm-1", 1)}, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := newView(test.listed)
+			now := start
+			for _, s := range test.steps {
+				now = now.Add(s.after)
+				s.call(v, now)
+			}
+			if got := v.Snapshot(now).Alone(); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against probes without bound or without end, and against doubts that nobody checks.
+func TestDue(t *testing.T) {
+	v := New(NewNode("vm-0", 1), Settings{MaxProbes: 2})
+	v.Published(start, list(6))
+	if got := len(v.Due(start)); got != 0 {
+		t.Errorf("got %d probes without suspicion, want 0", got)
+	}
+	v.Rumour(start, "vm-1", 1)
+	if got := v.Due(start); len(got) != 1 || got[0].ID() != "vm-1" {
+		t.Errorf("after a rumour: got %v, want vm-1", got)
+	}
+	if got := len(v.Due(start)); got != 0 {
+		t.Errorf("got %d probes at once after a probe, want 0", got)
+	}
+	now := start.Add(3 * time.Second)
+	if v.Snapshot(now).Reachable("vm-1") {
+		t.Errorf("an unanswered probe leaves vm-1 reachable")
+	}
+	for _, id := range []string{"vm-2", "vm-3", "vm-4", "vm-5"} {
+		v.Failed(start, id)
+	}
+	seen := make(map[string]bool)
+	for range 3 {
+		due := v.Due(now)
+		if len(due) > 2 {
+			t.Fatalf("got %d probes in one call, want at most 2", len(due))
+		}
+		for _, vm := range due {
+			seen[vm.ID()] = true
+		}
+	}
+	if got, want := len(seen), 5; got != want {
+		t.Errorf("probed %d nodes, want %d", got, want)
+	}
+	probes := 0
+	for range 60 {
+		now = now.Add(time.Second)
+		probes += len(v.Due(now))
+	}
+	if probes < 5*60/8-10 || probes > 5*60/8+10 {
+		t.Errorf("got %d probes of 5 silent nodes in 60 s, want about one each 8 s", probes)
+	}
+}
+
+// Guards against rumours that grow the memory of a node.
+func TestRumoursAboutUnlistedNodes(t *testing.T) {
+	v := newView(2)
+	for i := range 1000 {
+		v.Rumour(start, fmt.Sprintf("ghost-%d", i), 1)
+	}
+	if got := len(v.peers); got > 1 {
+		t.Errorf("got %d peers, want at most the listed one", got)
+	}
+}
+
+// Guards, for any order of events, against rumours that change reachability, suspects that were neither asked nor failed, and a
+// snapshot that lags behind the evidence.
+func TestViewModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := newView(4)
+		now := start
+		type evidence struct {
+			failed, stopping bool
+			asked            time.Time
+			incarnation      uint64
+			former           map[uint64]bool
+		}
+		model := make(map[string]*evidence)
+		for i := range 4 {
+			model[fmt.Sprintf("vm-%d", i)] = &evidence{former: make(map[uint64]bool)}
+		}
+		peerID := rapid.SampledFrom([]string{"vm-1", "vm-2", "vm-3"})
+		contact := func(t *rapid.T, stopping bool) {
+			id := peerID.Draw(t, "id")
+			incarnation := rapid.Uint64Range(1, 4).Draw(t, "incarnation")
+			e := model[id]
+			if stopping {
+				v.Stopping(now, id, incarnation)
+			} else {
+				v.Heard(now, id, incarnation)
+			}
+			if e.former[incarnation] {
+				return
+			}
+			if e.incarnation != incarnation {
+				if e.incarnation != 0 {
+					e.former[e.incarnation] = true
+				}
+				e.incarnation, e.stopping = incarnation, false
+			}
+			e.failed, e.asked = false, time.Time{}
+			e.stopping = e.stopping || stopping
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"heard":    func(t *rapid.T) { contact(t, false) },
+			"stopping": func(t *rapid.T) { contact(t, true) },
+			"failed": func(t *rapid.T) {
+				id := peerID.Draw(t, "id")
+				v.Failed(now, id)
+				model[id].failed = true
+			},
+			"asked": func(t *rapid.T) {
+				id := peerID.Draw(t, "id")
+				v.Asked(now, id)
+				if e := model[id]; e.asked.IsZero() {
+					e.asked = now
+				}
+			},
+			"rumour": func(t *rapid.T) { v.Rumour(now, peerID.Draw(t, "id"), rapid.Uint64Range(1, 4).Draw(t, "incarnation")) },
+			"due": func(t *rapid.T) {
+				for _, vm := range v.Due(now) {
+					if e := model[vm.ID()]; e.asked.IsZero() {
+						e.asked = now
+					}
+				}
+			},
+			"paused": func(t *rapid.T) {
+				v.Paused(now)
+				for _, e := range model {
+					e.failed, e.asked = false, time.Time{}
+				}
+			},
+			"": func(t *rapid.T) {
+				m := v.Snapshot(now)
+				for id, e := range model {
+					silent := !e.asked.IsZero() && now.Sub(e.asked) >= defaultSuspectAfter
+					if got, want := m.Reachable(id), !e.failed && !silent; got != want {
+						t.Fatalf("%s reachable: got %v, want %v", id, got, want)
+					}
+					if got, want := m.Leaving(id), e.stopping; got != want {
+						t.Fatalf("%s leaving: got %v, want %v", id, got, want)
+					}
+				}
+			},
+		})
+	})
+}
+
+// Guards against data races between the request path and the loops.
+func TestConcurrentUse(t *testing.T) {
+	v := newView(20)
+	var group sync.WaitGroup
+	for worker := range 4 {
+		group.Go(func() {
+			for i := range 500 {
+				now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+				id := fmt.Sprintf("vm-%d", 1+(i+worker)%19)
+				switch worker {
+				case 0:
+					v.Heard(now, id, uint64(i%3+1))
+				case 1:
+					v.Failed(now, id)
+					v.Due(now)
+				case 2:
+					v.Rumour(now, id, 1)
+					v.Asked(now, id)
+				default:
+					v.Published(now, list(20))
+				}
+				if !v.Snapshot(now).Reachable("vm-0") {
+					t.Error("this node must be reachable")
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+func BenchmarkSnapshotUnchanged(b *testing.B) {
+	v := newView(2700)
+	for b.Loop() {
+		v.Snapshot(start)
+	}
+}
+
+func BenchmarkSnapshotRebuild(b *testing.B) {
+	v := newView(2700)
+	for b.Loop() {
+		v.current.Store(nil)
+		v.Snapshot(start)
+	}
+}
