--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,124 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// feed observes n outcomes, one each step, and returns the time after the last.
+func feed(l *Limit, now time.Time, n int, step time.Duration, o Outcome) time.Time {
+	for range n {
+		l.Observe(now, o)
+		now = now.Add(step)
+	}
+	return now
+}
+
+// TestLimit guards against a limit that starts a cold searcher at full load, ignores signs of load, or never recovers.
+func TestLimit(t *testing.T) {
+	settings := Settings{Slots: 16, Connections: 100}
+	good := Completed{Latency: 10 * time.Millisecond}
+	tests := map[string]struct {
+		settings Settings
+		feed     func(l *Limit, now time.Time)
+		low      int
+		high     int
+	}{
+		"cold":                   {settings: settings, feed: func(*Limit, time.Time) {}, low: 1, high: 4},
+		"warm":                   {settings: settings, feed: func(l *Limit, now time.Time) { feed(l, now, 100, time.Millisecond, good) }, low: 20, high: 20},
+		"bounded by connections": {settings: Settings{Slots: 16, Connections: 5}, feed: func(l *Limit, now time.Time) { feed(l, now, 100, time.Millisecond, good) }, low: 5, high: 5},
+		"no connections":         {settings: Settings{Slots: 16}, feed: func(l *Limit, now time.Time) { feed(l, now, 100, time.Millisecond, good) }, low: 1, high: 1},
+		"two slots":              {settings: Settings{Slots: 2, Connections: 25}, feed: func(l *Limit, now time.Time) { feed(l, now, 100, time.Millisecond, good) }, low: 3, high: 3},
+		"one round of shed replies": {settings: settings, feed: func(l *Limit, now time.Time) {
+			now = feed(l, now, 100, time.Millisecond, good)
+			feed(l, now, 16, 0, Shed{})
+		}, low: 15, high: 15},
+		"shedding goes on": {settings: settings, feed: func(l *Limit, now time.Time) {
+			now = feed(l, now, 100, time.Millisecond, good)
+			feed(l, now, 50, 20*time.Millisecond, Shed{})
+		}, low: 1, high: 1},
+		"one round of losses": {settings: settings, feed: func(l *Limit, now time.Time) {
+			now = feed(l, now, 100, time.Millisecond, good)
+			feed(l, now, 16, 0, Lost{})
+		}, low: 10, high: 10},
+		"inflated latency": {settings: settings, feed: func(l *Limit, now time.Time) {
+			now = feed(l, now, 100, time.Millisecond, good)
+			feed(l, now, 100, 5*time.Millisecond, Completed{Latency: 80 * time.Millisecond})
+		}, low: 1, high: 8},
+		"slow work without queueing": {settings: settings, feed: func(l *Limit, now time.Time) {
+			now = feed(l, now, 100, time.Millisecond, good)
+			feed(l, now, 100, 5*time.Millisecond, Completed{Latency: 80 * time.Millisecond, Service: 78 * time.Millisecond})
+		}, low: 20, high: 20},
+		"recovery after shedding": {settings: settings, feed: func(l *Limit, now time.Time) {
+			now = feed(l, now, 100, time.Millisecond, good)
+			now = feed(l, now, 50, 20*time.Millisecond, Shed{})
+			feed(l, now, 400, time.Millisecond, good)
+		}, low: 20, high: 20},
+		"slower for good": {settings: settings, feed: func(l *Limit, now time.Time) {
+			now = feed(l, now, 100, time.Millisecond, good)
+			feed(l, now, 4000, 10*time.Millisecond, Completed{Latency: 80 * time.Millisecond})
+		}, low: 20, high: 20},
+		"hint before the first outcome": {settings: settings, feed: func(l *Limit, _ time.Time) { l.Hint(0) }, low: 1, high: 1},
+		"hint never raises":             {settings: settings, feed: func(l *Limit, _ time.Time) { l.Hint(16) }, low: 4, high: 4},
+		"hint after outcomes":           {settings: settings, feed: func(l *Limit, now time.Time) { feed(l, now, 100, time.Millisecond, good); l.Hint(0) }, low: 20, high: 20},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := New(test.settings)
+			test.feed(l, start)
+			if got := l.Allowed(start); got < test.low || got > test.high {
+				t.Errorf("allowed: got %d, want %d to %d", got, test.low, test.high)
+			}
+		})
+	}
+}
+
+// TestBounds guards against a limit below 1, which would never learn again, or above the searcher's slots and connections.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Settings{Slots: rapid.IntRange(0, 64).Draw(t, "slots"), Connections: rapid.IntRange(0, 64).Draw(t, "connections"), Allowance: rapid.IntRange(0, 4).Draw(t, "allowance")}
+		l := New(s)
+		now := start
+		most := max(1, min(max(s.Slots, 1)+max(s.Allowance, max(1, s.Slots/4)), s.Connections))
+		t.Repeat(map[string]func(*rapid.T){
+			"completed": func(t *rapid.T) {
+				l.Observe(now, Completed{
+					Latency: time.Duration(rapid.IntRange(0, 1000).Draw(t, "latency")) * time.Millisecond,
+					Service: time.Duration(rapid.IntRange(0, 1000).Draw(t, "service")) * time.Millisecond,
+				})
+			},
+			"shed": func(*rapid.T) { l.Observe(now, Shed{}) },
+			"lost": func(*rapid.T) { l.Observe(now, Lost{}) },
+			"hint": func(t *rapid.T) { l.Hint(rapid.IntRange(-1, 100).Draw(t, "free")) },
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 20000).Draw(t, "step")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				if got := l.Allowed(now); got < 1 || got > most {
+					t.Fatalf("allowed: got %d, want 1 to %d", got, most)
+				}
+			},
+		})
+	})
+}
+
+func BenchmarkObserve(b *testing.B) {
+	l := New(Settings{Slots: 16, Connections: 100})
+	b.ReportAllocs()
+	var o Outcome = Completed{Latency: time.Millisecond}
+	for b.Loop() {
+		l.Observe(start, o)
+	}
+}
+
+func BenchmarkAllowed(b *testing.B) {
+	l := New(Settings{Slots: 16, Connections: 100})
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Allowed(start)
+	}
+}
