Add detection of pauses and clock jumps

Compares the monotonic and the wall clock between ticks. A forward jump of the wall clock alone by more than 2 s counts like a pause, since the monotonic clock does not run while a VM is suspended.

--- /dev/null
+++ b/internal/wake/detector.go
@@ -0,0 +1,87 @@
+// Package wake detects that the process was paused or that its clock was set, so that it does not act on expired work and outdated
+// views as if no time had passed.
+package wake
+
+import (
+	"sync"
+	"time"
+)
+
+// Defaults of Settings.
+const (
+	DefaultExpected = 100 * time.Millisecond
+	DefaultPause    = 2 * time.Second
+	DefaultJump     = 500 * time.Millisecond
+)
+
+// Settings describe the loop that calls Tick. A zero field takes its default.
+type Settings struct {
+	// Expected is the time between ticks.
+	Expected time.Duration
+	// Pause is the delay of a tick, or the forward jump of the wall clock, beyond which the process counts as paused.
+	Pause time.Duration
+	// Jump is the difference between the two clocks from which a jump is reported. It is above what a time service corrects by slewing
+	// between two ticks.
+	Jump time.Duration
+}
+
+// Detector compares successive ticks. It is safe for concurrent use, also by several loops.
+type Detector struct {
+	settings Settings
+
+	mu sync.Mutex
+	// last is the latest tick; it is zero before the first.
+	last time.Time
+}
+
+// New returns a detector that has seen no tick.
+func New(s Settings) *Detector {
+	if s.Expected <= 0 {
+		s.Expected = DefaultExpected
+	}
+	if s.Pause <= 0 {
+		s.Pause = DefaultPause
+	}
+	if s.Jump <= 0 {
+		s.Jump = DefaultJump
+	}
+	return &Detector{settings: s}
+}
+
+// Tick takes the present time and tells what happened since the tick before. The time should carry a monotonic reading, as that of
+// time.Now does; without one a pause and a clock set forward look alike. The first tick is Normal. A tick older than the latest,
+// from a loop that was delayed between reading the clock and this call, is Normal and changes nothing.
+func (d *Detector) Tick(now time.Time) Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last := d.last
+	if last.IsZero() {
+		d.last = now
+		return Normal{}
+	}
+	monotonic := now.Sub(last)
+	wall := now.Round(0).Sub(last.Round(0))
+	if monotonic < 0 && (hasMonotonic(now) || -monotonic < d.settings.Jump) {
+		return Normal{}
+	}
+	d.last = now
+	if !hasMonotonic(now) && wall < 0 {
+		monotonic = 0
+	}
+	return d.settings.decide(monotonic, wall)
+}
+
+// decide compares the time that passed on each clock with the expected tick.
+func (s Settings) decide(monotonic, wall time.Duration) Verdict {
+	if monotonic-s.Expected > s.Pause {
+		return Paused{gap: max(monotonic, wall)}
+	}
+	by := wall - monotonic
+	if by.Abs() < s.Jump {
+		return Normal{}
+	}
+	return Jumped{by: by, stale: by > s.Pause}
+}
+
+// hasMonotonic reports whether a time carries a monotonic reading, which Round strips.
+func hasMonotonic(t time.Time) bool { return t != t.Round(0) }
