--- a/internal/fakes/platform.go
+++ b/internal/fakes/platform.go
@@ -99,7 +99,7 @@
 		return nil, errors.Wrap(err, "configuration service")
 	}
 	p := &Platform{
-		meter:  callMeter{rate: s.callRate},
+		meter:  callMeter{rate: s.callRate, window: callWindow},
 		lags:   make(map[string]time.Duration),
 		values: make(map[string]*value),
 	}
--- a/internal/fakes/searcher.go
+++ b/internal/fakes/searcher.go
@@ -231,7 +231,7 @@
 
 // noteState records the present state for lagging hints.
 func (s *Searcher) noteState() {
-	if s.hints.lagging() {
+	if s.hints.lags.Load() {
 		s.hints.record(time.Now(), s.state())
 	}
 }
