Add the administration API

GET /v1/status and /v1/metrics show the node; POST /v1/validate and /v1/preview check an edit of a list and show what it would change against the revision in force. Unknown JSON fields, missing texts and bodies over 4 MB are refused.

go test -race -count=5 ./internal/status passes.

--- /dev/null
+++ b/internal/status/preview.go
@@ -0,0 +1,227 @@
+package status
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"github.com/fireflylanding/fireflylanding/internal/conf"
+	"github.com/fireflylanding/fireflylanding/internal/plans"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// Edit is a proposed text of one of the two lists.
+type Edit struct {
+	// List is plans or uses.
+	List string `json:"list"`
+	// Text is the whole list in INI.
+	Text string `json:"text"`
+}
+
+// Verdict is the answer to validate.
+type Verdict struct {
+	OK     bool    `json:"ok"`
+	Faults []Fault `json:"faults"`
+}
+
+// Preview is the answer to preview. Changes are empty when the edit has faults.
+type Preview struct {
+	OK     bool    `json:"ok"`
+	Faults []Fault `json:"faults"`
+	List   string  `json:"list"`
+	// Revision is the revision in force that the edit is compared with.
+	Revision uint64          `json:"revision"`
+	Added    []SectionChange `json:"added"`
+	Removed  []SectionChange `json:"removed"`
+	Changed  []SectionChange `json:"changed"`
+	// Warnings name sections that are valid but have no effect.
+	Warnings []string `json:"warnings"`
+}
+
+// SectionChange is the change of one plan or use.
+type SectionChange struct {
+	Section string        `json:"section"`
+	Fields  []FieldChange `json:"fields"`
+}
+
+// FieldChange is the change of one key, with defaults filled in. Old is empty for an added section, New for a removed one.
+type FieldChange struct {
+	Key string `json:"key"`
+	Old string `json:"old"`
+	New string `json:"new"`
+}
+
+// parseEdit returns the sections of an edit, or the conf.Faults that would keep it out of force.
+func parseEdit(e Edit) (map[string]string, error) {
+	sections, err := conf.Split(e.List, []byte(e.Text))
+	if err != nil {
+		return nil, err
+	}
+	if e.List == plans.PlansKey {
+		_, err = plans.ParsePlans(0, sections)
+	} else {
+		_, err = plans.ParseUses(0, sections)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return sections, nil
+}
+
+func validate(e Edit) Verdict {
+	_, err := parseEdit(e)
+	return Verdict{OK: err == nil, Faults: sortedFaults(e.List, err)}
+}
+
+// sortedFaults orders faults by section and key, since lists are parsed in no fixed order.
+func sortedFaults(list string, err error) []Fault {
+	faults := NewFaults(list, err)
+	slices.SortFunc(faults, func(a, b Fault) int {
+		if c := strings.Compare(a.Section, b.Section); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Key, b.Key)
+	})
+	return faults
+}
+
+// preview compares an edit with the list in force.
+func preview(e Edit, source Source) (Preview, error) {
+	lists := source.Lists()
+	p := newPreview(e.List, revision(e.List, lists))
+	proposed, err := parseEdit(e)
+	if err != nil {
+		p.Faults = sortedFaults(e.List, err)
+		return p, nil
+	}
+	p.OK = true
+	inForce := source.Sections(e.List)
+	for _, name := range sectionNames(inForce, proposed) {
+		if err := p.compare(name, inForce, proposed); err != nil {
+			return Preview{}, err
+		}
+	}
+	p.Warnings = warnings(e.List, lists, proposed)
+	return p, nil
+}
+
+// newPreview returns a preview without changes; its lists are empty rather than null in JSON.
+func newPreview(list string, revision uint64) Preview {
+	return Preview{
+		List:     list,
+		Revision: revision,
+		Faults:   []Fault{},
+		Added:    []SectionChange{},
+		Removed:  []SectionChange{},
+		Changed:  []SectionChange{},
+		Warnings: []string{},
+	}
+}
+
+func revision(list string, lists *plans.Lists) uint64 {
+	if list == plans.PlansKey {
+		return lists.PlansRevision()
+	}
+	return lists.UsesRevision()
+}
+
+// sectionNames returns the names of all sections of both documents, sorted.
+func sectionNames(documents ...map[string]string) []string {
+	var names []string
+	for _, document := range documents {
+		for name := range document {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// compare adds the change of one section, if any.
+func (p *Preview) compare(name string, inForce, proposed map[string]string) error {
+	oldBody, hadOld := inForce[name]
+	newBody, hasNew := proposed[name]
+	oldValues, err := fieldValues(p.List, name, oldBody, hadOld)
+	if err != nil {
+		return err
+	}
+	newValues, err := fieldValues(p.List, name, newBody, hasNew)
+	if err != nil {
+		return err
+	}
+	change := SectionChange{Section: name, Fields: fieldChanges(p.List, oldValues, newValues)}
+	switch {
+	case !hadOld:
+		p.Added = append(p.Added, change)
+	case !hasNew:
+		p.Removed = append(p.Removed, change)
+	case len(change.Fields) > 0:
+		p.Changed = append(p.Changed, change)
+	}
+	return nil
+}
+
+// newSection returns an empty message for a section of the list.
+func newSection(list string) proto.Message {
+	if list == plans.PlansKey {
+		return &wire.PlanSection{}
+	}
+	return &wire.UseSection{}
+}
+
+// fieldValues returns the values of a section by key, with defaults filled in; none when the section is absent.
+func fieldValues(list, name, body string, present bool) (map[string]string, error) {
+	values := make(map[string]string)
+	if !present {
+		return values, nil
+	}
+	section := newSection(list)
+	if err := conf.Decode(list, name, body, section); err != nil {
+		return nil, err
+	}
+	message := section.ProtoReflect()
+	fields := message.Descriptor().Fields()
+	for i := range fields.Len() {
+		values[string(fields.Get(i).Name())] = formatValue(message.Get(fields.Get(i)))
+	}
+	return values, nil
+}
+
+func formatValue(value protoreflect.Value) string {
+	if number, ok := value.Interface().(float64); ok {
+		return strconv.FormatFloat(number, 'f', -1, 64)
+	}
+	return value.String()
+}
+
+// fieldChanges returns the keys whose values differ, in the order of the schema.
+func fieldChanges(list string, oldValues, newValues map[string]string) []FieldChange {
+	var changes []FieldChange
+	fields := newSection(list).ProtoReflect().Descriptor().Fields()
+	for i := range fields.Len() {
+		key := string(fields.Get(i).Name())
+		if oldValues[key] != newValues[key] {
+			changes = append(changes, FieldChange{Key: key, Old: oldValues[key], New: newValues[key]})
+		}
+	}
+	return changes
+}
+
+// warnings names proposed uses whose plan is not in force.
+func warnings(list string, lists *plans.Lists, proposed map[string]string) []string {
+	all := []string{}
+	if list != plans.UsesKey {
+		return all
+	}
+	for _, name := range sectionNames(proposed) {
+		plan, _, _ := strings.Cut(name, "/")
+		if _, ok := lists.Plan(plan); !ok {
+			all = append(all, fmt.Sprintf("[%s] has no effect: plan %s is not in the list of plans in force", name, plan))
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/status/server.go
@@ -0,0 +1,146 @@
+// Package status serves the administration API of a node: the status report, the metrics, and checks of edits to the
+// two lists before they are made. Nothing in it changes configuration.
+package status
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v3"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/fireflylanding/fireflylanding/internal/plans"
+)
+
+const (
+	// MaxEditBytes bounds the body of a request. A list holds up to 1 MB, which JSON escapes lengthen.
+	MaxEditBytes = 4 << 20
+
+	// readTimeout bounds the time to receive a request.
+	readTimeout = 10 * time.Second
+	// writeTimeout bounds the time to send an answer.
+	writeTimeout = 10 * time.Second
+	// idleTimeout closes unused connections.
+	idleTimeout = time.Minute
+)
+
+// Source supplies what the administration API shows. It must be safe for concurrent use.
+type Source interface {
+	// Report returns the node's view at the given time.
+	Report(now time.Time) Report
+	// Lists returns the two lists in force.
+	Lists() *plans.Lists
+	// Sections returns the canonical sections of a document in force. The caller must not change the result.
+	Sections(key string) map[string]string
+}
+
+// Server is the administration listener of one node.
+type Server struct {
+	source   Source
+	registry metrics.Registry
+	app      *fiber.App
+}
+
+// New returns a server that shows the source and the metrics of the registry.
+func New(source Source, registry metrics.Registry) *Server {
+	s := &Server{source: source, registry: registry}
+	s.app = fiber.New(fiber.Config{
+		AppName:      "fireflylanding administration",
+		BodyLimit:    MaxEditBytes,
+		ReadTimeout:  readTimeout,
+		WriteTimeout: writeTimeout,
+		IdleTimeout:  idleTimeout,
+		ErrorHandler: sendError,
+	})
+	s.app.Get("/v1/status", s.sendStatus)
+	s.app.Get("/v1/metrics", s.sendMetrics)
+	s.app.Post("/v1/validate", s.sendVerdict)
+	s.app.Post("/v1/preview", s.sendPreview)
+	return s
+}
+
+// Serve answers requests on the listener until Shutdown. It returns nil after a shutdown.
+func (s *Server) Serve(listener net.Listener) error {
+	return s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
+}
+
+// Shutdown stops the listener and waits for requests in flight until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.app.ShutdownWithContext(ctx)
+}
+
+func (s *Server) sendStatus(c fiber.Ctx) error {
+	return c.JSON(s.source.Report(time.Now()))
+}
+
+func (s *Server) sendMetrics(c fiber.Ctx) error {
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	var text bytes.Buffer
+	metrics.WriteJSONOnce(s.registry, &text)
+	return c.Send(text.Bytes())
+}
+
+func (s *Server) sendVerdict(c fiber.Ctx) error {
+	edit, err := readEdit(c.Body())
+	if err != nil {
+		return err
+	}
+	return c.JSON(validate(edit))
+}
+
+func (s *Server) sendPreview(c fiber.Ctx) error {
+	edit, err := readEdit(c.Body())
+	if err != nil {
+		return err
+	}
+	p, err := preview(edit, s.source)
+	if err != nil {
+		return err
+	}
+	return c.JSON(p)
+}
+
+// readEdit returns the edit in a request body, or an error with status 400.
+func readEdit(body []byte) (Edit, error) {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	var received struct {
+		List string  `json:"list"`
+		Text *string `json:"text"`
+	}
+	if err := decoder.Decode(&received); err != nil {
+		return Edit{}, badRequest("the body is not a JSON object with list and text: " + err.Error())
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return Edit{}, badRequest("the body has data after the JSON object")
+	}
+	if received.List != plans.PlansKey && received.List != plans.UsesKey {
+		return Edit{}, badRequest("list must be plans or uses")
+	}
+	if received.Text == nil {
+		return Edit{}, badRequest("text is missing")
+	}
+	return Edit{List: received.List, Text: *received.Text}, nil
+}
+
+func badRequest(text string) error { return fiber.NewError(fiber.StatusBadRequest, text) }
+
+// Failure is the body of an answer that is not 200.
+type Failure struct {
+	Error string `json:"error"`
+}
+
+// sendError answers with the status of a fiber error, or 500.
+func sendError(c fiber.Ctx, err error) error {
+	status := fiber.StatusInternalServerError
+	var known *fiber.Error
+	if errors.As(err, &known) {
+		status = known.Code
+	}
+	return c.Status(status).JSON(Failure{Error: err.Error()})
+}
