--- /dev/null
+++ b/internal/events/gendoc/main.go
@@ -0,0 +1,20 @@
+// Command gendoc writes the pages under docs that follow from the schema: EVENTS.md, REASONS.md and SETTINGS.md.
+// Run it from the root of the repository after a change of the schema.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+const docsDirectory = "docs"
+
+func main() {
+	for name, text := range pages() {
+		if err := os.WriteFile(filepath.Join(docsDirectory, name), []byte(text), 0o644); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/events/gendoc/pages.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"github.com/fireflylanding/fireflylanding/internal/events"
+	"github.com/fireflylanding/fireflylanding/internal/reason"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+const generatedNote = "Generated from the schema by `go run ./internal/events/gendoc`; do not edit.\n\n"
+
+// none marks an empty cell.
+const none = "–"
+
+// pages returns the generated pages by file name.
+func pages() map[string]string {
+	return map[string]string{
+		"EVENTS.md":   eventsPage(),
+		"REASONS.md":  reasonsPage(),
+		"SETTINGS.md": settingsPage(),
+	}
+}
+
+func eventsPage() string {
+	var page strings.Builder
+	page.WriteString("# Log events\n\n" + generatedNote)
+	page.WriteString("Each log line carries the number of its event in the field `event`. A number is never reused.\n\n")
+	page.WriteString("| number | level | text | action |\n| --- | --- | --- | --- |\n")
+	values := wire.Event(0).Descriptor().Values()
+	for i := range values.Len() {
+		number := values.Get(i).Number()
+		if number == 0 {
+			continue
+		}
+		info := events.Info(wire.Event(number))
+		fmt.Fprintf(&page, "| %d | %s | %s | %s |\n", number, info.GetLevel(), info.GetText(), cell(info.GetAction()))
+	}
+	return page.String()
+}
+
+func reasonsPage() string {
+	var page strings.Builder
+	page.WriteString("# Reasons of refusals, losses and retries\n\n" + generatedNote)
+	page.WriteString("The run state says what became of the work that ended with the reason: `run`, `not_run`, or `unknown` when it may\n" +
+		"or may not have run. Reasons about retries and hedges have none. Each reason has a counter of its name.\n\n")
+	page.WriteString("| number | name | run state | text |\n| --- | --- | --- | --- |\n")
+	values := wire.Reason(0).Descriptor().Values()
+	for i := range values.Len() {
+		r := wire.Reason(values.Get(i).Number())
+		if r == wire.Reason_REASON_UNSPECIFIED {
+			continue
+		}
+		fmt.Fprintf(&page, "| %d | `%s` | %s | %s |\n", r, reason.Name(r), runState(reason.Run(r)), reason.Text(r))
+	}
+	return page.String()
+}
+
+func runState(s wire.RunState) string {
+	if s == wire.RunState_RUN_STATE_UNSPECIFIED {
+		return none
+	}
+	return "`" + strings.ToLower(strings.TrimPrefix(s.String(), "RUN_STATE_")) + "`"
+}
+
+// documentSection is a kind of section in a document of the configuration service.
+type documentSection struct {
+	document string
+	name     string
+	message  proto.Message
+}
+
+func documentSections() []documentSection {
+	return []documentSection{
+		{document: "plans", name: "NAME", message: &wire.PlanSection{}},
+		{document: "uses", name: "PLAN/COLLECTION", message: &wire.UseSection{}},
+		{document: "vms/REGION", name: "ID", message: &wire.VMSection{}},
+		{document: "index/COLLECTION", name: "searcher ID", message: &wire.SearcherSection{}},
+		{document: "index/COLLECTION", name: "snapshot VERSION", message: &wire.SnapshotSection{}},
+		{document: "index/COLLECTION", name: "shard VERSION/N", message: &wire.ShardSection{}},
+	}
+}
+
+func settingsPage() string {
+	var page strings.Builder
+	page.WriteString("# Settings and documents\n\n" + generatedNote)
+	page.WriteString("All files are INI. Lists are comma-separated; durations are written like `250ms`, `30s` or `5m`.\n\n")
+	page.WriteString("## Settings of a node\n")
+	sections := (&wire.Settings{}).ProtoReflect().Descriptor().Fields()
+	for i := range sections.Len() {
+		writeSection(&page, string(sections.Get(i).Name()), sections.Get(i).Message())
+	}
+	document := ""
+	for _, section := range documentSections() {
+		if section.document != document {
+			document = section.document
+			fmt.Fprintf(&page, "\n## Document `%s`\n", document)
+		}
+		writeSection(&page, section.name, section.message.ProtoReflect().Descriptor())
+	}
+	return page.String()
+}
+
+func writeSection(page *strings.Builder, name string, message protoreflect.MessageDescriptor) {
+	fmt.Fprintf(page, "\n### `[%s]`\n\n", name)
+	page.WriteString("| key | kind | default | bounds | text |\n| --- | --- | --- | --- | --- |\n")
+	fields := message.Fields()
+	for i := range fields.Len() {
+		field := fields.Get(i)
+		key := proto.GetExtension(field.Options(), wire.E_Key).(*wire.Key)
+		fmt.Fprintf(page, "| `%s` | %s | %s | %s | %s |\n", field.Name(), kind(field), byDefault(key), bounds(key), key.GetText())
+	}
+}
+
+func kind(field protoreflect.FieldDescriptor) string {
+	if field.IsList() {
+		return "list of texts"
+	}
+	switch field.Kind() {
+	case protoreflect.BoolKind:
+		return "true or false"
+	case protoreflect.Uint32Kind:
+		return "whole number"
+	case protoreflect.DoubleKind:
+		return "number"
+	case protoreflect.MessageKind:
+		return "duration"
+	default:
+		return "text"
+	}
+}
+
+func byDefault(key *wire.Key) string {
+	if key.GetRequired() {
+		return "required"
+	}
+	return cell(key.GetDefault())
+}
+
+func bounds(key *wire.Key) string {
+	if allowed := key.GetOneOf(); len(allowed) > 0 {
+		return strings.Join(allowed, ", ")
+	}
+	if key.GetMin() == "" && key.GetMax() == "" {
+		return none
+	}
+	return key.GetMin() + " to " + key.GetMax()
+}
+
+func cell(text string) string {
+	if text == "" {
+		return none
+	}
+	return text
+}
