--- a/internal/fakes/fleet_test.go
+++ b/internal/fakes/fleet_test.go
@@ -206,3 +206,26 @@
 		}
 	}
 }
+
+// TestFleetRefuses guards against a fleet that starts with settings that make no sense, or that leaves searchers running then.
+func TestFleetRefuses(t *testing.T) {
+	region := NewRegion("perth", "perth-a")
+	good := NewCollectionSettings("archive", 2, 1)
+	cases := map[string]FleetSettings{
+		"no region":             NewFleetSettings(),
+		"region without a zone": NewFleetSettings(region, NewRegion("bunbury")).WithCollections(good),
+		"no shards":             NewFleetSettings(region).WithCollections(good, NewCollectionSettings("empty", 0, 1)),
+		"no replicas":           NewFleetSettings(region).WithCollections(good, NewCollectionSettings("empty", 1, 0)),
+		"no slots":              NewFleetSettings(region).WithCollections(good, NewCollectionSettings("empty", 1, 1).WithSlots(0)),
+		"bad platform address":  NewFleetSettings(region).WithPlatform(PlatformSettings{}.WithAddress("127.0.0.1:-1")),
+	}
+	for name, settings := range cases {
+		t.Run(name, func(t *testing.T) {
+			f, err := StartFleet(settings)
+			if err == nil {
+				f.Close()
+				t.Error("got a fleet, want an error")
+			}
+		})
+	}
+}
--- a/internal/fakes/platform.go
+++ b/internal/fakes/platform.go
@@ -201,7 +201,8 @@
 	p.lags[prefix] = lag
 }
 
-// SetStale serves all values as they were at a revision; 0 ends it. A watch ends only on a revision above the one it names, so
+// SetStale serves all values as they were at a revision; 0 ends it. Each key keeps its latest 64 revisions, and a key whose kept
+// revisions are all later is unknown. A watch ends only on a revision above the one it names, so
 // readers see the older revision by reads without a watch.
 func (p *Platform) SetStale(revision uint64) {
 	p.mu.Lock()
--- a/internal/fakes/platform_test.go
+++ b/internal/fakes/platform_test.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"net"
 	"strconv"
 	"strings"
 	"testing"
@@ -138,30 +139,32 @@
 	}
 }
 
-// TestPlatformBlocksSome guards against a partition that cuts off all callers instead of some.
+// TestPlatformBlocksSome guards against a partition that cuts off all callers instead of some, or none.
 func TestPlatformBlocksSome(t *testing.T) {
-	p := startTestPlatform(t, PlatformSettings{})
-	p.Set("plans", []byte("a"))
-	url := "http://" + p.Address() + valuesPath + "plans"
-	first, second := newClient(t), newClient(t)
-	remotes := make(chan string, 1)
-	p.SetBlocked(func(remote string) bool {
-		select {
-		case remotes <- remote:
-		default:
-		}
-		return false
-	})
-	if got := get(first, url, callTimeout); got.err != nil {
-		t.Fatal(got.err)
-	}
-	blockedAddress := <-remotes
-	p.SetBlocked(func(remote string) bool { return remote == blockedAddress })
-	if got := get(second, url, callTimeout); got.err != nil || got.status != 200 {
-		t.Errorf("got %d %v for a caller that is not blocked, want 200", got.status, got.err)
+	cases := map[string]struct {
+		local string
+		cut   bool
+	}{
+		"blocked":     {local: "127.0.0.2", cut: true},
+		"not blocked": {local: "127.0.0.3"},
 	}
-	if !strings.HasPrefix(blockedAddress, "127.0.0.1:") {
-		t.Errorf("got remote address %q, want one on loopback", blockedAddress)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := startTestPlatform(t, PlatformSettings{})
+			p.Set("plans", []byte("a"))
+			client := newClient(t)
+			dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(c.local)}}
+			client.Dial = func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) }
+			url := "http://" + p.Address() + valuesPath + "plans"
+			if got := get(client, url, callTimeout); got.err != nil {
+				t.Fatal(got.err)
+			}
+			p.SetBlocked(func(remote string) bool { return strings.HasPrefix(remote, "127.0.0.2:") })
+			got := get(client, url, callTimeout)
+			if (got.err != nil) != c.cut {
+				t.Errorf("got status %d, error %v, want an error: %v", got.status, got.err, c.cut)
+			}
+		})
 	}
 }
 
--- a/internal/fakes/process.go
+++ b/internal/fakes/process.go
@@ -117,7 +117,7 @@
 func (p *process) waitForSlot(a *attempt, d deadline) bool {
 	select {
 	case <-a.granted:
-		return true
+		return !d.passed(time.Now())
 	default:
 	}
 	var expired <-chan time.Time
--- a/internal/fakes/searcher_test.go
+++ b/internal/fakes/searcher_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflylanding/fireflylanding/internal/wire"
@@ -250,3 +252,125 @@
 		})
 	}
 }
+
+// TestRunStateIsTrue guards against replies whose run state differs from the run log when deadlines, cancellations and a full
+// queue meet, and against slots that are lost or handed out twice then.
+func TestRunStateIsTrue(t *testing.T) {
+	const (
+		clients = 12
+		each    = 25
+		slots   = 2
+	)
+	s := startTestSearcher(t, func(settings SearcherSettings) SearcherSettings {
+		return settings.WithServiceTime(Exponential{Mean: time.Millisecond}, 5).WithSlots(slots).WithQueue(6)
+	})
+	statuses := make(chan map[uint64]wire.SearchStatus, clients)
+	var group conc.WaitGroup
+	for c := range clients {
+		client := newClient(t)
+		group.Go(func() { statuses <- searchAndCancel(t, s, client, uint64(c*each+1), each) })
+	}
+	group.Wait()
+	close(statuses)
+	ran := make(map[uint64]int)
+	for _, run := range s.Runs() {
+		ran[run.AttemptID()]++
+	}
+	answered := 0
+	for part := range statuses {
+		for id, status := range part {
+			answered++
+			want := 0
+			if status == statusOK || status == statusInterrupted {
+				want = 1
+			}
+			if ran[id] != want {
+				t.Errorf("attempt %d with status %v: got %d runs, want %d", id, status, ran[id], want)
+			}
+		}
+	}
+	if answered != clients*each {
+		t.Errorf("got %d answers, want %d", answered, clients*each)
+	}
+	if running, waiting := s.process.Load().slots.load(); running != 0 || waiting != 0 {
+		t.Errorf("got %d slots in use and %d waiting in the end, want none", running, waiting)
+	}
+}
+
+// searchAndCancel sends sub-requests one after the other, with short deadlines and with cancellations of neighbouring attempts.
+func searchAndCancel(t *testing.T, s *Searcher, client *fasthttp.Client, first uint64, count int) map[uint64]wire.SearchStatus {
+	statuses := make(map[uint64]wire.SearchStatus, count)
+	for i := range count {
+		id := first + uint64(i)
+		remaining := time.Duration(i%5) * time.Millisecond
+		reply, err := search(client, s, searchRequest(id, "a", remaining))
+		if err != nil {
+			t.Error(err)
+			return statuses
+		}
+		statuses[id] = reply.GetStatus()
+		if running, _ := s.process.Load().slots.load(); running > s.Settings().Slots() {
+			t.Errorf("got %d slots in use, want at most %d", running, s.Settings().Slots())
+		}
+		// The other clients' attempts have the same number within their range.
+		other := wire.SearcherCancel_builder{AttemptId: id + uint64(count)}.Build()
+		if err := post(client, "http://"+s.Address()+CancelPath, other, nil, callTimeout); err != nil {
+			t.Error(err)
+		}
+	}
+	return statuses
+}
+
+// TestGrantAfterDeadline guards against a sub-request that runs although its deadline passed before it took the slot.
+func TestGrantAfterDeadline(t *testing.T) {
+	cases := map[string]struct {
+		deadline deadline
+		want     bool
+	}{
+		"no deadline": {want: true},
+		"in time":     {deadline: deadline{set: true, at: time.Now().Add(time.Hour)}, want: true},
+		"passed":      {deadline: deadline{set: true, at: time.Now().Add(-time.Second)}, want: false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := startTestSearcher(t, nil)
+			p := s.process.Load()
+			a := newAttempt(1)
+			if !p.slots.enter(a) {
+				t.Fatal("got no slot from an idle searcher")
+			}
+			if got := p.waitForSlot(a, c.deadline); got != c.want {
+				t.Errorf("got slot taken %v, want %v", got, c.want)
+			}
+			p.slots.abandon(a)
+			if running, _ := p.slots.load(); running != 0 {
+				t.Errorf("got %d slots in use in the end, want none", running)
+			}
+		})
+	}
+}
+
+// TestSearcherClosed guards against a closed searcher that comes back.
+func TestSearcherClosed(t *testing.T) {
+	cases := map[string]func(s *Searcher){
+		"closed":                    func(s *Searcher) {},
+		"closed twice":              func(s *Searcher) { s.Close() },
+		"crashed after the close":   func(s *Searcher) { s.Crash() },
+		"restarted after the close": func(s *Searcher) { _ = s.Restart() },
+	}
+	for name, act := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := startTestSearcher(t, func(settings SearcherSettings) SearcherSettings {
+				return settings.WithCrash("poison", time.Millisecond)
+			})
+			s.Close()
+			act(s)
+			if _, err := search(newClient(t), s, searchRequest(1, "a", 0)); err == nil {
+				t.Error("got a reply from a closed searcher, want an error")
+			}
+			if err := s.Restart(); err == nil {
+				t.Error("got a restart of a closed searcher, want an error")
+			}
+		})
+	}
+}
