Refuse INI that its canonical form cannot hold

Found with a table of trial documents: a value such as "x # y" lost its end, a value of several lines added keys to its section, and a value that ends in a backslash swallowed the next key when a node parsed the canonical form again. A key given twice was missed when the first value was empty. Keys before the first section became a plan named DEFAULT. All of these are now faults. Faults are sorted by file, section and key, since sections are parsed in no fixed order.

Numbers and durations check their errors in the if that makes the call.

--- a/internal/conf/document.go
+++ b/internal/conf/document.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"sort"
 	"strconv"
@@ -23,30 +24,36 @@
 	AllowShadows:               true,
 	AllowNonUniqueSections:     true,
 	AllowDuplicateShadowValues: true,
+	PreserveEmptyShadowValues:  true,
 	SkipUnrecognizableLines:    false,
 	IgnoreInlineComment:        false,
 }
 
 // Split returns the sections of an INI document with their keys in canonical form, one "key = value" a line and sorted by key.
-// It returns Faults when the document is not INI or repeats a section or a key.
+// It returns Faults when the document is not INI, repeats a section or a key, has a key outside of all sections, or has a
+// key or value that the canonical form cannot hold.
 func Split(file string, data []byte) (map[string]string, error) {
 	parsed, err := ini.LoadSources(loadOptions, data)
 	if err != nil {
-		return nil, Faults{NewFault(file, "", "", err.Error())}
+		return nil, Faults{newSyntaxFault(file, "", err)}
 	}
 	var faults Faults
 	sections := make(map[string]string)
 	for _, section := range parsed.Sections() {
 		name := section.Name()
-		if name == ini.DefaultSection && len(section.Keys()) == 0 {
+		if name == ini.DefaultSection {
+			faults = append(faults, outside(file, section)...)
 			continue
 		}
 		if _, ok := sections[name]; ok {
 			faults = append(faults, NewFault(file, name, "", "section appears twice"))
 			continue
 		}
-		body, repeated := canonical(file, section)
-		faults = append(faults, repeated...)
+		if name != strings.TrimSpace(name) {
+			faults = append(faults, NewFault(file, name, "", "section name begins or ends with a space"))
+		}
+		body, found := canonical(file, section)
+		faults = append(faults, found...)
 		sections[name] = body
 	}
 	if err := faults.Err(); err != nil {
@@ -55,25 +62,71 @@
 	return sections, nil
 }
 
+func newSyntaxFault(file, section string, err error) Fault {
+	return NewFault(file, section, "", strings.TrimSpace(err.Error()))
+}
+
+// outside reports the keys before the first section, which the library gives a section of their own.
+func outside(file string, section *ini.Section) Faults {
+	var faults Faults
+	for _, key := range section.Keys() {
+		faults = append(faults, NewFault(file, section.Name(), key.Name(), "key is outside of all sections"))
+	}
+	return faults
+}
+
 func canonical(file string, section *ini.Section) (string, Faults) {
 	var faults Faults
 	lines := make([]string, 0, len(section.Keys()))
 	for _, key := range section.Keys() {
+		line := key.Name() + " = " + key.Value() + "\n"
 		if len(key.ValueWithShadows()) > 1 {
 			faults = append(faults, NewFault(file, section.Name(), key.Name(), "key appears twice"))
 		}
-		lines = append(lines, key.Name()+" = "+key.Value()+"\n")
+		if !survives(key, line) {
+			faults = append(faults, NewFault(file, section.Name(), key.Name(),
+				"key or value has a space, line break, quotation mark, comment sign or backslash in a place where it would be lost"))
+		}
+		lines = append(lines, line)
 	}
 	sort.Strings(lines)
 	return strings.Join(lines, ""), faults
 }
 
+// Characters with a meaning to the INI library in a key and in a value.
+const (
+	delicateInKey   = "\r\n\"'`#;\\[=:-"
+	delicateInValue = "\r\n\"'`#;\\"
+)
+
+// survives reports whether the canonical line of a key yields the same key and value when it is parsed again. Otherwise
+// a value in quotes could lose its end or add keys to its section on the nodes that receive the canonical form.
+func survives(key *ini.Key, line string) bool {
+	name, value := key.Name(), key.Value()
+	if name != strings.TrimSpace(name) || value != strings.TrimSpace(value) {
+		return false
+	}
+	if !strings.ContainsAny(name, delicateInKey) && !strings.ContainsAny(value, delicateInValue) {
+		return true
+	}
+	again, err := ini.LoadSources(loadOptions, []byte(line+nextLine))
+	if err != nil {
+		return false
+	}
+	values := again.Section(ini.DefaultSection).KeysHash()
+	got, ok := values[name]
+	return ok && got == value && len(values) == 2
+}
+
+// nextLine stands for the next key, which a value that ends in a backslash would swallow.
+const nextLine = "next-line = 1\n"
+
 // Decode reads the canonical body of one section into a message whose fields carry the key option.
 // Keys that are left out take their default. It returns Faults for unknown keys, missing required keys and values out of bounds.
 func Decode(file, section, body string, into proto.Message) error {
 	parsed, err := ini.LoadSources(loadOptions, []byte(body))
 	if err != nil {
-		return Faults{NewFault(file, section, "", err.Error())}
+		return Faults{newSyntaxFault(file, section, err)}
 	}
 	values := parsed.Section(ini.DefaultSection).KeysHash()
 	message := into.ProtoReflect()
@@ -91,7 +144,6 @@
 	for name := range values {
 		faults = append(faults, NewFault(file, section, name, "unknown key"))
 	}
-	sort.Slice(faults, func(i, j int) bool { return faults[i].key < faults[j].key })
 	return faults.Err()
 }
 
@@ -169,29 +221,25 @@
 	case protoreflect.StringKind:
 		return protoreflect.ValueOfString(value), ""
 	case protoreflect.BoolKind:
-		parsed, err := strconv.ParseBool(value)
-		if err != nil {
-			return protoreflect.Value{}, fmt.Sprintf("%q is not true or false", value)
+		if parsed, err := strconv.ParseBool(value); err == nil {
+			return protoreflect.ValueOfBool(parsed), ""
 		}
-		return protoreflect.ValueOfBool(parsed), ""
+		return protoreflect.Value{}, fmt.Sprintf("%q is not true or false", value)
 	case protoreflect.Uint32Kind:
-		parsed, err := strconv.ParseUint(value, 10, 32)
-		if err != nil {
-			return protoreflect.Value{}, fmt.Sprintf("%q is not a whole number", value)
+		if parsed, err := strconv.ParseUint(value, 10, 32); err == nil {
+			return protoreflect.ValueOfUint32(uint32(parsed)), ""
 		}
-		return protoreflect.ValueOfUint32(uint32(parsed)), ""
+		return protoreflect.Value{}, fmt.Sprintf("%q is not a whole number", value)
 	case protoreflect.DoubleKind:
-		parsed, err := strconv.ParseFloat(value, 64)
-		if err != nil || parsed != parsed {
-			return protoreflect.Value{}, fmt.Sprintf("%q is not a number", value)
+		if parsed, err := strconv.ParseFloat(value, 64); err == nil && !math.IsNaN(parsed) {
+			return protoreflect.ValueOfFloat64(parsed), ""
 		}
-		return protoreflect.ValueOfFloat64(parsed), ""
+		return protoreflect.Value{}, fmt.Sprintf("%q is not a number", value)
 	case protoreflect.MessageKind:
-		parsed, err := time.ParseDuration(value)
-		if err != nil {
-			return protoreflect.Value{}, fmt.Sprintf("%q is not a duration such as 250ms or 30s", value)
+		if parsed, err := time.ParseDuration(value); err == nil {
+			return protoreflect.ValueOfMessage(durationpb.New(parsed).ProtoReflect()), ""
 		}
-		return protoreflect.ValueOfMessage(durationpb.New(parsed).ProtoReflect()), ""
+		return protoreflect.Value{}, fmt.Sprintf("%q is not a duration such as 250ms or 30s", value)
 	default:
 		return protoreflect.Value{}, "the schema has no INI notation for this key"
 	}
--- a/internal/conf/faults.go
+++ b/internal/conf/faults.go
@@ -1,7 +1,8 @@
 package conf
 
 import (
-	"fmt"
+	"cmp"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -32,12 +33,28 @@
 // Problem returns what is wrong.
 func (f Fault) Problem() string { return f.problem }
 
-// String returns the fault on one line.
+// String returns the fault on one line, without the parts that are empty.
 func (f Fault) String() string {
-	if f.key == "" {
-		return fmt.Sprintf("%s: [%s]: %s", f.file, f.section, f.problem)
+	place := f.file + ":"
+	if f.section != "" {
+		place += " [" + f.section + "]"
 	}
-	return fmt.Sprintf("%s: [%s] %s: %s", f.file, f.section, f.key, f.problem)
+	if f.key != "" {
+		place += " " + f.key
+	}
+	if f.section == "" && f.key == "" {
+		return place + " " + f.problem
+	}
+	return place + ": " + f.problem
+}
+
+// compare orders faults by file, section and key.
+func (f Fault) compare(other Fault) int {
+	return cmp.Or(
+		strings.Compare(f.file, other.file),
+		strings.Compare(f.section, other.section),
+		strings.Compare(f.key, other.key),
+	)
 }
 
 // Faults is the error of a document with at least one fault.
@@ -52,12 +69,14 @@
 	return strings.Join(lines, "\n")
 }
 
-// Err returns nil when there is no fault.
+// Err returns nil when there is no fault, and otherwise the faults in order of file, section and key.
 func (f Faults) Err() error {
 	if len(f) == 0 {
 		return nil
 	}
-	return f
+	sorted := slices.Clone(f)
+	slices.SortStableFunc(sorted, Fault.compare)
+	return sorted
 }
 
 // With returns the faults joined by those in an error, which may be of another kind.
--- a/internal/plans/lists.go
+++ b/internal/plans/lists.go
@@ -141,7 +141,7 @@
 	var faults conf.Faults
 	for name, body := range sections {
 		plan, collection, ok := strings.Cut(name, "/")
-		if !ok || plan == "" || collection == "" || strings.Contains(collection, "/") {
+		if !ok || !isName(plan) || !isName(collection) {
 			faults = append(faults, conf.NewFault(UsesKey, name, "", "section must be named PLAN/COLLECTION"))
 			continue
 		}
@@ -163,6 +163,11 @@
 	return &Uses{revision: revision, byName: byName}, nil
 }
 
+// isName reports whether a part of a section's name can name a plan or a collection.
+func isName(text string) bool {
+	return text != "" && text == strings.TrimSpace(text) && !strings.Contains(text, "/")
+}
+
 // Lists joins one revision of each list. It is immutable.
 type Lists struct {
 	plans *Plans
--- a/internal/shards/index.go
+++ b/internal/shards/index.go
@@ -190,6 +190,10 @@
 		p.faults = p.faults.With(err)
 		return
 	}
+	if id == "" {
+		p.fault(name, "", "section must be named searcher ID")
+		return
+	}
 	p.searchers[id] = NewSearcher(id, section.GetAddress(), section.GetRegion(), section.GetAvailabilityZone(),
 		int(section.GetSlots()), int(section.GetConnections()))
 }
@@ -200,8 +204,8 @@
 		p.faults = p.faults.With(err)
 		return
 	}
-	version, err := strconv.ParseUint(rest, 10, 64)
-	if err != nil || version == 0 {
+	version, ok := parseNumber(rest)
+	if !ok || version == 0 {
 		p.fault(name, "", "the version must be a whole number above 0")
 		return
 	}
@@ -215,20 +219,28 @@
 		return
 	}
 	versionText, shardText, _ := strings.Cut(rest, "/")
-	version, versionErr := strconv.ParseUint(versionText, 10, 64)
-	shard, shardErr := strconv.Atoi(shardText)
-	if versionErr != nil || shardErr != nil {
+	version, versionOK := parseNumber(versionText)
+	shard, shardOK := parseNumber(shardText)
+	if !versionOK || !shardOK {
 		p.fault(name, "", "section must be named shard VERSION/NUMBER")
 		return
 	}
 	snapshot, ok := p.snapshots[version]
-	if !ok || shard < 0 || shard >= len(snapshot.replicas) {
+	if !ok || shard >= uint64(len(snapshot.replicas)) {
 		p.fault(name, "", "no snapshot has this shard")
 		return
 	}
 	snapshot.replicas[shard] = section.GetSearchers()
 }
 
+// parseNumber reads a whole number in its shortest form. Other forms, such as 01, would let two sections name one thing.
+func parseNumber(text string) (uint64, bool) {
+	if number, err := strconv.ParseUint(text, 10, 64); err == nil {
+		return number, strconv.FormatUint(number, 10) == text
+	}
+	return 0, false
+}
+
 // check reports shards without replicas and replicas without a searcher section.
 func (p *indexParser) check() {
 	for version, snapshot := range p.snapshots {
@@ -237,7 +249,10 @@
 			if len(ids) == 0 {
 				p.fault(name, "", "shard has no searchers")
 			}
-			for _, id := range ids {
+			for i, id := range ids {
+				if slices.Contains(ids[:i], id) {
+					p.fault(name, "searchers", "searcher "+id+" appears twice")
+				}
 				if _, ok := p.searchers[id]; !ok {
 					p.fault(name, "searchers", "no section [searcher "+id+"]")
 				}
--- a/internal/status/preview.go
+++ b/internal/status/preview.go
@@ -61,32 +61,24 @@
 	if err != nil {
 		return nil, err
 	}
-	if e.List == plans.PlansKey {
-		_, err = plans.ParsePlans(0, sections)
-	} else {
-		_, err = plans.ParseUses(0, sections)
-	}
-	if err != nil {
+	if err := parseList(e.List, sections); err != nil {
 		return nil, err
 	}
 	return sections, nil
 }
 
-func validate(e Edit) Verdict {
-	_, err := parseEdit(e)
-	return Verdict{OK: err == nil, Faults: sortedFaults(e.List, err)}
+func parseList(list string, sections map[string]string) error {
+	if list == plans.PlansKey {
+		_, err := plans.ParsePlans(0, sections)
+		return err
+	}
+	_, err := plans.ParseUses(0, sections)
+	return err
 }
 
-// sortedFaults orders faults by section and key, since lists are parsed in no fixed order.
-func sortedFaults(list string, err error) []Fault {
-	faults := NewFaults(list, err)
-	slices.SortFunc(faults, func(a, b Fault) int {
-		if c := strings.Compare(a.Section, b.Section); c != 0 {
-			return c
-		}
-		return strings.Compare(a.Key, b.Key)
-	})
-	return faults
+func validate(e Edit) Verdict {
+	_, err := parseEdit(e)
+	return Verdict{OK: err == nil, Faults: NewFaults(e.List, err)}
 }
 
 // preview compares an edit with the list in force.
@@ -95,7 +87,7 @@
 	p := newPreview(e.List, revision(e.List, lists))
 	proposed, err := parseEdit(e)
 	if err != nil {
-		p.Faults = sortedFaults(e.List, err)
+		p.Faults = NewFaults(e.List, err)
 		return p, nil
 	}
 	p.OK = true
