Try an entry that let a question run into its deadline last

A hung entry stayed first in the client's order, so every question went to it until the directory changed. A deadline now counts as a failure of the entry; a cancelled context does not.

--- a/internal/status/server.go
+++ b/internal/status/server.go
@@ -19,7 +19,7 @@
 
 const (
 	// MaxEditBytes bounds the body of a request. A list holds up to 1 MB, which JSON escapes lengthen.
-	MaxEditBytes = 4 << 20
+	MaxEditBytes = 2 << 20
 
 	// readTimeout bounds the time to receive a request.
 	readTimeout = 10 * time.Second
--- a/internal/status/server_test.go
+++ b/internal/status/server_test.go
@@ -341,6 +341,17 @@
 	}
 }
 
+// Guards against a limit that keeps out a list of the size that the configuration service holds.
+func TestGreatestList(t *testing.T) {
+	const listBytes = 1_000_000
+	base, _ := start(t)
+	line := "# " + strings.Repeat("x", 77) + "\n"
+	code, text := post(t, base+"/v1/validate", edit("plans", strings.Repeat(line, listBytes/len(line))))
+	if code != http.StatusOK || text != `{"ok":true,"faults":[]}` {
+		t.Errorf("got status %d and %s, want a valid list", code, text)
+	}
+}
+
 // Guards against an administration API that can change configuration or answers unknown paths.
 func TestUnknownRequests(t *testing.T) {
 	tests := map[string]struct {
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -170,10 +170,12 @@
 		if err != nil {
 			mayHaveRun = mayHaveRun || q.couldRun(token) && !isDialError(err)
 			last = &refused{refusal: newFailure(ctx, mayHaveRun, err)}
+			if !errors.Is(ctx.Err(), context.Canceled) {
+				c.fail(address, time.Now())
+			}
 			if isOver(ctx, err) {
 				break
 			}
-			c.fail(address, time.Now())
 			continue
 		}
 		if got.refusal == nil {
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -469,6 +469,21 @@
 	}
 }
 
+// Guards against a hung entry that takes every question and lets each run into its deadline.
+func TestHungEntryIsTriedLast(t *testing.T) {
+	hung, live := newEntry(t, verdict{hang: true}), newEntry(t, answered)
+	hung.setDirectory(listing("30s", nil, nil, hung.address(), live.address()))
+	c := newClient(t, hung.address())
+	_, err := c.Ask(context.Background(), client.NewQuestion("care", "care-desk", "lamp", client.WithDeadline(200*time.Millisecond)))
+	checkOutcome(t, client.Answer{}, err, client.ReasonDeadline, client.Unknown)
+	if _, err := c.Ask(context.Background(), client.NewQuestion("care", "care-desk", "lamp")); err != nil {
+		t.Fatal(err)
+	}
+	if got := len(live.seen()); got != 1 {
+		t.Errorf("questions at the live entry: got %d, want 1", got)
+	}
+}
+
 // Guards against a client that can never find an entry.
 func TestNewNeedsAnAddress(t *testing.T) {
 	if _, err := client.New(client.Settings{Caller: "web-1"}); err == nil {
