Add spread.Store: documents, deltas and bounded history

The history keeps only the names of changed sections and takes bodies from the present document; it therefore serves one delta for any revision that it reaches.

--- /dev/null
+++ b/internal/spread/store.go
@@ -0,0 +1,227 @@
+package spread
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fireflylanding/fireflylanding/internal/conf"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// Validate checks a document before it comes into force. The error is conf.Faults where the faults can be located.
+type Validate func(key string, revision uint64, sections map[string]string) error
+
+// Result is the outcome of offering a document: Accepted, Stale or Invalid.
+type Result interface{ result() }
+
+// Accepted says that the document is in force.
+type Accepted struct {
+	previous uint64
+}
+
+// Previous returns the revision that was in force before, 0 for none.
+func (a Accepted) Previous() uint64 { return a.previous }
+
+// Stale says that the document's revision is not above the one in force.
+type Stale struct {
+	inForce uint64
+}
+
+// InForce returns the revision in force.
+func (s Stale) InForce() uint64 { return s.inForce }
+
+// Invalid says that the document was refused.
+type Invalid struct {
+	faults conf.Faults
+	known  bool
+}
+
+// Faults returns what is wrong with the document.
+func (i Invalid) Faults() conf.Faults { return i.faults }
+
+// Known reports whether the same document was refused before.
+func (i Invalid) Known() bool { return i.known }
+
+func (Accepted) result() {}
+func (Stale) result()    {}
+func (Invalid) result()  {}
+
+// Rejection is the last refused revision of a document.
+type Rejection struct {
+	key      string
+	revision uint64
+	hash     uint64
+	at       time.Time
+	faults   conf.Faults
+}
+
+// Key returns the key of the document.
+func (r Rejection) Key() string { return r.key }
+
+// Revision returns the refused revision.
+func (r Rejection) Revision() uint64 { return r.revision }
+
+// At returns the time of the refusal.
+func (r Rejection) At() time.Time { return r.at }
+
+// Faults returns what is wrong with the document.
+func (r Rejection) Faults() conf.Faults { return r.faults }
+
+// Store holds the documents in force. It is safe for concurrent use; Get takes no lock.
+type Store struct {
+	validate Validate
+	docs     atomic.Pointer[map[string]*Document]
+
+	// accepting serialises Accept, so that subscribers see revisions in order.
+	accepting   sync.Mutex
+	subscribers map[int]func(*Document)
+	nextID      int
+
+	// mu guards the fields below and is not held during validation. The current documents and their histories change together.
+	mu        sync.Mutex
+	histories map[string]*history
+	rejected  map[string]Rejection
+}
+
+// NewStore returns an empty store.
+func NewStore(validate Validate) *Store {
+	s := &Store{
+		validate:    validate,
+		subscribers: make(map[int]func(*Document)),
+		histories:   make(map[string]*history),
+		rejected:    make(map[string]Rejection),
+	}
+	s.docs.Store(&map[string]*Document{})
+	return s
+}
+
+// Get returns the document in force, or nil.
+func (s *Store) Get(key string) *Document { return (*s.docs.Load())[key] }
+
+// Keys returns the keys of all documents in force, sorted.
+func (s *Store) Keys() []string { return slices.Sorted(maps.Keys(*s.docs.Load())) }
+
+// Accept brings a document into force if its revision is above the present one and it is valid. A document without a revision is Stale.
+func (s *Store) Accept(now time.Time, doc *Document) Result {
+	s.accepting.Lock()
+	defer s.accepting.Unlock()
+	current := s.Get(doc.key)
+	if doc.revision <= current.Revision() {
+		return Stale{inForce: current.Revision()}
+	}
+	if r, ok := s.Rejected(doc.key); ok && r.revision == doc.revision && r.hash == doc.hash {
+		return Invalid{faults: r.faults, known: true}
+	}
+	if err := s.validate(doc.key, doc.revision, doc.sections); err != nil {
+		return s.reject(now, doc.key, doc.revision, doc.hash, err)
+	}
+	s.publish(current, doc)
+	for _, id := range slices.Sorted(maps.Keys(s.subscribers)) {
+		s.subscribers[id](doc)
+	}
+	return Accepted{previous: current.Revision()}
+}
+
+// RejectValue records a value that could not even be read as a document.
+func (s *Store) RejectValue(now time.Time, key string, revision uint64, err error) Result {
+	s.accepting.Lock()
+	defer s.accepting.Unlock()
+	if current := s.Get(key).Revision(); revision <= current {
+		return Stale{inForce: current}
+	}
+	if r, ok := s.Rejected(key); ok && r.revision == revision {
+		return Invalid{faults: r.faults, known: true}
+	}
+	return s.reject(now, key, revision, 0, err)
+}
+
+func (s *Store) reject(now time.Time, key string, revision, hash uint64, err error) Invalid {
+	faults := conf.Faults{}.With(err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejected[key] = Rejection{key: key, revision: revision, hash: hash, at: now, faults: faults}
+	return Invalid{faults: faults}
+}
+
+// publish puts a document into force.
+func (s *Store) publish(current, doc *Document) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, ok := s.rejected[doc.key]; ok && r.revision <= doc.revision {
+		delete(s.rejected, doc.key)
+	}
+	if current == nil {
+		s.histories[doc.key] = &history{}
+	} else {
+		s.histories[doc.key].add(current, doc)
+	}
+	docs := maps.Clone(*s.docs.Load())
+	docs[doc.key] = doc
+	s.docs.Store(&docs)
+}
+
+// Rejected returns the last refused revision of a document above the one in force.
+func (s *Store) Rejected(key string) (Rejection, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.rejected[key]
+	return r, ok
+}
+
+// Rejections returns the refused revisions above those in force, sorted by key.
+func (s *Store) Rejections() []Rejection {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := slices.Collect(maps.Values(s.rejected))
+	slices.SortFunc(all, func(a, b Rejection) int { return cmp.Compare(a.key, b.key) })
+	return all
+}
+
+// Seen returns the highest revision that is in force or was refused; nothing up to it needs to be fetched.
+func (s *Store) Seen(key string) uint64 {
+	r, _ := s.Rejected(key)
+	return max(r.revision, s.Get(key).Revision())
+}
+
+// Delta returns the least delta that takes a peer from its revision to the present one, and nil when there is nothing newer.
+func (s *Store) Delta(key string, revision uint64) *wire.Delta {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	doc := s.Get(key)
+	if doc.Revision() <= revision {
+		return nil
+	}
+	from, names, ok := s.histories[key].since(revision)
+	if revision == 0 || !ok {
+		return full(doc)
+	}
+	delta := partial(from, doc, names)
+	if len(names) < len(doc.sections) {
+		return delta
+	}
+	if whole := full(doc); proto.Size(whole) <= proto.Size(delta) {
+		return whole
+	}
+	return delta
+}
+
+// Subscribe calls back with each document that comes into force, in the order of its revisions, until the returned function is called.
+// The callback must return soon and must not call Accept or Subscribe.
+func (s *Store) Subscribe(callback func(*Document)) (cancel func()) {
+	s.accepting.Lock()
+	defer s.accepting.Unlock()
+	id := s.nextID
+	s.nextID++
+	s.subscribers[id] = callback
+	return func() {
+		s.accepting.Lock()
+		defer s.accepting.Unlock()
+		delete(s.subscribers, id)
+	}
+}
