--- /dev/null
+++ b/internal/admit/simulation_test.go
@@ -0,0 +1,197 @@
+package admit
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fireflylanding/fireflylanding/internal/plans"
+	"github.com/fireflylanding/fireflylanding/internal/queue"
+)
+
+const (
+	simShards   = 4
+	simSlots    = 2
+	simService  = 10 * time.Millisecond
+	simPatience = 360 * time.Millisecond
+	// simCapacity is what the searchers can serve, in queries/s.
+	simCapacity = float64(simSlots) * float64(time.Second) / float64(simService)
+)
+
+var simStart = time.Unix(1_000_000, 0)
+
+// simQuery is a query to all shards.
+type simQuery struct {
+	entry int
+	plan  int
+	grant Grant
+	open  int
+	whole bool
+}
+
+type simEvent struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type simEvents []simEvent
+
+func (e simEvents) Len() int { return len(e) }
+func (e simEvents) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].order < e[j].order
+}
+func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// simPlan is one plan's offered load.
+type simPlan struct {
+	name    string
+	weight  int
+	offered float64
+}
+
+// simCount is what one plan's queries met.
+type simCount struct {
+	offered  int
+	admitted int
+	// whole counts queries with every shard in time; partial counts admitted queries without.
+	whole   int
+	partial int
+}
+
+// fleet joins entries with admission and searchers with queues on a virtual clock.
+type fleet struct {
+	random  *rand.Rand
+	now     time.Time
+	events  simEvents
+	order   int
+	entries []*Admission
+	queues  []*queue.Queue[*simQuery]
+	running []int
+	plans   []simPlan
+	counts  []simCount
+	// capacity scales the service rate; a failure lowers it.
+	capacity float64
+	attempt  uint64
+}
+
+func newFleet(seed uint64, entries int, plans ...simPlan) *fleet {
+	f := &fleet{
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		now:      simStart,
+		running:  make([]int, simShards),
+		plans:    plans,
+		counts:   make([]simCount, len(plans)),
+		capacity: 1,
+	}
+	for range entries {
+		f.entries = append(f.entries, New(Settings{}))
+	}
+	for range simShards {
+		f.queues = append(f.queues, queue.New[*simQuery](queue.Settings{}))
+	}
+	for i := range plans {
+		f.arrive(i)
+	}
+	return f
+}
+
+func (f *fleet) after(d time.Duration, run func()) {
+	f.order++
+	heap.Push(&f.events, simEvent{at: f.now.Add(d), order: f.order, run: run})
+}
+
+func (f *fleet) run(length time.Duration) {
+	end := f.now.Add(length)
+	for f.events[0].at.Before(end) {
+		e := heap.Pop(&f.events).(simEvent)
+		f.now = e.at
+		e.run()
+	}
+	f.now = end
+}
+
+func (f *fleet) arrive(plan int) {
+	p := f.plans[plan]
+	f.after(time.Duration(f.random.ExpFloat64()/p.offered*float64(time.Second)), func() {
+		f.query(plan)
+		f.arrive(plan)
+	})
+}
+
+func (f *fleet) query(plan int) {
+	p := f.plans[plan]
+	f.counts[plan].offered++
+	entry := f.random.IntN(len(f.entries))
+	use := plans.NewUse(p.name, "c", 1e6, 1e5)
+	grant, refusal := f.entries[entry].Admit(f.now, "c", p.name, use)
+	if refusal != nil {
+		return
+	}
+	f.counts[plan].admitted++
+	q := &simQuery{entry: entry, plan: plan, grant: grant, open: simShards, whole: true}
+	order := f.random.Uint64()
+	deadline := f.now.Add(simPatience)
+	for shard := range f.queues {
+		f.attempt++
+		it := queue.NewItem(f.attempt, p.name, plans.Routine, p.weight, deadline, false, order, q)
+		if _, refusal := f.queues[shard].Push(f.now, it); refusal != nil {
+			f.reply(shard, q, false)
+		}
+		f.serve(shard)
+	}
+}
+
+func (f *fleet) serve(shard int) {
+	for f.running[shard] < simSlots {
+		it, ok := f.queues[shard].Pop(f.now)
+		if !ok {
+			break
+		}
+		f.running[shard]++
+		took := time.Duration(f.random.ExpFloat64() * float64(simService) / f.capacity)
+		f.after(took, func() {
+			f.running[shard]--
+			f.queues[shard].Done(f.now, it, max(took, 1))
+			f.reply(shard, it.Payload(), !f.now.After(it.Deadline()))
+			f.serve(shard)
+		})
+	}
+	for _, d := range f.queues[shard].Dropped() {
+		f.reply(shard, d.Item().Payload(), false)
+	}
+}
+
+func (f *fleet) reply(shard int, q *simQuery, good bool) {
+	p := f.plans[q.plan]
+	pressure := f.queues[shard].Pressure(f.now, plans.Routine, p.name)
+	f.entries[q.entry].Feedback(f.now, "c", p.name, pressure, !good)
+	q.whole = q.whole && good
+	q.open--
+	if q.open > 0 {
+		return
+	}
+	q.grant.Release(f.now)
+	if q.whole {
+		f.counts[q.plan].whole++
+		return
+	}
+	f.counts[q.plan].partial++
+}
+
+// measure returns the counts of a period after the fleet has settled.
+func (f *fleet) measure(settle, length time.Duration) []simCount {
+	f.run(settle)
+	clear(f.counts)
+	f.run(length)
+	return f.counts
+}
