--- /dev/null
+++ b/internal/retry/retrier_test.go
@@ -0,0 +1,210 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fireflylanding/fireflylanding/internal/reason"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func newRetrier(s Settings, seed uint64) *Retrier {
+	return New(s, rand.New(rand.NewPCG(seed, 1)))
+}
+
+// reasons returns all reasons, including those that no attempt ends with.
+func reasons() []wire.Reason {
+	var all []wire.Reason
+	for number := range wire.Reason_name {
+		all = append(all, wire.Reason(number))
+	}
+	slices.Sort(all)
+	return all
+}
+
+// TestDecide guards against retries that are unsafe, useless or too late, and against needless waits.
+func TestDecide(t *testing.T) {
+	const need = 50 * time.Millisecond
+	tests := map[string]struct {
+		attempt Attempt
+		sent    int
+		stop    wire.Reason
+		wait    time.Duration
+	}{
+		"shed":                       {attempt: Attempt{Reason: wire.Reason_REASON_SEARCHER_SHED, Attempts: 1}, sent: 10, wait: 4 * time.Millisecond},
+		"shed twice":                 {attempt: Attempt{Reason: wire.Reason_REASON_SEARCHER_SHED, Attempts: 2}, sent: 10, wait: 8 * time.Millisecond},
+		"shed three times":           {attempt: Attempt{Reason: wire.Reason_REASON_SEARCHER_SHED, Attempts: 3}, sent: 10, stop: wire.Reason_REASON_RETRY_ATTEMPTS},
+		"leaving":                    {attempt: Attempt{Reason: wire.Reason_REASON_SEARCHER_LEAVING, Attempts: 1}, sent: 10},
+		"snapshot gone":              {attempt: Attempt{Reason: wire.Reason_REASON_SNAPSHOT_GONE, Attempts: 1}, sent: 10},
+		"not the owner":              {attempt: Attempt{Reason: wire.Reason_REASON_NOT_OWNER, Attempts: 2}, sent: 10},
+		"lost":                       {attempt: Attempt{Reason: wire.Reason_REASON_CONNECTION_LOST, Attempts: 1}, sent: 10, stop: wire.Reason_REASON_RETRY_UNSAFE},
+		"lost, idempotent":           {attempt: Attempt{Reason: wire.Reason_REASON_CONNECTION_LOST, Idempotent: true, Attempts: 1}, sent: 10, wait: 4 * time.Millisecond},
+		"owner lost":                 {attempt: Attempt{Reason: wire.Reason_REASON_OWNER_LOST, Attempts: 1}, sent: 10, stop: wire.Reason_REASON_RETRY_UNSAFE},
+		"owner unreachable":          {attempt: Attempt{Reason: wire.Reason_REASON_OWNER_UNREACHABLE, Attempts: 1}, sent: 10, wait: 4 * time.Millisecond},
+		"no reason":                  {attempt: Attempt{Attempts: 1}, sent: 10, stop: wire.Reason_REASON_RETRY_UNSAFE},
+		"no budget":                  {attempt: Attempt{Reason: wire.Reason_REASON_SEARCHER_SHED, Attempts: 1}, sent: 9, stop: wire.Reason_REASON_RETRY_BUDGET},
+		"cancelled":                  {attempt: Attempt{Reason: wire.Reason_REASON_CANCELLED, Idempotent: true, Attempts: 1}, sent: 10, stop: wire.Reason_REASON_CANCELLED},
+		"quarantined":                {attempt: Attempt{Reason: wire.Reason_REASON_QUARANTINED, Idempotent: true, Attempts: 1}, sent: 10, stop: wire.Reason_REASON_QUARANTINED},
+		"less than the need remains": {attempt: Attempt{Reason: wire.Reason_REASON_SEARCHER_SHED, Attempts: 1, Deadline: start.Add(need)}, sent: 10, stop: wire.Reason_REASON_RETRY_NO_TIME},
+		"a little more remains":      {attempt: Attempt{Reason: wire.Reason_REASON_SEARCHER_SHED, Attempts: 1, Deadline: start.Add(need + time.Millisecond)}, sent: 10, wait: time.Millisecond},
+		"expired":                    {attempt: Attempt{Reason: wire.Reason_REASON_SEARCHER_SHED, Attempts: 1, Deadline: start.Add(-time.Second)}, sent: 10, stop: wire.Reason_REASON_RETRY_NO_TIME},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRetrier(Settings{}, 1)
+			r.Observe("c", need)
+			r.Sent(test.sent)
+			test.attempt.Collection = "c"
+			if test.attempt.Deadline.IsZero() {
+				test.attempt.Deadline = start.Add(time.Second)
+			}
+			switch got := r.Decide(start, test.attempt).(type) {
+			case Again:
+				if test.stop != wire.Reason_REASON_UNSPECIFIED {
+					t.Fatalf("got Again, want Stop with %v", test.stop)
+				}
+				if got.After < 0 || got.After > test.wait {
+					t.Errorf("wait: got %v, want at most %v", got.After, test.wait)
+				}
+			case Stop:
+				if got.Reason != test.stop {
+					t.Errorf("got Stop with %v, want %v", got.Reason, test.stop)
+				}
+			}
+		})
+	}
+}
+
+// TestJitterSpreads guards against retries of many queries that arrive together.
+func TestJitterSpreads(t *testing.T) {
+	const seed = 5
+	r := newRetrier(Settings{Reserve: 1000}, seed)
+	early := 0
+	for range 1000 {
+		decision := r.Decide(start, Attempt{Reason: wire.Reason_REASON_SEARCHER_SHED, Attempts: 1, Deadline: start.Add(time.Hour)})
+		again, ok := decision.(Again)
+		if !ok {
+			t.Fatalf("got %v, want Again", decision)
+		}
+		if again.After < defaultBaseDelay/2 {
+			early++
+		}
+	}
+	if early < 400 || early > 600 {
+		t.Errorf("waits in the first half: got %d of 1000, want about 500 (seed %d)", early, seed)
+	}
+}
+
+// TestRetriesAreSafeAndWithinBudget guards against any sequence of calls that retries an unsafe attempt, after the last attempt, too late, or
+// beyond 10% of first attempts and the reserve.
+func TestRetriesAreSafeAndWithinBudget(t *testing.T) {
+	all := reasons()
+	rapid.Check(t, func(t *rapid.T) {
+		reserve := rapid.IntRange(0, 5).Draw(t, "reserve")
+		r := newRetrier(Settings{Reserve: reserve}, rapid.Uint64().Draw(t, "seed"))
+		now := start
+		sent, retries := 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"sent": func(t *rapid.T) {
+				n := rapid.IntRange(-1, 100).Draw(t, "n")
+				r.Sent(n)
+				sent += max(n, 0)
+			},
+			"observe": func(t *rapid.T) {
+				r.Observe("c", time.Duration(rapid.IntRange(-1, 500).Draw(t, "latency"))*time.Millisecond)
+			},
+			"decide": func(t *rapid.T) {
+				a := Attempt{
+					Collection: "c",
+					Reason:     rapid.SampledFrom(all).Draw(t, "reason"),
+					Idempotent: rapid.Bool().Draw(t, "idempotent"),
+					Attempts:   rapid.IntRange(1, 4).Draw(t, "attempts"),
+					Deadline:   now.Add(time.Duration(rapid.IntRange(-10, 1000).Draw(t, "remaining")) * time.Millisecond),
+				}
+				again, ok := r.Decide(now, a).(Again)
+				if !ok {
+					return
+				}
+				retries++
+				if !a.Idempotent && reason.Run(a.Reason) != wire.RunState_RUN_STATE_NOT_RUN {
+					t.Fatalf("retried an unsafe attempt that ended with %v", a.Reason)
+				}
+				if a.Attempts >= defaultMaxAttempts {
+					t.Fatalf("retried after %d attempts", a.Attempts)
+				}
+				if again.After < 0 || now.Add(again.After+r.Need("c")).After(a.Deadline) {
+					t.Fatalf("retry after %v cannot meet the deadline in %v with a need of %v", again.After, a.Deadline.Sub(now), r.Need("c"))
+				}
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "step")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				if (retries-reserve)*10 > sent {
+					t.Fatalf("retries: got %d of %d attempts with a reserve of %d", retries, sent, reserve)
+				}
+			},
+		})
+	})
+}
+
+// TestBudgetUnderConcurrency guards against budget spent twice by concurrent calls.
+func TestBudgetUnderConcurrency(t *testing.T) {
+	r := newRetrier(Settings{}, 1)
+	var retries atomic.Int64
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for range 2000 {
+				r.Sent(1)
+				r.Observe("c", time.Millisecond)
+				if _, ok := r.Decide(start, Attempt{Collection: "c", Reason: wire.Reason_REASON_SEARCHER_SHED, Attempts: 1, Deadline: start.Add(time.Second)}).(Again); ok {
+					retries.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	if got, want := retries.Load(), int64(8*2000/10); got != want {
+		t.Errorf("retries: got %d, want %d", got, want)
+	}
+}
+
+// TestCollectionsAreBounded guards against memory that grows with the number of collection names.
+func TestCollectionsAreBounded(t *testing.T) {
+	r := newRetrier(Settings{}, 1)
+	for i := range maxCollections + 10 {
+		r.Observe(fmt.Sprint(i), time.Millisecond)
+	}
+	if got := len(r.needs); got != maxCollections {
+		t.Errorf("collections: got %d, want %d", got, maxCollections)
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	tests := map[string]wire.Reason{
+		"again": wire.Reason_REASON_SEARCHER_SHED,
+		"stop":  wire.Reason_REASON_CONNECTION_LOST,
+	}
+	for name, r := range tests {
+		b.Run(name, func(b *testing.B) {
+			retrier := newRetrier(Settings{}, 1)
+			retrier.Observe("c", time.Millisecond)
+			a := Attempt{Collection: "c", Reason: r, Attempts: 1, Deadline: start.Add(time.Second)}
+			b.ReportAllocs()
+			for b.Loop() {
+				retrier.Sent(10)
+				retrier.Decide(start, a)
+			}
+		})
+	}
+}
