Fix lost changes, replies after a stop and reordered hints in the stand-ins

Causes: a reader took the time before it waited for the lock, so a value set meanwhile was invisible and its wake-up was consumed; a stopping process told its handlers before it closed their connections, so they sent empty or 304 replies; lagging hints could record two states in the wrong order. Clock and state are now read under the lock, and connections are closed first.

--- a/internal/fakes/gate.go
+++ b/internal/fakes/gate.go
@@ -123,10 +123,20 @@
 	if conns == nil {
 		return
 	}
-	close(g.dead)
+	// Handlers that notice the stop must find their connections closed, or they could still reply.
 	for c := range conns {
 		c.abort()
 	}
+	close(g.dead)
+}
+
+func (g *gate) stopped() bool {
+	select {
+	case <-g.dead:
+		return true
+	default:
+		return false
+	}
 }
 
 // abortIf aborts the open connections for which the condition holds.
--- a/internal/fakes/hints.go
+++ b/internal/fakes/hints.go
@@ -64,10 +64,16 @@
 	h.lags.Store(lags)
 }
 
-// record adds the present state to the history of a lagging endpoint.
-func (h *hints) record(now time.Time, s state) {
+// record adds the present state to the history of a lagging endpoint. It reads the clock and the state under the lock, so that
+// the history is in the order of the states.
+func (h *hints) record(present func() state) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.add(time.Now(), present())
+}
+
+// add adds a state to the history; the lock is held.
+func (h *hints) add(now time.Time, s state) {
 	mode, ok := h.mode.(LaggingHints)
 	if !ok {
 		return
--- a/internal/fakes/platform.go
+++ b/internal/fakes/platform.go
@@ -283,9 +283,12 @@
 	changed <-chan struct{}
 }
 
-func (p *Platform) see(key string, now time.Time) seen {
+// see reads the clock under the lock: a time from before the wait for the lock would hide a value that was set meanwhile, and
+// the reader would wait for the change after it.
+func (p *Platform) see(key string) seen {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	entry := p.entry(key)
 	result := seen{changed: entry.changed}
 	for i := len(entry.versions) - 1; i >= 0; i-- {
@@ -324,13 +327,13 @@
 }
 
 func (p *Platform) answer(ctx *fasthttp.RequestCtx, key string, after uint64, wait time.Duration) {
-	first := p.see(key, time.Now())
+	first := p.see(key)
 	last := first
 	if wait > 0 && !news(first, first, after) {
 		last = p.watch(ctx.Conn(), first, key, after, wait)
 	}
 	switch {
-	case p.unreachable(ctx.Conn()):
+	case p.unreachable(ctx.Conn()), p.gate.stopped():
 		abort(ctx)
 	case !last.found:
 		ctx.SetStatusCode(statusUnknownKey)
@@ -359,7 +362,7 @@
 		case <-p.gate.dead:
 			return last
 		}
-		last = p.see(key, time.Now())
+		last = p.see(key)
 		if news(first, last, after) || p.unreachable(caller) {
 			return last
 		}
--- a/internal/fakes/platform_test.go
+++ b/internal/fakes/platform_test.go
@@ -112,6 +112,53 @@
 	}
 }
 
+// TestPlatformWatchSeesEachChange guards against watches that miss a change made just after something else woke them.
+func TestPlatformWatchSeesEachChange(t *testing.T) {
+	const (
+		changes = 100
+		watches = 20
+	)
+	p := startTestPlatform(t, PlatformSettings{}.WithCallRate(2*changes*watches))
+	revision := p.Set("plans", []byte("a"))
+	client := newClient(t)
+	for range changes {
+		url := "http://" + p.Address() + valuesPath + "plans?wait=30&after=" + strconv.FormatUint(revision, 10)
+		replies := make(chan response, watches)
+		for range watches {
+			go func() { replies <- get(client, url, callTimeout) }()
+		}
+		eventually(t, "waiting watches", func() bool { return p.Waiting() == watches })
+		p.SetStale(0) // wakes the watches without a change
+		revision = p.Set("plans", []byte("b"))
+		for range watches {
+			if got := <-replies; got.err != nil || got.revision != strconv.FormatUint(revision, 10) {
+				t.Fatalf("got revision %q, error %v, want %d", got.revision, got.err, revision)
+			}
+		}
+	}
+}
+
+// TestPlatformClosesWatches guards against a closing service that answers waiting watches as if nothing had changed.
+func TestPlatformClosesWatches(t *testing.T) {
+	const watches = 50
+	p := startTestPlatform(t, PlatformSettings{})
+	p.Set("plans", []byte("a"))
+	replies := make(chan response, watches)
+	for range watches {
+		client := newClient(t)
+		go func() {
+			replies <- get(client, "http://"+p.Address()+valuesPath+"plans?wait=30&after=1", callTimeout)
+		}()
+	}
+	eventually(t, "waiting watches", func() bool { return p.Waiting() == watches })
+	p.Close()
+	for range watches {
+		if got := <-replies; got.err == nil {
+			t.Errorf("got status %d from a closed service, want an error", got.status)
+		}
+	}
+}
+
 // TestPlatformRecovers guards against a service that stays unreachable after an outage or a partition.
 func TestPlatformRecovers(t *testing.T) {
 	cases := map[string]struct {
--- a/internal/fakes/process.go
+++ b/internal/fakes/process.go
@@ -75,10 +75,9 @@
 	reply.SetSnapshot(request.GetSnapshot())
 	reply.SetShard(request.GetShard())
 	reply.SetStatus(p.search(arrived, request, reply))
-	select {
-	case <-p.gate.dead:
+	if p.gate.stopped() {
+		abort(ctx)
 		return
-	default:
 	}
 	reply.SetLeaving(p.searcher.leaving.Load())
 	writeMessage(ctx, reply)
--- a/internal/fakes/searcher.go
+++ b/internal/fakes/searcher.go
@@ -232,7 +232,7 @@
 // noteState records the present state for lagging hints.
 func (s *Searcher) noteState() {
 	if s.hints.lags.Load() {
-		s.hints.record(time.Now(), s.state())
+		s.hints.record(s.state)
 	}
 }
 
--- a/internal/fakes/searcher_test.go
+++ b/internal/fakes/searcher_test.go
@@ -253,6 +253,27 @@
 	}
 }
 
+// TestCrashAnswersNothing guards against a crash after which requests in flight get an empty reply instead of a reset.
+func TestCrashAnswersNothing(t *testing.T) {
+	const requests = 50
+	s := startTestSearcher(t, func(settings SearcherSettings) SearcherSettings {
+		return serviceTime(long)(settings).WithSlots(requests/2).WithQueue(requests).WithConnections(requests, 0)
+	})
+	var sent []pending
+	for i := range requests {
+		sent = append(sent, sendSearch(t, s, searchRequest(uint64(i+1), "a", 0)))
+	}
+	eventually(t, "requests in flight", func() bool { return s.state().running+s.state().waiting == requests })
+	s.Crash()
+	for _, p := range sent {
+		select {
+		case reply := <-p.replies:
+			t.Errorf("got reply %v from a crashed searcher, want an error", reply)
+		case <-p.errs:
+		}
+	}
+}
+
 // TestRunStateIsTrue guards against replies whose run state differs from the run log when deadlines, cancellations and a full
 // queue meet, and against slots that are lost or handed out twice then.
 func TestRunStateIsTrue(t *testing.T) {
--- a/internal/fakes/searcherfaults_test.go
+++ b/internal/fakes/searcherfaults_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/proto"
 
@@ -322,7 +323,7 @@
 			h := &hints{}
 			h.set(LaggingHints{Lag: lag})
 			for i, at := range []time.Duration{0, 1000, 1300, 1600} {
-				h.record(begin.Add(at*time.Millisecond), state{running: i})
+				h.add(begin.Add(at*time.Millisecond), state{running: i})
 			}
 			if got := h.answer(begin.Add(c.asked), state{running: 99}).running; got != c.want {
 				t.Errorf("got state %d, want %d", got, c.want)
@@ -330,3 +331,26 @@
 		})
 	}
 }
+
+// TestLaggingHintsConverge guards against a lagging endpoint that keeps an old state because two states were recorded in the
+// wrong order.
+func TestLaggingHintsConverge(t *testing.T) {
+	const (
+		rounds    = 3000
+		recorders = 8
+	)
+	s := startTestSearcher(t, nil)
+	for range rounds {
+		s.leaving.Store(false)
+		s.SetHints(LaggingHints{Lag: time.Nanosecond})
+		var group conc.WaitGroup
+		for range recorders {
+			group.Go(s.noteState)
+		}
+		s.Leave()
+		group.Wait()
+		if !s.hints.answer(time.Now(), state{}).leaving {
+			t.Fatal("got a state from before Leave after the lag, want leaving")
+		}
+	}
+}
