--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -484,6 +484,37 @@
 	})
 }
 
+// TestExclusiveItemsRun guards against an exclusive item that starves beside a flood, since it must wait until nothing runs.
+func TestExclusiveItemsRun(t *testing.T) {
+	for _, rank := range plans.Ranks() {
+		t.Run(rank.String(), func(t *testing.T) {
+			s := newSimulation(4, 21, demand{plan: "flood", rank: plans.Urgent, weight: 1, service: 5 * time.Millisecond, exponential: true})
+			s.run(time.Second)
+			it := NewItem(0, "exclusive", rank, 1, s.now.Add(time.Minute), true, 0, arrival{at: s.now})
+			if _, refusal := s.queue.Push(s.now, it); refusal != nil {
+				t.Fatalf("Push: %v", refusal)
+			}
+			s.waiting[0]++
+			done := false
+			s.between = func() {
+				for _, b := range s.running {
+					if !b.item.Exclusive() {
+						continue
+					}
+					done = true
+					if len(s.running) > 1 {
+						t.Fatalf("the exclusive item runs beside %d others", len(s.running)-1)
+					}
+				}
+			}
+			s.run(time.Second)
+			if !done {
+				t.Error("the exclusive item did not run within a second of a flood")
+			}
+		})
+	}
+}
+
 // TestIdlePlansAreForgotten guards against memory that grows with the number of plan names ever seen.
 func TestIdlePlansAreForgotten(t *testing.T) {
 	q := New[int](Settings{MaxIdle: 16})
