--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -16,8 +16,12 @@
 	"github.com/fireflylanding/fireflylanding/pkg/client"
 )
 
-// longDeadline leaves room for a busy machine; no test waits for it.
-const longDeadline = 10 * time.Second
+// longDeadline leaves room for a busy machine; no test waits for it. Questions that run into shortDeadline are sent on a
+// connection that is open already.
+const (
+	longDeadline  = 10 * time.Second
+	shortDeadline = 500 * time.Millisecond
+)
 
 const wholeAnswer = `{"snapshot":"7","hits":[{"id":"d1","score":2.5},{"id":"d2","score":1}],` +
 	`"coverage":{"total":3,"reflected":2,"missing":[{"shard":1,"reason":"REASON_SNAPSHOT_GONE"}]},"run":"RUN_STATE_RUN"}`
@@ -57,11 +61,15 @@
 	tokens      []string
 	lookups     int
 	lastRequest map[string]any
+	// onHang is called when a request is kept; it may be nil and is set before the request is sent.
+	onHang func()
+	// released ends the requests that are kept, for which Client.Close waits.
+	released chan struct{}
 }
 
 func newEntry(t *testing.T, verdicts ...verdict) *entry {
 	t.Helper()
-	e := &entry{verdicts: verdicts}
+	e := &entry{verdicts: verdicts, released: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/entries", e.serveEntries)
 	mux.HandleFunc("POST /v1/query", e.serveQuery)
@@ -105,7 +113,13 @@
 			connection.Close()
 		}
 	case v.hang:
-		<-r.Context().Done()
+		if e.onHang != nil {
+			e.onHang()
+		}
+		select {
+		case <-r.Context().Done():
+		case <-e.released:
+		}
 	default:
 		w.WriteHeader(v.status)
 		io.WriteString(w, v.body)
@@ -154,6 +168,14 @@
 	return c
 }
 
+// warmUp makes the client learn the directory and open a connection.
+func warmUp(t *testing.T, c *client.Client) {
+	t.Helper()
+	if _, err := c.Ask(context.Background(), client.NewQuestion("care", "care-desk", "lamp")); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // deadAddress returns an address on which nothing listens.
 func deadAddress(t *testing.T) string {
 	t.Helper()
@@ -450,16 +472,19 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			hung, idle := newEntry(t, verdict{hang: true}), newEntry(t, answered)
+			hung, idle := newEntry(t, answered, verdict{hang: true}), newEntry(t, answered)
 			hung.setDirectory(listing("30s", []string{"a"}, nil, hung.address(), idle.address()))
 			c := newClient(t, hung.address())
+			defer close(hung.released)
+			warmUp(t, c)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
+			deadline := client.WithDeadline(shortDeadline)
 			if test.cancel {
-				time.AfterFunc(100*time.Millisecond, cancel)
+				hung.onHang = cancel
+				deadline = client.WithDeadline(longDeadline)
 			}
-			question := client.NewQuestion("dispatch", "dispatch-tool", "lamp",
-				client.NonIdempotent("order-1"), client.WithDeadline(500*time.Millisecond))
+			question := client.NewQuestion("dispatch", "dispatch-tool", "lamp", client.NonIdempotent("order-1"), deadline)
 			_, err := c.Ask(ctx, question)
 			checkOutcome(t, client.Answer{}, err, test.wantReason, client.Unknown)
 			if got := len(idle.seen()); got != 0 {
@@ -471,10 +496,11 @@
 
 // Guards against a hung entry that takes every question and lets each run into its deadline.
 func TestHungEntryIsTriedLast(t *testing.T) {
-	hung, live := newEntry(t, verdict{hang: true}), newEntry(t, answered)
+	hung, live := newEntry(t, answered, verdict{hang: true}), newEntry(t, answered)
 	hung.setDirectory(listing("30s", nil, nil, hung.address(), live.address()))
 	c := newClient(t, hung.address())
-	_, err := c.Ask(context.Background(), client.NewQuestion("care", "care-desk", "lamp", client.WithDeadline(200*time.Millisecond)))
+	warmUp(t, c)
+	_, err := c.Ask(context.Background(), client.NewQuestion("care", "care-desk", "lamp", client.WithDeadline(shortDeadline)))
 	checkOutcome(t, client.Answer{}, err, client.ReasonDeadline, client.Unknown)
 	if _, err := c.Ask(context.Background(), client.NewQuestion("care", "care-desk", "lamp")); err != nil {
 		t.Fatal(err)
