--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -166,3 +166,6 @@
 
 // Alone reports whether this node hears no other although some are listed.
 func (m *Members) Alone() bool { return m.alone }
+
+// Suspects returns the nodes that do not answer this node at a time, sorted by id. The caller must not change the result.
+func (v *View) Suspects(now time.Time) []Suspect { return v.Snapshot(now).Suspects() }
--- a/internal/spread/store.go
+++ b/internal/spread/store.go
@@ -189,6 +189,13 @@
 	return max(r.revision, s.Get(key).Revision())
 }
 
+// Wants reports whether a revision that a peer has may come into force. A revision below a refused one may: after a restart, the
+// service may offer an invalid revision before peers offer the last good one.
+func (s *Store) Wants(key string, revision uint64) bool {
+	r, refused := s.Rejected(key)
+	return revision > s.Get(key).Revision() && (!refused || revision != r.revision)
+}
+
 // Delta returns the least delta that takes a peer from its revision to the present one, and nil when there is nothing newer.
 func (s *Store) Delta(key string, revision uint64) *wire.Delta {
 	s.mu.Lock()
