--- a/internal/admit/admission.go
+++ b/internal/admit/admission.go
@@ -68,7 +68,7 @@
 	return a
 }
 
-// SetRateShare sets the part of each listed rate that this entry may admit, since the list states rates per entry region. It
+// SetRateShare sets the part of each listed rate that this entry may admit, since the list states rates per region. It
 // is 1 over the number of live entries of the region.
 func (a *Admission) SetRateShare(share float64) {
 	a.share.Store(math.Float64bits(min(max(share, 0), 1)))
--- a/internal/entry/fanout.go
+++ b/internal/entry/fanout.go
@@ -58,6 +58,8 @@
 	refused   bool
 	// uncertain is set once a searcher may have run a part whose result is not used; the answer then never says "not run".
 	uncertain bool
+	// lostAt is when an attempt last lost its searcher abruptly.
+	lostAt time.Time
 }
 
 // part is one shard's share of a query.
@@ -148,9 +150,24 @@
 		}
 	}
 	f.finish(now)
+	f.holdBack(ctx, now)
 	return f.answer()
 }
 
+// holdBack delays an incomplete answer after an abrupt loss until the other entries know of it. Otherwise a caller that sends a crashing request again at once
+// could reach an entry that does not know it yet.
+func (f *fanout) holdBack(ctx context.Context, now time.Time) {
+	if f.lostAt.IsZero() || f.reflected() == len(f.parts) {
+		return
+	}
+	timer := time.NewTimer(quar.HoldBack - now.Sub(f.lostAt))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // drain handles what arrived meanwhile, so that one step serves many frames.
 func (f *fanout) drain(now time.Time) {
 	for {
--- a/internal/entry/receive.go
+++ b/internal/entry/receive.go
@@ -134,7 +134,12 @@
 // noteLoss marks the query as one that lost a searcher, and stops it when it is quarantined. It reports whether the query was stopped.
 func (f *fanout) noteLoss(now time.Time, searcher string) bool {
 	quarantine := f.entry.policies.Quarantine
-	quarantine.Lost(now, f.fingerprint, searcher)
+	if f.exclusive {
+		quarantine.LostExclusive(now, f.fingerprint, searcher)
+	} else {
+		quarantine.Lost(now, f.fingerprint, searcher)
+	}
+	f.lostAt = now
 	f.entry.sources.Marked()
 	if _, ok := quarantine.Check(now, f.fingerprint).(quar.Quarantined); ok {
 		f.settleAll(wire.Reason_REASON_QUARANTINED)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,9 @@
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
+// retryReserve lets a node with little traffic retry before its first attempts have earned a budget.
+const retryReserve = 10
+
 // keyBytes is the length of the key that authenticates request tokens.
 const keyBytes = 32
 
@@ -200,6 +203,9 @@
 	limits := n.settings.GetLimits()
 	n.owner = owner.New(n.self.ID(), n.view.Load, p.Owner, n.clock, n.logger, n.counters, n.registry)
 	p.Admission.MaxInFlight = int(limits.GetMaxInFlight())
+	if p.Retry.Reserve == 0 {
+		p.Retry.Reserve = retryReserve
+	}
 	n.admission = admit.New(p.Admission)
 	policies := entry.Policies{
 		Admission:  n.admission,
--- a/internal/owner/search.go
+++ b/internal/owner/search.go
@@ -10,7 +10,6 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"github.com/fireflylanding/fireflylanding/internal/stall"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
@@ -37,7 +36,7 @@
 	}.Build()
 	reply := &wire.SearchReply{}
 	if err := call(l.client, searchPath, request, reply, t.batch.deadline); err != nil {
-		return s.lost(l, err)
+		return s.lost(l, err, t.batch.deadline)
 	}
 	return s.judge(l, request, reply)
 }
@@ -78,12 +77,13 @@
 }
 
 // lost translates an error of the client. A request counts as not run only when no connection was there to write it to.
-func (s *station) lost(l *link, err error) outcome {
+func (s *station) lost(l *link, err error, deadline time.Time) outcome {
 	var status statusError
 	switch {
 	case errors.Is(err, errDial), errors.Is(err, fasthttp.ErrNoFreeConns):
 		return outcome{reason: wire.Reason_REASON_CONNECT_FAILED}
-	case errors.Is(err, stall.ErrSilent):
+	case errors.Is(err, fasthttp.ErrTimeout) && s.clock().Before(deadline):
+		// The client reports stall.ErrSilent as a timeout.
 		return outcome{reason: wire.Reason_REASON_CONNECTION_SILENT}
 	case errors.Is(err, fasthttp.ErrTimeout):
 		return outcome{reason: wire.Reason_REASON_DEADLINE}
--- a/internal/quar/table.go
+++ b/internal/quar/table.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// HoldBack is how long an entry keeps an incomplete answer after an abrupt loss, so that the mark reaches the other entries of
+	// the zone before the caller can send the request again.
+	HoldBack = 100 * time.Millisecond
 	// MaxCompleted is the greatest number of completed fingerprints that are remembered.
 	MaxCompleted = 16384
 
