--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -72,7 +72,7 @@
 		ErrWriter: stderr,
 		Description: `Examples:
    fireflylanding demo
-   fireflylanding check examples/nykterida/attica.ini
+   fireflylanding check examples/local/attica.ini
    fireflylanding serve --config node.ini
    fireflylanding ask --entry 127.0.0.1:8080 --plan nykterida-urgent --collection care-desk "lamp 4711"
    fireflylanding status --admin 127.0.0.1:8082
@@ -84,6 +84,7 @@
 			checkCommand(stdout),
 			askCommand(stdout),
 			statusCommand(stdout),
+			standinsCommand(stdout),
 		},
 		// Errors are reported by Main, which knows the exit codes.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- /dev/null
+++ b/internal/cmd/standins.go
@@ -0,0 +1,131 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fireflylanding/fireflylanding/internal/conf"
+	"github.com/fireflylanding/fireflylanding/internal/fakes"
+	"github.com/fireflylanding/fireflylanding/internal/plans"
+	"github.com/fireflylanding/fireflylanding/internal/shards"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// editPoll is how often the files of the lists are looked at.
+const editPoll = time.Second
+
+func standinsCommand(stdout io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "standins",
+		Usage: "run stand-ins of the platform and the searchers, to try out nodes as separate processes",
+		Description: `Example:
+   fireflylanding standins --customer nykterida --node examples/local/attica.ini --node examples/local/kriti.ini`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "customer", Usage: "whose searchers to run: nykterida or swanline", Value: "nykterida"},
+			&cli.StringFlag{Name: "address", Usage: "`ADDRESS` of the configuration service", Value: "127.0.0.1:8000"},
+			&cli.StringSliceFlag{Name: "node", Usage: "settings `FILE` of a node to publish in the VM list"},
+			&cli.StringFlag{Name: "plans", Usage: "publish this `FILE` as the list of plans, again whenever it changes"},
+			&cli.StringFlag{Name: "uses", Usage: "publish this `FILE` as the list of uses, again whenever it changes"},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return runStandins(ctx, command, stdout)
+		},
+	}
+}
+
+func runStandins(ctx context.Context, command *cli.Command, stdout io.Writer) error {
+	var settings fakes.FleetSettings
+	switch customer := command.String("customer"); customer {
+	case "nykterida":
+		settings = fakes.Nykterida()
+	case "swanline":
+		settings = fakes.Swanline()
+	default:
+		return withCode(exitUsage, errors.Newf("customer %q is neither nykterida nor swanline", customer))
+	}
+	settings = settings.WithPlatform(fakes.PlatformSettings{}.WithAddress(command.String("address")))
+	var fleet *fakes.Fleet
+	var err error
+	if fleet, err = fakes.StartFleet(settings); err != nil {
+		return err
+	}
+	defer fleet.Close()
+	for _, file := range command.StringSlice("node") {
+		if err = publishNode(fleet, file); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(stdout, "configuration service at %s\n", fleet.Platform().Address())
+	lists := []*publishedFile{
+		{key: plans.PlansKey, file: command.String("plans")},
+		{key: plans.UsesKey, file: command.String("uses")},
+	}
+	return followFiles(ctx, fleet.Platform(), lists, stdout)
+}
+
+// publishNode enters a node in the VM list, as the platform would.
+func publishNode(fleet *fakes.Fleet, file string) error {
+	var settings *wire.Settings
+	var err error
+	if settings, err = loadSettings(file); err != nil {
+		return err
+	}
+	n := settings.GetNode()
+	return fleet.AddNode(shards.NewVM(n.GetId(), n.GetRegion(), n.GetAvailabilityZone(), n.GetCallerAddress(), n.GetPeerAddress()))
+}
+
+// publishedFile is a list that follows a file.
+type publishedFile struct {
+	key      string
+	file     string
+	modified time.Time
+}
+
+// followFiles publishes the files whenever they change, until ctx ends.
+func followFiles(ctx context.Context, platform *fakes.Platform, lists []*publishedFile, stdout io.Writer) error {
+	ticker := time.NewTicker(editPoll)
+	defer ticker.Stop()
+	for {
+		for _, list := range lists {
+			if err := list.publish(platform, stdout); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *publishedFile) publish(platform *fakes.Platform, stdout io.Writer) error {
+	if p.file == "" {
+		return nil
+	}
+	var info os.FileInfo
+	var err error
+	if info, err = os.Stat(p.file); err != nil {
+		return conf.Faults{conf.NewFault(p.file, "", "", err.Error())}
+	}
+	if info.ModTime().Equal(p.modified) {
+		return nil
+	}
+	p.modified = info.ModTime()
+	var data []byte
+	if data, err = os.ReadFile(p.file); err != nil {
+		return err
+	}
+	fmt.Fprintf(stdout, "%s: revision %d\n", p.key, platform.Set(p.key, data))
+	return nil
+}
