Make the tests of spread.Engine pass under the race detector

Zero waits started timers that were due at once; under synctest with -race several goroutines then received from due timers at the same time and the runtime crashed (tsan_rtl.cpp:282 slot_locked, SIGSEGV) in TestOnlyReadersCall and TestFallbackReads. Waits of zero now start no timer and the exchange loop uses no ticker.

--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -29,21 +29,17 @@
 
 // exchangeLoop exchanges a digest with the next neighbour in each interval, and probes nodes that membership doubts.
 func (e *Engine) exchangeLoop(ctx context.Context) {
-	first := e.random.between(1, e.settings.DigestInterval)
-	ticker := time.NewTicker(first)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-e.stopped:
-			e.exchangeWith(e.fleet.view().neighbours)
-		case <-ticker.C:
-			ticker.Reset(e.settings.DigestInterval)
-			e.exchangeWith(e.contacts.Due(e.clock()))
-			if to, ok := e.fleet.next(); ok {
-				e.exchange(ctx, to)
-			}
+	next := e.clock().Add(e.random.between(1, e.settings.DigestInterval))
+	for sleepOr(ctx, next.Sub(e.clock()), e.stopped) {
+		now := e.clock()
+		if now.Before(next) {
+			e.exchangeWith(e.fleet.view().neighbours) // The node began to stop.
+			continue
+		}
+		next = now.Add(e.settings.DigestInterval)
+		e.exchangeWith(e.contacts.Due(now))
+		if to, ok := e.fleet.next(); ok {
+			e.exchange(ctx, to)
 		}
 	}
 }
--- a/internal/spread/random.go
+++ b/internal/spread/random.go
@@ -53,8 +53,12 @@
 	return sleepOr(ctx, d, nil)
 }
 
-// sleepOr waits until the time passed or the channel received, and returns false when ctx ended.
+// sleepOr waits until the time passed or the channel received, and returns false when ctx ended. Without time to wait it starts no
+// timer: under synctest, the race detector of Go 1.26 crashes when several goroutines receive from timers that are already due.
 func sleepOr(ctx context.Context, d time.Duration, early <-chan struct{}) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
