--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -198,6 +198,7 @@
 admin_address = %s
 [platform]
 address = %s
+start_spread = 0s
 [peers]
 development_keys = true
 `, vm.ID(), vm.Region(), vm.AvailabilityZone(), regions, vm.Address(), vm.PeerAddress(), admin, f.searchers.Platform().Address())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -181,6 +181,7 @@
 		DigestInterval: s.GetPeers().GetDigestInterval().AsDuration(),
 		WatchWait:      s.GetPlatform().GetWatchWait().AsDuration(),
 		FallbackAfter:  s.GetPlatform().GetFallbackAfter().AsDuration(),
+		StartSpread:    s.GetPlatform().GetStartSpread().AsDuration(),
 	}, spread.Dependencies{
 		Self:       member.NewNode(n.self.ID(), n.incarnation),
 		Store:      n.store,
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -23,8 +23,8 @@
 )
 
 const (
-	// maxMessageBytes admits a full document of 1 MB with its framing.
-	maxMessageBytes = 2 << 20
+	// maxMessageBytes admits a push of 1 MiB and one more full document of 1 MB with their framing.
+	maxMessageBytes = 4 << 20
 	// idleTimeout and keepAlive bound how long a silent connection between nodes goes unnoticed.
 	idleTimeout = 5 * time.Second
 	keepAlive   = time.Second
--- a/internal/spread/engine_test.go
+++ b/internal/spread/engine_test.go
@@ -274,6 +274,9 @@
 
 // Guards against a restart of the whole fleet that exceeds the call rate of the service. 270 nodes stand for 2,700 with a tenth of the rate.
 func TestRestartOfAllNodes(t *testing.T) {
+	if testing.Short() {
+		t.Skip("a long simulation of many nodes; the pass without -short runs it")
+	}
 	synctest.Test(t, func(t *testing.T) {
 		const rate = 200
 		w := newWorld(t, 270)
@@ -296,6 +299,9 @@
 
 // Guards against control traffic above 3 KB/s per node with 65 documents: idle, and with a change each 9 s, which is 9,700 a day.
 func TestControlBytes(t *testing.T) {
+	if testing.Short() {
+		t.Skip("a long simulation of many nodes; the pass without -short runs it")
+	}
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 60)
 		var uses strings.Builder
