Rebuild of the view only what a change touches

Each change of a document parsed all documents again and placed the owners of all searchers, and replaced the slice of VMs, from which neighbours and readers are derived. view.Builder keeps parsed documents by revision, VMs by unchanged section and owners by unchanged collection and entry VMs; owners are selected among the VMs of their region.

Dropping the comparison of entry VMs makes TestBuildKeepsOnlyWhatDidNotChange fail.

--- a/internal/node/documents.go
+++ b/internal/node/documents.go
@@ -1,34 +1,15 @@
 package node
 
 import (
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/fireflylanding/fireflylanding/internal/member"
-	"github.com/fireflylanding/fireflylanding/internal/plans"
-	"github.com/fireflylanding/fireflylanding/internal/shards"
 	"github.com/fireflylanding/fireflylanding/internal/view"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
-// validate parses a document as the roles would, so that only what they can use comes into force.
-func validate(key string, revision uint64, sections map[string]string) error {
-	var err error
-	switch {
-	case key == plans.PlansKey:
-		_, err = plans.ParsePlans(revision, sections)
-	case key == plans.UsesKey:
-		_, err = plans.ParseUses(revision, sections)
-	case strings.HasPrefix(key, shards.VMsPrefix):
-		_, err = shards.ParseVMs(key, sections)
-	case strings.HasPrefix(key, shards.IndexPrefix):
-		_, err = shards.ParseIndex(strings.TrimPrefix(key, shards.IndexPrefix), revision, sections)
-	}
-	return err
-}
-
 // markDirty asks for a rebuild of the view.
 func (n *Node) markDirty() {
 	select {
@@ -39,9 +20,7 @@
 
 // rebuild joins the documents in force into a new view.
 func (n *Node) rebuild(now time.Time) {
-	lists := n.lists()
-	old := n.view.Load()
-	next := view.New(old.Revision()+1, lists, n.vms(), n.indexes(lists))
+	next := n.builder.Build(n.document)
 	n.view.Store(next)
 	n.members.Published(now, next.VMs())
 	n.owner.Refresh(now)
@@ -60,41 +39,12 @@
 	n.admission.SetRateShare(1 / float64(1+others))
 }
 
-func (n *Node) lists() *plans.Lists {
-	var p *plans.Plans
-	var u *plans.Uses
-	if document := n.store.Get(plans.PlansKey); document != nil {
-		// The store holds validated documents only.
-		p, _ = plans.ParsePlans(document.Revision(), document.Sections())
-	}
-	if document := n.store.Get(plans.UsesKey); document != nil {
-		u, _ = plans.ParseUses(document.Revision(), document.Sections())
-	}
-	return plans.NewLists(p, u)
-}
-
-func (n *Node) vms() []shards.VM {
-	var all []shards.VM
-	for _, region := range n.settings.GetNode().GetRegions() {
-		key := shards.VMsPrefix + region
-		if document := n.store.Get(key); document != nil {
-			vms, _ := shards.ParseVMs(key, document.Sections())
-			all = append(all, vms...)
-		}
-	}
-	return all
-}
-
-func (n *Node) indexes(lists *plans.Lists) []*shards.Index {
-	var all []*shards.Index
-	for _, collection := range lists.Collections() {
-		if document := n.store.Get(shards.IndexPrefix + collection); document != nil {
-			if index, err := shards.ParseIndex(collection, document.Revision(), document.Sections()); err == nil {
-				all = append(all, index)
-			}
-		}
+// document returns a document in force, or nil.
+func (n *Node) document(key string) view.Document {
+	if document := n.store.Get(key); document != nil {
+		return document
 	}
-	return all
+	return nil
 }
 
 // logMembership logs nodes that stopped or began to answer.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -82,6 +82,7 @@
 
 	phase     phase
 	view      atomic.Pointer[view.Snapshot]
+	builder   *view.Builder
 	members   *member.View
 	detector  *wake.Detector
 	source    *plat.Client
@@ -172,7 +173,8 @@
 // buildSpread makes the store of documents and the engine that keeps it up to date.
 func (n *Node) buildSpread(quarantine *quar.Table) {
 	s := n.settings
-	n.store = spread.NewStore(validate)
+	n.builder = view.NewBuilder(s.GetNode().GetRegions())
+	n.store = spread.NewStore(n.builder.Validate)
 	n.store.Subscribe(func(*spread.Document) { n.markDirty() })
 	n.source = plat.New(s.GetPlatform().GetAddress())
 	n.engine = spread.NewEngine(spread.Settings{
--- a/internal/shards/vms.go
+++ b/internal/shards/vms.go
@@ -58,21 +58,58 @@
 
 // ParseVMs reads the sections of one region's VM list, sorted by id. It returns conf.Faults when any section is invalid.
 func ParseVMs(key string, sections map[string]string) ([]VM, error) {
+	list, err := ParseVMList(key, sections, nil)
+	if err != nil {
+		return nil, err
+	}
+	return list.vms, nil
+}
+
+// VMList is one region's parsed VM list. It is immutable.
+type VMList struct {
+	// vms is sorted by id.
+	vms []VM
+	// bodies are the sections that the VMs were read from.
+	bodies map[string]string
+}
+
+// VMs returns the VMs sorted by id. The caller must not change the result.
+func (l *VMList) VMs() []VM { return l.vms }
+
+// known returns the VM of a section that is the same as in this list, which may be nil.
+func (l *VMList) known(id, body string) (VM, bool) {
+	if l == nil {
+		return VM{}, false
+	}
+	if old, ok := l.bodies[id]; !ok || old != body {
+		return VM{}, false
+	}
+	i, ok := slices.BinarySearchFunc(l.vms, id, func(vm VM, id string) int { return strings.Compare(vm.id, id) })
+	return l.vms[i], ok
+}
+
+// ParseVMList reads a list and takes the VMs of unchanged sections from the one before, which may be nil. It keeps the map of sections, which
+// nobody may change. It returns conf.Faults when any section is invalid.
+func ParseVMList(key string, sections map[string]string, before *VMList) (*VMList, error) {
 	vms := make([]VM, 0, len(sections))
 	var faults conf.Faults
 	for id, body := range sections {
-		section := &wire.VMSection{}
-		if err := conf.Decode(key, id, body, section); err != nil {
-			faults = faults.With(err)
-			continue
+		vm, ok := before.known(id, body)
+		if !ok {
+			section := &wire.VMSection{}
+			if err := conf.Decode(key, id, body, section); err != nil {
+				faults = faults.With(err)
+				continue
+			}
+			vm = newVM(id, section)
 		}
-		vms = append(vms, newVM(id, section))
+		vms = append(vms, vm)
 	}
 	if err := faults.Err(); err != nil {
 		return nil, err
 	}
 	slices.SortFunc(vms, func(a, b VM) int { return strings.Compare(a.id, b.id) })
-	return vms, nil
+	return &VMList{vms: vms, bodies: sections}, nil
 }
 
 func newVM(id string, section *wire.VMSection) VM {
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -12,29 +12,53 @@
 
 // Snapshot is the state of all documents at one moment. It is immutable.
 type Snapshot struct {
-	lists    *plans.Lists
-	vms      []shards.VM
-	indexes  map[string]*shards.Index
-	leaving  map[string]bool
-	owners   map[searcherName][]shards.VM
+	lists   *plans.Lists
+	vms     []shards.VM
+	indexes map[string]*shards.Index
+	leaving map[string]bool
+	// owners holds the owners by collection and searcher. Snapshots share the inner maps.
+	owners   map[string]map[string][]shards.VM
 	entries  []shards.VM
 	revision uint64
 }
 
-// searcherName identifies a searcher.
-type searcherName struct {
-	collection string
-	id         string
-}
-
 // New joins documents. Revision grows with each snapshot of a node.
 func New(revision uint64, lists *plans.Lists, vms []shards.VM, indexes []*shards.Index) *Snapshot {
+	s := list(revision, lists, vms)
+	regions := s.entriesByRegion()
+	for _, index := range indexes {
+		s.indexes[index.Collection()] = index
+		s.owners[index.Collection()] = placeOwners(index, s.entries, regions)
+	}
+	return s
+}
+
+// next joins documents after a snapshot. Owners depend on the entry VMs and on the collection's index only, so those of the collections
+// that did not change are kept.
+func next(before *Snapshot, lists *plans.Lists, vms []shards.VM, indexes []*shards.Index) *Snapshot {
+	s := list(before.revision+1, lists, vms)
+	sameEntries := slices.Equal(s.entries, before.entries)
+	regions := s.entriesByRegion()
+	for _, index := range indexes {
+		collection := index.Collection()
+		s.indexes[collection] = index
+		if sameEntries && before.indexes[collection] == index {
+			s.owners[collection] = before.owners[collection]
+			continue
+		}
+		s.owners[collection] = placeOwners(index, s.entries, regions)
+	}
+	return s
+}
+
+// list returns a snapshot without indexes.
+func list(revision uint64, lists *plans.Lists, vms []shards.VM) *Snapshot {
 	s := &Snapshot{
 		lists:    lists,
 		vms:      vms,
-		indexes:  make(map[string]*shards.Index, len(indexes)),
+		indexes:  make(map[string]*shards.Index),
 		leaving:  make(map[string]bool),
-		owners:   make(map[searcherName][]shards.VM),
+		owners:   make(map[string]map[string][]shards.VM),
 		revision: revision,
 	}
 	for _, vm := range vms {
@@ -45,13 +69,25 @@
 			s.entries = append(s.entries, vm)
 		}
 	}
-	for _, index := range indexes {
-		s.indexes[index.Collection()] = index
-		s.placeOwners(index)
-	}
 	return s
 }
 
+// entriesByRegion returns the entry VMs of each region that has a live one. For such a region, owners come from its own VMs.
+func (s *Snapshot) entriesByRegion() map[string][]shards.VM {
+	regions := make(map[string][]shards.VM)
+	live := make(map[string]bool)
+	for _, vm := range s.entries {
+		regions[vm.Region()] = append(regions[vm.Region()], vm)
+		live[vm.Region()] = live[vm.Region()] || !vm.Leaving()
+	}
+	for region := range regions {
+		if !live[region] {
+			delete(regions, region)
+		}
+	}
+	return regions
+}
+
 // Empty returns a snapshot without any document.
 func Empty() *Snapshot { return New(0, plans.NewLists(nil, nil), nil, nil) }
 
@@ -61,18 +97,25 @@
 	region string
 }
 
-func (s *Snapshot) placeOwners(index *shards.Index) {
+// placeOwners returns the owners of each searcher of an index.
+func placeOwners(index *shards.Index, entries []shards.VM, regions map[string][]shards.VM) map[string][]shards.VM {
 	groups := searcherGroups(index)
 	byGroup := make(map[groupKey][]shards.VM)
+	bySearcher := make(map[string][]shards.VM, len(groups))
 	for _, searcher := range index.Searchers() {
 		key := groupKey{group: groups[searcher.ID()], region: searcher.Region()}
 		owners, ok := byGroup[key]
 		if !ok {
-			owners = place.Owners(index.Collection(), key.group, key.region, s.entries)
+			candidates, inRegion := regions[key.region]
+			if !inRegion {
+				candidates = entries
+			}
+			owners = place.Owners(index.Collection(), key.group, key.region, candidates)
 			byGroup[key] = owners
 		}
-		s.owners[searcherName{collection: index.Collection(), id: searcher.ID()}] = owners
+		bySearcher[searcher.ID()] = owners
 	}
+	return bySearcher
 }
 
 // searcherGroups returns the group of each searcher: that of its lowest shard in the newest snapshot that names it, so that
@@ -127,5 +170,5 @@
 
 // Owners returns the primary, secondary and standby owner of a searcher. The caller must not change the result.
 func (s *Snapshot) Owners(collection, searcher string) []shards.VM {
-	return s.owners[searcherName{collection: collection, id: searcher}]
+	return s.owners[collection][searcher]
 }
