--- a/internal/shards/documents_test.go
+++ b/internal/shards/documents_test.go
@@ -102,6 +102,7 @@
 		"snapshot of version zero":  {set: map[string]string{"snapshot 0": "shards = 1\n"}, want: []faultPlace{{file, "snapshot 0", ""}}},
 		"snapshot named twice":      {set: map[string]string{"snapshot 010": "shards = 1\n"}, want: []faultPlace{{file, "snapshot 010", ""}}},
 		"snapshot of no number":     {set: map[string]string{"snapshot new": "shards = 1\n"}, want: []faultPlace{{file, "snapshot new", ""}}},
+		"no snapshot":               {remove: []string{"snapshot 9", "snapshot 10", "shard 9/0", "shard 10/0", "shard 10/1"}, want: []faultPlace{{file, "snapshot", ""}}},
 		"unknown kind of section":   {set: map[string]string{"replica s1": ""}, want: []faultPlace{{file, "replica s1", ""}}},
 	}
 	for name, test := range tests {
@@ -154,7 +155,8 @@
 
 // Guards against a VM list with faults that replaces a good one.
 func TestParseVMsFaults(t *testing.T) {
-	const valid = "kind = entry\naddress = 10.0.0.1:80\nregion = Kriti\navailability_zone = kri-a\n"
+	const place = "address = 10.0.0.1:80\navailability_zone = kri-a\n"
+	const valid = "kind = entry\npeer_address = 10.0.0.1:81\nregion = Kriti\n" + place
 	tests := map[string]struct {
 		body    string
 		wantKey string
@@ -164,6 +166,8 @@
 		"no availability zone": {body: "kind = entry\naddress = a\nregion = r\n", wantKey: "availability_zone"},
 		"unknown state":        {body: valid + "state = gone\n", wantKey: "state"},
 		"unknown key":          {body: valid + "rack = 4\n", wantKey: "rack"},
+		"entry without peers":  {body: "kind = entry\nregion = Kriti\n" + place, wantKey: "peer_address"},
+		"other region":         {body: "kind = searcher\nregion = Attica\n" + place, wantKey: "region"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/shards/index.go
+++ b/internal/shards/index.go
@@ -241,8 +241,11 @@
 	return 0, false
 }
 
-// check reports shards without replicas and replicas without a searcher section.
+// check reports an index without snapshots, shards without replicas and replicas without a searcher section.
 func (p *indexParser) check() {
+	if len(p.snapshots) == 0 && len(p.faults) == 0 {
+		p.fault("snapshot", "", "the index has no snapshot")
+	}
 	for version, snapshot := range p.snapshots {
 		for shard, ids := range snapshot.replicas {
 			name := fmt.Sprintf("shard %d/%d", version, shard)
--- a/internal/shards/vms.go
+++ b/internal/shards/vms.go
@@ -56,7 +56,8 @@
 	return v
 }
 
-// ParseVMs reads the sections of one region's VM list, sorted by id. It returns conf.Faults when any section is invalid.
+// ParseVMs reads the sections of one region's VM list, sorted by id. It returns conf.Faults when any section is invalid, when an entry VM has no
+// peer address, or when a VM is of another region than the key names.
 func ParseVMs(key string, sections map[string]string) ([]VM, error) {
 	vms := make([]VM, 0, len(sections))
 	var faults conf.Faults
@@ -66,7 +67,9 @@
 			faults = faults.With(err)
 			continue
 		}
-		vms = append(vms, newVM(id, section))
+		vm := newVM(id, section)
+		faults = append(faults, checkVM(key, vm)...)
+		vms = append(vms, vm)
 	}
 	if err := faults.Err(); err != nil {
 		return nil, err
@@ -86,3 +89,15 @@
 		leaving:     section.GetState() == "leaving",
 	}
 }
+
+// checkVM reports a VM that other nodes could not reach or would place in another region than its list.
+func checkVM(key string, vm VM) conf.Faults {
+	var faults conf.Faults
+	if vm.entry && vm.peerAddress == "" {
+		faults = append(faults, conf.NewFault(key, vm.id, "peer_address", "an entry VM needs a peer address"))
+	}
+	if region := strings.TrimPrefix(key, VMsPrefix); vm.region != region {
+		faults = append(faults, conf.NewFault(key, vm.id, "region", "the list is of region "+region+", not "+vm.region))
+	}
+	return faults
+}
