Name the region in the VM lists of the placement tests

Cause: VMs of another region than their list's are now faults, and the tests parsed all VMs under one list.

--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -36,7 +36,7 @@
 // searcherVM returns a searcher in the place of an entry VM.
 func searcherVM(t *rapid.T, vm shards.VM) shards.VM {
 	body := fmt.Sprintf("kind = searcher\naddress = a:1\nregion = %s\navailability_zone = %s\n", vm.Region(), vm.AvailabilityZone())
-	vms, err := shards.ParseVMs("vms/test", map[string]string{vm.ID(): body})
+	vms, err := shards.ParseVMs(shards.VMsPrefix+vm.Region(), map[string]string{vm.ID(): body})
 	if err != nil {
 		t.Fatal(err)
 	}
