--- a/internal/admit/admission.go
+++ b/internal/admit/admission.go
@@ -29,8 +29,22 @@
 	// LeastRate is the rate in queries/s below which the learned rate of a plan at a collection does not fall, so that it
 	// notices when capacity returns.
 	LeastRate float64
+	// Rates is what bounds the rate of a plan beyond its list; nil means Learned.
+	Rates Rates
 }
 
+// Rates is what bounds the rate of a plan at a collection: Learned or Listed.
+type Rates interface{ rates() }
+
+// Learned bounds the rate by the list and by what the pressure of the owners teaches. It is the default.
+type Learned struct{}
+
+// Listed bounds the rate by the list only. The load tool compares with it.
+type Listed struct{}
+
+func (Learned) rates() {}
+func (Listed) rates()  {}
+
 // pair names a plan's work at a collection.
 type pair struct {
 	collection string
@@ -41,6 +55,7 @@
 type Admission struct {
 	maxInFlight int64
 	leastRate   float64
+	rates       Rates
 	inFlight    atomic.Int64
 	// share holds the bits of the node's share of listed rates.
 	share atomic.Uint64
@@ -61,6 +76,7 @@
 	a := &Admission{
 		maxInFlight: int64(s.MaxInFlight),
 		leastRate:   s.LeastRate,
+		rates:       s.Rates,
 		gates:       make(map[pair]*gate),
 		sweepAt:     firstSweep,
 	}
@@ -110,6 +126,9 @@
 
 // Feedback learns from one reply of an owner: the pressure that it reported, and whether it refused work of the query because of load.
 func (a *Admission) Feedback(now time.Time, collection, plan string, pressure float64, refused bool) {
+	if _, ok := a.rates.(Listed); ok {
+		return
+	}
 	a.gate(now, pair{collection: collection, plan: plan}).feedback(now, pressure, refused)
 }
 
--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,102 @@
+// Package bench is the load and experiment tool. It runs scenarios against stand-in searchers and real nodes in this process, compares the full policy
+// with FIFO queues and with single mechanisms switched off, and checks the promises over all answers and run logs.
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// DefaultSeed is the seed of all random numbers unless the caller names another.
+const DefaultSeed = 20261204
+
+// Settings configure a run of the tool.
+type Settings struct {
+	// Scenarios are run in order; empty means all that come with the tool.
+	Scenarios []string
+	// Ablate also compares with each mechanism switched off.
+	Ablate bool
+	// Seed is the seed of arrivals, texts and service times.
+	Seed uint64
+	// Scale multiplies all times of the scenarios; 0 means 1.
+	Scale float64
+	// Progress receives a line for each trial; nil shows none.
+	Progress io.Writer
+}
+
+// ErrUnknownScenario marks a scenario that does not come with the tool.
+var ErrUnknownScenario = errors.New("unknown scenario")
+
+// Run runs scenarios and returns the report.
+func Run(ctx context.Context, settings Settings) (*Report, error) {
+	chosen, err := choose(settings)
+	if err != nil {
+		return nil, err
+	}
+	report := &Report{}
+	for _, s := range chosen {
+		if err := report.run(ctx, s, settings); err != nil {
+			return nil, errors.Wrap(err, s.name)
+		}
+	}
+	if len(settings.Scenarios) == 0 || slices.Contains(settings.Scenarios, scenarioThroughput) {
+		if report.Throughput, err = measureThroughput(ctx, settings); err != nil {
+			return nil, errors.Wrap(err, scenarioThroughput)
+		}
+	}
+	report.evaluate()
+	return report, nil
+}
+
+func choose(settings Settings) ([]*Scenario, error) {
+	all, err := Scenarios()
+	if err != nil {
+		return nil, err
+	}
+	if len(settings.Scenarios) == 0 {
+		return all, nil
+	}
+	var chosen []*Scenario
+	for _, name := range settings.Scenarios {
+		if name == scenarioThroughput {
+			continue
+		}
+		i := slices.IndexFunc(all, func(s *Scenario) bool { return s.name == name })
+		if i < 0 {
+			return nil, errors.Mark(errors.Newf("unknown scenario %q", name), ErrUnknownScenario)
+		}
+		chosen = append(chosen, all[i])
+	}
+	return chosen, nil
+}
+
+// run runs a scenario under each variant.
+func (r *Report) run(ctx context.Context, s *Scenario, settings Settings) error {
+	compared, err := variants(s.header.Variants)
+	if err != nil {
+		return err
+	}
+	if settings.Ablate {
+		compared = allVariants()
+	}
+	if settings.Scale > 0 {
+		s = s.scaled(settings.Scale)
+	}
+	for _, v := range compared {
+		began := time.Now()
+		result, err := runTrial(ctx, s, v, settings.Seed)
+		if err != nil {
+			return err
+		}
+		r.Results = append(r.Results, result)
+		if settings.Progress != nil {
+			fmt.Fprintf(settings.Progress, "%s, %s: %v, %d promises violated\n", s.name, v.name, time.Since(began).Round(time.Millisecond), len(result.Violations))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/fault.go
@@ -0,0 +1,140 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
+)
+
+// groupShards is the number of neighbouring shards that share owners.
+const groupShards = 8
+
+// Fault is something that happens to the fleet: Slow, Crash, Leave, Silence, Republish, Retire or Restart.
+type Fault interface{ fault() }
+
+// Slow multiplies the service time of the first searcher of each shard group.
+type Slow struct{ Factor float64 }
+
+// Crash stops one replica of every second shard.
+type Crash struct{}
+
+// Leave drains one replica of each shard, a third of the searchers. Half of them say so themselves, the other half are marked in the VM list.
+type Leave struct{}
+
+// Silence makes a number of connections to each replica of the first shard silent.
+type Silence struct{ Connections int }
+
+// Republish publishes a further index snapshot with another number of shards.
+type Republish struct {
+	Snapshot uint64
+	Shards   int
+}
+
+// Retire removes an index snapshot.
+type Retire struct{ Snapshot uint64 }
+
+// Restart restarts one replica of each shard, which is then cold.
+type Restart struct{}
+
+func (Slow) fault()      {}
+func (Crash) fault()     {}
+func (Leave) fault()     {}
+func (Silence) fault()   {}
+func (Republish) fault() {}
+func (Retire) fault()    {}
+func (Restart) fault()   {}
+
+// plannedFault is a section [fault NAME].
+type plannedFault struct {
+	at    time.Duration
+	fault Fault
+}
+
+// faultSection holds the keys of a section [fault NAME].
+type faultSection struct {
+	At          time.Duration `ini:"at"`
+	Kind        string        `ini:"kind"`
+	Factor      float64       `ini:"factor"`
+	Connections int           `ini:"connections"`
+	Snapshot    uint64        `ini:"snapshot"`
+	Shards      int           `ini:"shards"`
+}
+
+func newPlannedFault(section *ini.Section) (plannedFault, error) {
+	s := faultSection{Factor: 10, Connections: 1}
+	if err := strict(section, &s); err != nil {
+		return plannedFault{}, err
+	}
+	kinds := map[string]Fault{
+		"slow":      Slow{Factor: s.Factor},
+		"crash":     Crash{},
+		"leave":     Leave{},
+		"silence":   Silence{Connections: s.Connections},
+		"republish": Republish{Snapshot: s.Snapshot, Shards: s.Shards},
+		"retire":    Retire{Snapshot: s.Snapshot},
+		"restart":   Restart{},
+	}
+	fault, ok := kinds[s.Kind]
+	if !ok {
+		return plannedFault{}, errors.Newf("unknown kind %q", s.Kind)
+	}
+	return plannedFault{at: s.At, fault: fault}, nil
+}
+
+// apply makes a fault happen. The searcher with number n is replica n%replicas of shard n/replicas in the first snapshot.
+func (t *trial) apply(f Fault) error {
+	all := t.searchers.Searchers(collection)
+	switch f := f.(type) {
+	case Slow:
+		for n := 0; n < len(all); n += groupShards * replicas {
+			all[n].SetSlow(f.Factor)
+		}
+	case Crash:
+		for shard := 0; shard < firstShards; shard += 2 {
+			all[shard*replicas+shard/2%replicas].Crash()
+		}
+	case Leave:
+		return t.leave()
+	case Silence:
+		for _, s := range all[:replicas] {
+			s.Silence(f.Connections)
+		}
+	case Republish:
+		t.partitions[f.Snapshot] = f.Shards
+		return t.searchers.Republish(collection, f.Snapshot, f.Shards)
+	case Retire:
+		return t.searchers.Retire(collection, f.Snapshot)
+	case Restart:
+		for shard := range firstShards {
+			if err := all[shard*replicas+shard%replicas].Restart(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (t *trial) leave() error {
+	all := t.searchers.Searchers(collection)
+	for shard := range firstShards {
+		s := all[shard*replicas+shard%replicas]
+		t.left[s.ID()] = time.Now()
+		if shard%2 == 0 {
+			s.Leave()
+			continue
+		}
+		if err := t.searchers.Leave(s.ID()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// schedule returns the faults in order of time.
+func (s *Scenario) schedule() []plannedFault {
+	ordered := slices.Clone(s.faults)
+	slices.SortStableFunc(ordered, func(a, b plannedFault) int { return int(a.at - b.at) })
+	return ordered
+}
--- /dev/null
+++ b/internal/bench/result.go
@@ -0,0 +1,270 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/fireflylanding/fireflylanding/internal/plans"
+	"github.com/fireflylanding/fireflylanding/internal/reason"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// Result is what one trial measured.
+type Result struct {
+	Scenario   string         `json:"scenario"`
+	Variant    string         `json:"variant"`
+	Seed       uint64         `json:"seed"`
+	Windows    []WindowResult `json:"windows"`
+	Violations []Violation    `json:"violations"`
+	// Checked is the number of answers that the checker judged.
+	Checked int `json:"checked"`
+	// LagP99 is the p99 of how late the tool sent queries, in milliseconds.
+	LagP99 float64 `json:"lag_p99_ms"`
+}
+
+// WindowResult is what was measured in one window.
+type WindowResult struct {
+	Name     string         `json:"name"`
+	Seconds  float64        `json:"seconds"`
+	Ranks    []RankResult   `json:"ranks"`
+	Plans    []PlanResult   `json:"plans"`
+	Refusals map[string]int `json:"refusals"`
+	Missing  map[string]int `json:"missing_shards"`
+	// Needed counts first attempts, Sent all attempts, Hedges those that were hedges, Runs the sub-requests that took a slot.
+	Needed int64 `json:"needed"`
+	Sent   int64 `json:"sent"`
+	Hedges int64 `json:"hedges"`
+	Runs   int64 `json:"runs"`
+	// CPUPerSub and ObjectsPerSub are the microseconds of CPU and the heap objects of the whole process, stand-ins and caller included, for each attempt.
+	CPUPerSub     float64 `json:"cpu_us_per_sub_query"`
+	ObjectsPerSub float64 `json:"objects_per_sub_query"`
+}
+
+// RankResult is what the callers of one rank saw. Rates are in queries/s, latencies in milliseconds from the intended send time of all queries that were not refused.
+type RankResult struct {
+	Rank    string  `json:"rank"`
+	Offered float64 `json:"offered"`
+	// Goodput is the rate of whole answers within the deadline.
+	Goodput float64 `json:"goodput"`
+	P50     float64 `json:"p50_ms"`
+	P99     float64 `json:"p99_ms"`
+	P999    float64 `json:"p999_ms"`
+	// Samples is the number of queries that the latencies are of.
+	Samples int64 `json:"samples"`
+	// Coverage is the share of shards reflected in answers, Whole the share of answers that reflect all.
+	Coverage float64 `json:"coverage"`
+	Whole    float64 `json:"whole"`
+	// Refused is the share of queries that were refused as not run, Failed the share without an answer or with an unknown outcome.
+	Refused float64 `json:"refused"`
+	Failed  float64 `json:"failed"`
+}
+
+// PlanResult compares a plan's goodput with its due part of the window's goodput, in queries/s.
+type PlanResult struct {
+	Plan    string  `json:"plan"`
+	Offered float64 `json:"offered"`
+	Goodput float64 `json:"goodput"`
+	Due     float64 `json:"due"`
+}
+
+// Goodput returns the goodput of all ranks.
+func (w WindowResult) Goodput() float64 {
+	sum := 0.0
+	for _, r := range w.Ranks {
+		sum += r.Goodput
+	}
+	return sum
+}
+
+// Extra returns the attempts beyond the needed ones as a share of these.
+func (w WindowResult) Extra() float64 { return ratio(float64(w.Sent-w.Needed), float64(w.Needed)) }
+
+// Hedged returns the hedges as a share of the needed attempts.
+func (w WindowResult) Hedged() float64 { return ratio(float64(w.Hedges), float64(w.Needed)) }
+
+// Upstream returns the runs counted by the stand-ins over the needed attempts.
+func (w WindowResult) Upstream() float64 { return ratio(float64(w.Runs), float64(w.Needed)) }
+
+// Rank returns the result of a rank, or the zero value when the rank offered nothing.
+func (w WindowResult) Rank(rank plans.Rank) RankResult {
+	for _, r := range w.Ranks {
+		if r.Rank == rank.String() {
+			return r
+		}
+	}
+	return RankResult{}
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// tally sums what the callers of one rank saw.
+type tally struct {
+	latency   *hdrhistogram.Histogram
+	offered   int
+	answers   int
+	whole     int
+	good      int
+	shards    int
+	reflected int
+	refused   int
+	failed    int
+}
+
+func newTally() *tally {
+	return &tally{latency: newHistogram()}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+}
+
+func (t *trial) result() *Result {
+	for i := range t.records {
+		t.records[i].decode()
+	}
+	evidence := t.evidence()
+	result := &Result{Scenario: t.scenario.name, Variant: t.variant.name, Seed: t.seed, Violations: evidence.violations()}
+	lag := newHistogram()
+	for i := range t.records {
+		_ = lag.RecordValue(max(1, t.records[i].lag.Microseconds()))
+		if t.records[i].answer != nil {
+			result.Checked++
+		}
+	}
+	result.LagP99 = milliseconds(lag, 99)
+	for _, w := range t.scenario.windows {
+		result.Windows = append(result.Windows, t.window(w))
+	}
+	return result
+}
+
+// window sums the records of a window.
+func (t *trial) window(w Window) WindowResult {
+	growth := t.between(w)
+	result := WindowResult{
+		Name:          w.name,
+		Seconds:       w.seconds(),
+		Refusals:      make(map[string]int),
+		Missing:       make(map[string]int),
+		Needed:        growth.needed,
+		Sent:          growth.sent,
+		Hedges:        growth.hedges,
+		Runs:          growth.runs,
+		CPUPerSub:     ratio(float64(growth.cpu.Microseconds()), float64(growth.sent)),
+		ObjectsPerSub: ratio(float64(growth.objects), float64(growth.sent)),
+	}
+	ranks := make(map[plans.Rank]*tally)
+	byPlan := make(map[string]*tally)
+	for i := range t.records {
+		r := &t.records[i]
+		if r.again || !w.contains(r.intended) {
+			continue
+		}
+		rank, _ := rankOf(r.load.Plan)
+		for _, sum := range []*tally{obtain(ranks, rank), obtain(byPlan, r.load.Plan)} {
+			sum.add(r)
+		}
+		result.count(r)
+	}
+	for _, rank := range plans.Ranks() {
+		if sum, ok := ranks[rank]; ok {
+			result.Ranks = append(result.Ranks, sum.rank(rank, w.seconds()))
+		}
+	}
+	result.Plans = planResults(byPlan, result.Goodput(), w.seconds())
+	return result
+}
+
+func obtain[K comparable](tallies map[K]*tally, key K) *tally {
+	sum, ok := tallies[key]
+	if !ok {
+		sum = newTally()
+		tallies[key] = sum
+	}
+	return sum
+}
+
+// count counts refusals and missing shards by reason.
+func (w *WindowResult) count(r *record) {
+	if r.answer == nil {
+		w.Refusals["no answer"]++
+		return
+	}
+	if r.answer.GetRun() != wire.RunState_RUN_STATE_RUN {
+		w.Refusals[reason.Name(r.answer.GetReason())]++
+	}
+	for _, missing := range r.answer.GetCoverage().GetMissing() {
+		w.Missing[reason.Name(missing.GetReason())]++
+	}
+}
+
+// add sums one record.
+func (s *tally) add(r *record) {
+	s.offered++
+	if r.answer != nil && r.answer.GetRun() == wire.RunState_RUN_STATE_NOT_RUN {
+		s.refused++
+		return
+	}
+	_ = s.latency.RecordValue(max(1, r.took.Microseconds()))
+	if r.answer == nil || r.answer.GetRun() != wire.RunState_RUN_STATE_RUN {
+		s.failed++
+		return
+	}
+	coverage := r.answer.GetCoverage()
+	s.answers++
+	s.shards += int(coverage.GetTotal())
+	s.reflected += int(coverage.GetReflected())
+	if coverage.GetReflected() < coverage.GetTotal() {
+		return
+	}
+	s.whole++
+	if r.took <= r.load.Deadline {
+		s.good++
+	}
+}
+
+func (s *tally) rank(rank plans.Rank, seconds float64) RankResult {
+	return RankResult{
+		Rank:     rank.String(),
+		Offered:  float64(s.offered) / seconds,
+		Goodput:  float64(s.good) / seconds,
+		P50:      milliseconds(s.latency, 50),
+		P99:      milliseconds(s.latency, 99),
+		P999:     milliseconds(s.latency, 99.9),
+		Samples:  s.latency.TotalCount(),
+		Coverage: ratio(float64(s.reflected), float64(s.shards)),
+		Whole:    ratio(float64(s.whole), float64(s.answers)),
+		Refused:  ratio(float64(s.refused), float64(s.offered)),
+		Failed:   ratio(float64(s.failed), float64(s.offered)),
+	}
+}
+
+func planResults(byPlan map[string]*tally, goodput, seconds float64) []PlanResult {
+	var demands []demand
+	for _, p := range benchPlans() {
+		if sum, ok := byPlan[p.name]; ok {
+			demands = append(demands, demand{plan: p, offers: float64(sum.offered) / seconds})
+		}
+	}
+	due := dueShares(goodput, demands)
+	var results []PlanResult
+	for _, d := range demands {
+		results = append(results, PlanResult{
+			Plan:    d.plan.name,
+			Offered: d.offers,
+			Goodput: float64(byPlan[d.plan.name].good) / seconds,
+			Due:     due[d.plan.name],
+		})
+	}
+	return results
+}
+
+func milliseconds(h *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(h.ValueAtQuantile(quantile)) / 1000
+}
--- /dev/null
+++ b/internal/bench/scenario.go
@@ -0,0 +1,199 @@
+package bench
+
+import (
+	"embed"
+	"io/fs"
+	"path"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
+)
+
+//go:embed scenarios/*.ini
+var embedded embed.FS
+
+// defaultDeadline is the deadline of a query in a scenario that names none.
+const defaultDeadline = 360 * time.Millisecond
+
+// Scenario is what one trial does: loads, faults at times, and the windows that are measured.
+type Scenario struct {
+	name    string
+	header  header
+	loads   []Load
+	windows []Window
+	faults  []plannedFault
+}
+
+// Name returns the scenario's name.
+func (s *Scenario) Name() string { return s.name }
+
+// header is the section [scenario].
+type header struct {
+	Text       string        `ini:"text"`
+	Duration   time.Duration `ini:"duration"`
+	ColdFactor float64       `ini:"cold_factor"`
+	WarmUp     time.Duration `ini:"warm_up"`
+	// Variants are compared in each run besides the full policy and the baseline.
+	Variants []string `ini:"variants"`
+}
+
+// Load is a section [load NAME]: queries of one plan from one time to another.
+type Load struct {
+	name string
+	Plan string `ini:"plan"`
+	// Rate is the offered load as a multiple of the fleet's capacity, PerSecond in queries/s; one of them is set.
+	Rate      float64       `ini:"rate"`
+	PerSecond float64       `ini:"per_second"`
+	Arrivals  string        `ini:"arrivals"`
+	From      time.Duration `ini:"from"`
+	To        time.Duration `ini:"to"`
+	Deadline  time.Duration `ini:"deadline"`
+	// Once marks the queries non-idempotent.
+	Once bool `ini:"once"`
+	// Text is the query of each request; without it half of the texts repeat and half are new.
+	Text string `ini:"text"`
+}
+
+// Window is a section [window NAME]: the queries whose intended send time lies in it are measured together.
+type Window struct {
+	name string
+	From time.Duration `ini:"from"`
+	To   time.Duration `ini:"to"`
+}
+
+// Name returns the window's name.
+func (w Window) Name() string { return w.name }
+
+func (w Window) contains(at time.Duration) bool { return at >= w.From && at < w.To }
+
+func (w Window) seconds() float64 { return (w.To - w.From).Seconds() }
+
+// Scenarios returns the scenarios that come with the tool, in the order of their file names.
+func Scenarios() ([]*Scenario, error) {
+	names, err := fs.Glob(embedded, "scenarios/*.ini")
+	if err != nil {
+		return nil, err
+	}
+	slices.Sort(names)
+	var all []*Scenario
+	for _, name := range names {
+		data, err := embedded.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		s, err := ParseScenario(name, data)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, s)
+	}
+	return all, nil
+}
+
+// ParseScenario reads a scenario from INI. Its name is the file's base name without a leading number. Unknown sections and keys are errors.
+func ParseScenario(file string, data []byte) (*Scenario, error) {
+	parsed, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: false}, data)
+	if err != nil {
+		return nil, errors.Wrap(err, file)
+	}
+	name := strings.TrimSuffix(path.Base(file), ".ini")
+	s := &Scenario{name: strings.TrimLeft(name, "0123456789-")}
+	for _, section := range parsed.Sections() {
+		if err := s.add(section); err != nil {
+			return nil, errors.Wrapf(err, "%s: [%s]", file, section.Name())
+		}
+	}
+	return s, errors.Wrap(s.validate(), file)
+}
+
+func (s *Scenario) add(section *ini.Section) error {
+	kind, name, _ := strings.Cut(section.Name(), " ")
+	switch kind {
+	case ini.DefaultSection:
+		return strict(section, &struct{}{})
+	case "scenario":
+		return strict(section, &s.header)
+	case "load":
+		l := Load{name: name, Arrivals: "poisson", To: s.header.Duration, Deadline: defaultDeadline}
+		if err := strict(section, &l); err != nil {
+			return err
+		}
+		s.loads = append(s.loads, l)
+	case "window":
+		w := Window{name: name}
+		if err := strict(section, &w); err != nil {
+			return err
+		}
+		s.windows = append(s.windows, w)
+	case "fault":
+		f, err := newPlannedFault(section)
+		if err != nil {
+			return err
+		}
+		s.faults = append(s.faults, f)
+	default:
+		return errors.New("unknown section")
+	}
+	return nil
+}
+
+// strict maps a section to a struct and refuses keys that the struct does not have.
+func strict(section *ini.Section, into any) error {
+	known := ini.Empty()
+	if err := known.Section("known").ReflectFrom(into); err != nil {
+		return err
+	}
+	for _, key := range section.KeyStrings() {
+		if !known.Section("known").HasKey(key) {
+			return errors.Newf("unknown key %q", key)
+		}
+	}
+	return section.StrictMapTo(into)
+}
+
+func (s *Scenario) validate() error {
+	if s.header.Duration <= 0 || len(s.loads) == 0 || len(s.windows) == 0 {
+		return errors.New("a scenario needs a duration, a load and a window")
+	}
+	for _, l := range s.loads {
+		if _, ok := rankOf(l.Plan); !ok {
+			return errors.Newf("[load %s]: unknown plan %q", l.name, l.Plan)
+		}
+		if (l.Rate > 0) == (l.PerSecond > 0) || l.To > s.header.Duration || l.From >= l.To {
+			return errors.Newf("[load %s]: needs rate or per_second, and from < to within the duration", l.name)
+		}
+		if l.Arrivals != arrivalsPoisson && l.Arrivals != arrivalsFixed {
+			return errors.Newf("[load %s]: arrivals must be poisson or fixed", l.name)
+		}
+	}
+	for _, w := range s.windows {
+		if w.From >= w.To || w.To > s.header.Duration {
+			return errors.Newf("[window %s]: needs from < to within the duration", w.name)
+		}
+	}
+	_, err := variants(s.header.Variants)
+	return err
+}
+
+// scaled returns the scenario with all times multiplied, for longer measurements.
+func (s *Scenario) scaled(factor float64) *Scenario {
+	long := func(d time.Duration) time.Duration { return time.Duration(float64(d) * factor) }
+	next := *s
+	next.header.Duration = long(s.header.Duration)
+	next.loads = slices.Clone(s.loads)
+	next.windows = slices.Clone(s.windows)
+	next.faults = slices.Clone(s.faults)
+	for i := range next.loads {
+		next.loads[i].From, next.loads[i].To = long(next.loads[i].From), long(next.loads[i].To)
+	}
+	for i := range next.windows {
+		next.windows[i].From, next.windows[i].To = long(next.windows[i].From), long(next.windows[i].To)
+	}
+	for i := range next.faults {
+		next.faults[i].at = long(next.faults[i].at)
+	}
+	return &next
+}
--- /dev/null
+++ b/internal/bench/target.go
@@ -0,0 +1,139 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/fireflylanding/fireflylanding/internal/plans"
+	"github.com/fireflylanding/fireflylanding/internal/queue"
+)
+
+// Bounds of the targets on the design page.
+const (
+	urgentInflation    = 1.3
+	floorKept          = 0.90
+	dueDeviation       = 0.10
+	overloadGoodput    = 0.95
+	stragglerCut       = 0.5
+	hedgesSteady       = 0.05
+	hedgesSaturated    = 0.005
+	throughputShare    = 0.60
+	windowSteady       = "steady"
+	windowFlood        = "flood"
+	windowFault        = "fault"
+	scenarioSteady     = "steady"
+	scenarioBulk       = "bulk-flood"
+	scenarioUrgent     = "urgent-flood"
+	scenarioStragglers = "stragglers"
+)
+
+// Target is a target of the design page and what was measured.
+type Target struct {
+	Name     string `json:"name"`
+	Wanted   string `json:"wanted"`
+	Measured string `json:"measured"`
+	Met      bool   `json:"met"`
+}
+
+// find returns a window of a result, or false when it was not measured.
+func (r *Report) find(scenario, variant, window string) (WindowResult, bool) {
+	for _, result := range r.Results {
+		if result.Scenario != scenario || result.Variant != variant {
+			continue
+		}
+		for _, w := range result.Windows {
+			if w.Name == window {
+				return w, true
+			}
+		}
+	}
+	return WindowResult{}, false
+}
+
+// best returns the greatest goodput of any window under the full policy.
+func (r *Report) best() float64 {
+	best := 0.0
+	for _, result := range r.Results {
+		if result.Variant != variantFull {
+			continue
+		}
+		for _, w := range result.Windows {
+			best = max(best, w.Goodput())
+		}
+	}
+	return best
+}
+
+// evaluate compares the results with the targets. Targets that were not measured are left out.
+func (r *Report) evaluate() {
+	r.Targets = nil
+	r.evaluateUrgent()
+	r.evaluateFloods()
+	r.evaluateHedging()
+	if t := r.Throughput; t != nil {
+		r.add("sub-requests/s through the tier over a bare client", atLeast(throughputShare), t.Share(), t.Share() >= throughputShare)
+	}
+	violations := r.Violations()
+	r.Targets = append(r.Targets, Target{Name: "violated promises", Wanted: "0", Measured: fmt.Sprint(violations), Met: violations == 0})
+}
+
+func (r *Report) add(name, wanted string, measured float64, met bool) {
+	r.Targets = append(r.Targets, Target{Name: name, Wanted: wanted, Measured: fmt.Sprintf("%.3f", measured), Met: met})
+}
+
+func atLeast(bound float64) string { return fmt.Sprintf(">= %.3f", bound) }
+
+func atMost(bound float64) string { return fmt.Sprintf("<= %.3f", bound) }
+
+func (r *Report) evaluateUrgent() {
+	steady, known := r.find(scenarioBulk, variantFull, windowSteady)
+	flood, ok := r.find(scenarioBulk, variantFull, windowFlood)
+	if !known || !ok {
+		return
+	}
+	inflation := ratio(flood.Rank(plans.Urgent).P99, steady.Rank(plans.Urgent).P99)
+	r.add("bulk-flood: urgent p99 over its steady p99", atMost(urgentInflation), inflation, inflation <= urgentInflation)
+}
+
+func (r *Report) evaluateFloods() {
+	best := r.best()
+	for _, scenario := range []string{scenarioBulk, scenarioUrgent} {
+		flood, ok := r.find(scenario, variantFull, windowFlood)
+		if !ok {
+			continue
+		}
+		for _, rank := range plans.Ranks() {
+			r.evaluateFloor(scenario, flood, rank, best)
+		}
+		worst := 0.0
+		for _, p := range flood.Plans {
+			worst = max(worst, math.Abs(ratio(p.Goodput, p.Due)-1))
+		}
+		r.add(scenario+": greatest deviation of a plan from its due share", atMost(dueDeviation), worst, worst <= dueDeviation)
+		kept := ratio(flood.Goodput(), best)
+		r.add(scenario+": goodput over the best measured", atLeast(overloadGoodput), kept, kept >= overloadGoodput)
+		r.add(scenario+": hedges when saturated", atMost(hedgesSaturated), flood.Hedged(), flood.Hedged() <= hedgesSaturated)
+	}
+}
+
+// evaluateFloor compares a rank's goodput with its floor of the best goodput, or with what it offers if that is less.
+func (r *Report) evaluateFloor(scenario string, w WindowResult, rank plans.Rank, best float64) {
+	got := w.Rank(rank)
+	kept := ratio(got.Goodput, min(got.Offered, queue.DefaultFloors()[rank]*best))
+	r.add(fmt.Sprintf("%s: %s goodput over its floor", scenario, rank), atLeast(floorKept), kept, kept >= floorKept)
+}
+
+func (r *Report) evaluateHedging() {
+	if steady, ok := r.find(scenarioSteady, variantFull, windowSteady); ok {
+		r.add("steady: hedges over needed attempts", atMost(hedgesSteady), steady.Hedged(), steady.Hedged() <= hedgesSteady)
+	}
+	with, ok := r.find(scenarioStragglers, variantFull, windowFault)
+	without, known := r.find(scenarioStragglers, variantNoHedging, windowFault)
+	if !ok || !known {
+		return
+	}
+	for _, rank := range plans.Ranks() {
+		share := ratio(with.Rank(rank).P99, without.Rank(rank).P99)
+		r.add(fmt.Sprintf("stragglers: %s p99 with hedging over without", rank), atMost(stragglerCut), share, share <= stragglerCut)
+	}
+}
--- /dev/null
+++ b/internal/bench/trial.go
@@ -0,0 +1,198 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/fireflylanding/fireflylanding/internal/fakes"
+	"github.com/fireflylanding/fireflylanding/internal/local"
+	"github.com/fireflylanding/fireflylanding/internal/node"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+const (
+	// readyWait bounds the start of a fleet.
+	readyWait = 30 * time.Second
+	// settle lets the nodes learn the documents before the first query.
+	settle = 300 * time.Millisecond
+	// popularTexts is the number of query texts that repeat; half of all queries have one of them.
+	popularTexts = 64
+	// resendEvery is how often a non-idempotent query is sent again although its outcome is known.
+	resendEvery = 4
+)
+
+// trial is one scenario under one variant.
+type trial struct {
+	scenario   *Scenario
+	variant    variant
+	seed       uint64
+	searchers  *fakes.Fleet
+	nodes      *local.Fleet
+	caller     *caller
+	partitions map[uint64]int
+	left       map[string]time.Time
+	begun      time.Time
+	marks      []mark
+
+	mu      sync.Mutex
+	records []record
+}
+
+// runTrial runs a scenario under a variant and returns what was measured.
+func runTrial(ctx context.Context, s *Scenario, v variant, seed uint64) (*Result, error) {
+	t := &trial{scenario: s, variant: v, seed: seed, partitions: map[uint64]int{1: firstShards}, left: make(map[string]time.Time)}
+	defer t.close()
+	service := fakes.LogNormal{Median: serviceMedian, Sigma: serviceSigma}
+	if err := t.start(ctx, service); err != nil {
+		return nil, err
+	}
+	if err := t.load(ctx); err != nil {
+		return nil, err
+	}
+	return t.result(), nil
+}
+
+func (t *trial) start(ctx context.Context, service fakes.ServiceTime) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	var err error
+	if t.searchers, err = fakes.StartFleet(fleetSettings(t.scenario.header, t.seed, service)); err != nil {
+		return err
+	}
+	var policies node.Policies
+	t.variant.change(&policies)
+	t.nodes = local.New(t.searchers, local.Options{
+		ZoneDelay:   zoneDelay,
+		RegionDelay: regionDelay,
+		Policies:    policies,
+		Settings:    func(s *wire.Settings) { s.GetLimits().SetMaxInFlight(maxInFlight) },
+	})
+	if err = t.nodes.StartPerRegion(ctx, nodesPerRegion); err != nil {
+		return err
+	}
+	t.caller = newCaller(t.nodes.Addresses())
+	time.Sleep(settle)
+	return nil
+}
+
+func (t *trial) close() {
+	if t.caller != nil {
+		t.caller.close()
+	}
+	if t.nodes != nil {
+		t.nodes.Close()
+	}
+	if t.searchers != nil {
+		t.searchers.Close()
+	}
+}
+
+// load sends all queries at their times, makes the faults happen, and waits for the last answer.
+func (t *trial) load(ctx context.Context) error {
+	var tasks conc.WaitGroup
+	t.begun = time.Now()
+	for i := range t.scenario.loads {
+		tasks.Go(func() { t.generate(ctx, i) })
+	}
+	var failed error
+	tasks.Go(func() { failed = t.faults(ctx) })
+	tasks.Go(func() { t.observe(ctx) })
+	tasks.Wait()
+	if failed != nil {
+		return errors.Wrap(failed, "fault")
+	}
+	return ctx.Err()
+}
+
+// sleepUntil returns at an offset from the start of the trial, and false when ctx ended before.
+func (t *trial) sleepUntil(ctx context.Context, at time.Duration) bool {
+	timer := time.NewTimer(time.Until(t.begun.Add(at)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (t *trial) faults(ctx context.Context) error {
+	for _, f := range t.scenario.schedule() {
+		if !t.sleepUntil(ctx, f.at) {
+			return nil
+		}
+		if err := t.apply(f.fault); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// generate sends the queries of a load at their intended times, however late the answers are.
+func (t *trial) generate(ctx context.Context, number int) {
+	l := &t.scenario.loads[number]
+	random := rand.New(rand.NewPCG(t.seed, uint64(number)+1))
+	perSecond := l.PerSecond
+	if perSecond == 0 {
+		perSecond = l.Rate * Capacity()
+	}
+	var calls conc.WaitGroup
+	defer calls.Wait()
+	for i, at := range arrivals(*l, perSecond, random) {
+		query := newQuery(l, text(l, i, random))
+		if !t.sleepUntil(ctx, at) {
+			return
+		}
+		calls.Go(func() { t.call(l, i, at, query) })
+	}
+}
+
+// text returns the text of a load's query. Each non-idempotent query has its own, so that the run logs tell them apart.
+func text(l *Load, i int, random *rand.Rand) string {
+	switch {
+	case l.Text != "":
+		return l.Text
+	case !l.Once && i%2 == 0:
+		return fmt.Sprintf("popular %d", random.IntN(popularTexts))
+	default:
+		return fmt.Sprintf("%s %d", l.name, i)
+	}
+}
+
+func (t *trial) call(l *Load, i int, at time.Duration, query *wire.Query) {
+	r := record{load: l, intended: at, lag: time.Since(t.begun) - at, query: query}
+	if l.Once {
+		t.keep(t.caller.sendOnce(r, t.begun, i%resendEvery == 0)...)
+		return
+	}
+	r.body, r.err = t.caller.send(query)
+	r.took = time.Since(t.begun) - at
+	t.keep(r)
+}
+
+func (t *trial) keep(records ...record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.records = append(t.records, records...)
+}
+
+// evidence collects what the checker judges, after the trial.
+func (t *trial) evidence() *evidence {
+	e := &evidence{collection: collection, partitions: t.partitions, records: t.records}
+	for _, s := range t.searchers.Searchers(collection) {
+		e.witnesses = append(e.witnesses, witness{
+			id:      s.ID(),
+			runs:    s.Runs(),
+			dropped: s.RunsDropped(),
+			left:    t.left[s.ID()],
+			refused: s.LastRefused(),
+		})
+	}
+	return e
+}
--- /dev/null
+++ b/internal/cmd/bench.go
@@ -0,0 +1,93 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"os"
+	"runtime/pprof"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fireflylanding/fireflylanding/internal/bench"
+)
+
+func benchCommand(stdout, stderr io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "bench",
+		Usage: "measure scenarios against stand-ins in this process, compare with FIFO queues and check the promises",
+		Description: `Examples:
+   fireflylanding bench
+   fireflylanding bench --scenario bulk-flood --ablate --json result.json --plot result.svg
+   fireflylanding bench --scenario throughput --profile cpu.out`,
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "scenario", Usage: "`NAME` of a scenario; all by default"},
+			&cli.BoolFlag{Name: "ablate", Usage: "compare with each mechanism switched off"},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of arrivals, texts and service times", Value: bench.DefaultSeed},
+			&cli.FloatFlag{Name: "scale", Usage: "factor on all times of the scenarios", Value: 1},
+			&cli.StringFlag{Name: "json", Usage: "write the results to `FILE` as JSON"},
+			&cli.StringFlag{Name: "plot", Usage: "write a plot to `FILE`, .svg or .png"},
+			&cli.StringFlag{Name: "profile", Usage: "write a CPU profile to `FILE`"},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return runBench(ctx, command, stdout, stderr)
+		},
+	}
+}
+
+func runBench(ctx context.Context, command *cli.Command, stdout, stderr io.Writer) error {
+	if file := command.String("profile"); file != "" {
+		profile, err := os.Create(file)
+		if err != nil {
+			return err
+		}
+		defer profile.Close()
+		if err := pprof.StartCPUProfile(profile); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
+	report, err := bench.Run(ctx, bench.Settings{
+		Scenarios: command.StringSlice("scenario"),
+		Ablate:    command.Bool("ablate"),
+		Seed:      command.Uint64("seed"),
+		Scale:     command.Float("scale"),
+		Progress:  stderr,
+	})
+	if errors.Is(err, bench.ErrUnknownScenario) {
+		return withCode(exitUsage, err)
+	}
+	if err != nil {
+		return err
+	}
+	return writeReport(command, report, stdout)
+}
+
+// writeReport writes the report to all places that were asked for, and returns an error when a promise was violated.
+func writeReport(command *cli.Command, report *bench.Report, stdout io.Writer) error {
+	if err := report.WriteTable(stdout); err != nil {
+		return err
+	}
+	if file := command.String("json"); file != "" {
+		if err := writeFile(file, report.WriteJSON); err != nil {
+			return err
+		}
+	}
+	if file := command.String("plot"); file != "" {
+		if err := report.Plot(file); err != nil {
+			return err
+		}
+	}
+	if n := report.Violations(); n > 0 {
+		return errors.Newf("%d promises violated", n)
+	}
+	return nil
+}
+
+func writeFile(name string, write func(io.Writer) error) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	return errors.CombineErrors(write(file), file.Close())
+}
--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -80,6 +80,7 @@
 Exit codes: 0 success, 1 failure, 2 usage, 3 invalid settings, 4 not run, 5 outcome unknown, 6 partial answer, 7 requests cut off.`,
 		Commands: []*cli.Command{
 			demoCommand(stdout, stderr),
+			benchCommand(stdout, stderr),
 			serveCommand(stderr),
 			checkCommand(stdout),
 			askCommand(stdout),
--- a/internal/fakes/process.go
+++ b/internal/fakes/process.go
@@ -87,6 +87,7 @@
 func (p *process) search(arrived time.Time, request *wire.SearchRequest, reply *wire.SearchReply) wire.SearchStatus {
 	s := p.searcher
 	if s.leaving.Load() {
+		s.refused.Store(arrived.UnixNano())
 		return wire.SearchStatus_SEARCH_STATUS_LEAVING
 	}
 	if !s.holdings.Load().has(request.GetCollection(), request.GetSnapshot(), int(request.GetShard())) {
--- a/internal/fakes/searcher.go
+++ b/internal/fakes/searcher.go
@@ -29,8 +29,10 @@
 	hints    hints
 	planted  planted
 
-	started  atomic.Int64
-	shed     atomic.Int64
+	started atomic.Int64
+	shed    atomic.Int64
+	// refused is the Unix time in nanoseconds of the last sub-request that was refused because the searcher leaves.
+	refused  atomic.Int64
 	leaving  atomic.Bool
 	slow     atomic.Uint64
 	holdings atomic.Pointer[holdings]
@@ -220,6 +222,15 @@
 // Shed returns the number of sub-requests that were shed.
 func (s *Searcher) Shed() int { return int(s.shed.Load()) }
 
+// LastRefused returns when a sub-request was last refused because the searcher leaves, or the zero time.
+func (s *Searcher) LastRefused() time.Time {
+	at := s.refused.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, at)
+}
+
 // Connections returns the number of open connections.
 func (s *Searcher) Connections() int { return int(s.counts.open.Load()) }
 
--- a/internal/hedge/hedger.go
+++ b/internal/hedge/hedger.go
@@ -46,8 +46,22 @@
 	MaxDelay time.Duration
 	// MaxSaved is the number of hedges that the budget saves up while none are sent.
 	MaxSaved int
+	// Mode decides whether hedges are sent; nil means Budgeted.
+	Mode Mode
 }
 
+// Mode decides whether hedges are sent: Budgeted or Never.
+type Mode interface{ mode() }
+
+// Budgeted sends hedges within the budget. It is the default.
+type Budgeted struct{}
+
+// Never sends none. The load tool compares with it.
+type Never struct{}
+
+func (Budgeted) mode() {}
+func (Never) mode()    {}
+
 func (s Settings) withDefaults() Settings {
 	if s.InitialDelay <= 0 {
 		s.InitialDelay = defaultInitialDelay
@@ -96,6 +110,9 @@
 // Allow spends budget for one hedge and reports whether it may be sent. A hedge costs more as the pressure of the shard's owner rises
 // from 0.5 to 1, which scales the budget to 0.
 func (h *Hedger) Allow(pressure float64) bool {
+	if _, ok := h.settings.Mode.(Never); ok {
+		return false
+	}
 	scale := (noPressure - pressure) / (noPressure - fullPressure)
 	// The negated comparison refuses NaN.
 	if !(scale > 0) {
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -35,8 +35,22 @@
 	// Allowance is the number of sub-requests beyond the slots that keep the searcher busy during a round trip. Zero means a
 	// quarter of the slots, at least 1.
 	Allowance int
+	// Mode is how the limit is found; nil means Adaptive.
+	Mode Mode
 }
 
+// Mode is how the limit is found: Adaptive or Constant.
+type Mode interface{ mode() }
+
+// Adaptive learns the limit from outcomes. It is the default.
+type Adaptive struct{}
+
+// Constant allows as many sub-requests as connections. The load tool compares with it.
+type Constant struct{}
+
+func (Adaptive) mode() {}
+func (Constant) mode() {}
+
 func (s Settings) bound() int {
 	slots := max(s.Slots, 1)
 	allowance := s.Allowance
@@ -69,7 +83,8 @@
 
 // Limit is the concurrency limit of one searcher. It is safe for concurrent use.
 type Limit struct {
-	bound int
+	bound    int
+	constant bool
 	// allowed is the whole part of current, which Allowed reads without the mutex.
 	allowed atomic.Int64
 
@@ -91,6 +106,9 @@
 
 // New returns the limit of a searcher that may be cold: it starts at a quarter of the slots, at least 1.
 func New(s Settings) *Limit {
+	if _, ok := s.Mode.(Constant); ok {
+		return newConstant(max(s.Connections, 1))
+	}
 	bound := s.bound()
 	l := &Limit{
 		bound:     bound,
@@ -102,6 +120,12 @@
 	return l
 }
 
+func newConstant(bound int) *Limit {
+	l := &Limit{bound: bound, constant: true}
+	l.set(float64(bound))
+	return l
+}
+
 // Allowed returns how many sub-requests may be in flight to the searcher, at least 1.
 func (l *Limit) Allowed(time.Time) int { return int(l.allowed.Load()) }
 
@@ -111,6 +135,9 @@
 // Hint takes the free slots that the searcher's load endpoint reports. Since the endpoint lags or misleads, a hint can only
 // lower the starting point and has no effect after the first outcome.
 func (l *Limit) Hint(free int) {
+	if l.constant {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.observed {
@@ -121,6 +148,9 @@
 
 // Observe learns from one outcome.
 func (l *Limit) Observe(now time.Time, o Outcome) {
+	if l.constant {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.observed = true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,6 +111,7 @@
 	Hedge      hedge.Settings
 	Retry      retry.Settings
 	Quarantine quar.Settings
+	Picker     picker.Settings
 	Owner      owner.Policies
 }
 
@@ -211,7 +212,7 @@
 		Admission:  n.admission,
 		Hedger:     hedge.New(p.Hedge),
 		Retrier:    retry.New(p.Retry, rand.New(rand.NewPCG(randomUint64(), randomUint64()))),
-		Picker:     picker.New(),
+		Picker:     picker.NewWith(p.Picker),
 		Issuer:     issuer,
 		Quarantine: quarantine,
 	}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -16,16 +16,40 @@
 	rise = 0.25
 	// maxSearchers bounds the memory; it admits all searchers of a region's share at full size.
 	maxSearchers = 65536
+	// equalCost is the cost of each replica that is used in turn; 0 would mean that the latency is unknown.
+	equalCost = time.Nanosecond
 )
 
+// Settings configure a picker. Zero fields take the default.
+type Settings struct {
+	// Choice is how replicas are ranked; nil means ByLatency.
+	Choice Choice
+}
+
+// Choice is how replicas are ranked: ByLatency or InTurn.
+type Choice interface{ choice() }
+
+// ByLatency ranks replicas by their observed latency. It is the default.
+type ByLatency struct{}
+
+// InTurn ranks all replicas alike, so that queries use them in turn. The load tool compares with it.
+type InTurn struct{}
+
+func (ByLatency) choice() {}
+func (InTurn) choice()    {}
+
 // Picker holds the observed latency of searchers. It is safe for concurrent use.
 type Picker struct {
+	settings  Settings
 	searchers sync.Map
 	count     atomic.Int64
 }
 
 // New returns a picker that has seen no searcher.
-func New() *Picker { return &Picker{} }
+func New() *Picker { return NewWith(Settings{}) }
+
+// NewWith returns a picker with settings that has seen no searcher.
+func NewWith(s Settings) *Picker { return &Picker{settings: s} }
 
 // track is what is known of one searcher.
 type track struct {
@@ -75,6 +99,9 @@
 
 // Cost returns the expected latency of a further attempt, 0 for a searcher without samples.
 func (p *Picker) Cost(now time.Time, searcher string) time.Duration {
+	if _, ok := p.settings.Choice.(InTurn); ok {
+		return equalCost
+	}
 	value, ok := p.searchers.Load(searcher)
 	if !ok {
 		return 0
--- a/internal/quar/table.go
+++ b/internal/quar/table.go
@@ -43,8 +43,22 @@
 	Expiry time.Duration
 	// MaxMarks bounds the table; the mark that expires first goes first.
 	MaxMarks int
+	// Mode decides whether losses count; nil means Counting.
+	Mode Mode
 }
 
+// Mode decides whether losses count: Counting or Ignoring.
+type Mode interface{ mode() }
+
+// Counting sends unknown requests to one shard first and quarantines those that crash searchers. It is the default.
+type Counting struct{}
+
+// Ignoring treats each request as known and clear. The load tool compares with it.
+type Ignoring struct{}
+
+func (Counting) mode() {}
+func (Ignoring) mode() {}
+
 // loss is one recent loss that this node saw itself and counts.
 type loss struct {
 	at          time.Time
@@ -88,6 +102,9 @@
 // counts on this node at once too, but other nodes learn the searcher a second later, when it is known that the loss was no burst. The
 // losses of a burst make their requests suspect only. LostExclusive records the loss of an attempt that ran alone.
 func (t *Table) Lost(now time.Time, fingerprint uint64, searcher string) {
+	if t.ignores() {
+		return
+	}
 	t.completed.remove(fingerprint)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -109,6 +126,9 @@
 // counts also in a burst, and makes the request's losses in bursts count: otherwise several crashing requests at once would look like a
 // burst and never be quarantined. It is no evidence of a burst either.
 func (t *Table) LostExclusive(now time.Time, fingerprint uint64, searcher string) {
+	if t.ignores() {
+		return
+	}
 	t.completed.remove(fingerprint)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -120,6 +140,11 @@
 	t.resize()
 }
 
+func (t *Table) ignores() bool {
+	_, ok := t.settings.Mode.(Ignoring)
+	return ok
+}
+
 // renew extends the mark of a request that lost a searcher now.
 func (t *Table) renew(now time.Time, m *mark) {
 	m.expires = later(m.expires, now.Add(t.settings.Expiry))
@@ -187,6 +212,9 @@
 
 // NeedsCanary reports whether the request must go to one shard first: it is not known to complete, or it is marked.
 func (t *Table) NeedsCanary(now time.Time, fingerprint uint64) bool {
+	if t.ignores() {
+		return false
+	}
 	if !t.completed.has(fingerprint) {
 		return true
 	}
--- a/internal/queue/flow.go
+++ b/internal/queue/flow.go
@@ -17,6 +17,8 @@
 	// generation differs between uses of the entry, so that an old Ticket does not match.
 	generation uint32
 	waiting    bool
+	// arrival numbers the entries in order of Push.
+	arrival uint64
 	// next and previous link the items of a plan in order of arrival.
 	next, previous *entry[T]
 	// byDeadline and byOrder are positions in the heaps of those names.
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -53,6 +53,8 @@
 	MaxIdle int
 	// Window is the time over which the use of the searcher by rank is measured; floors are measured over ten times as much service time.
 	Window time.Duration
+	// Discipline is the order of service; nil means Fair.
+	Discipline Discipline
 }
 
 // DefaultFloors returns the floors of the design: urgent 50%, routine 20%, bulk 5%.
@@ -94,6 +96,7 @@
 	// exclusive is set while an exclusive item runs.
 	exclusive   bool
 	activations uint64
+	arrivals    uint64
 	epoch       uint64
 
 	service   mean
@@ -150,6 +153,12 @@
 		return wire.Reason_REASON_UNSPECIFIED
 	}
 	full := f.waiting >= q.settings.MaxWaiting
+	if q.fifo() {
+		if full {
+			return wire.Reason_REASON_QUEUE_FULL
+		}
+		return wire.Reason_REASON_UNSPECIFIED
+	}
 	late := !q.meets(f, it, f.waiting, remaining)
 	if !full && !late {
 		return wire.Reason_REASON_UNSPECIFIED
@@ -198,6 +207,8 @@
 func (q *Queue[T]) enter(b *band[T], f *flow[T], it Item[T]) Ticket {
 	e := q.take()
 	e.item = it
+	q.arrivals++
+	e.arrival = q.arrivals
 	e.waiting = true
 	f.append(e)
 	if f.waiting == 1 {
@@ -258,6 +269,9 @@
 // all, the last one stays when the service time has to be learned again.
 func (q *Queue[T]) dropHopeless(now time.Time, all bool) {
 	service := q.service.duration()
+	if q.fifo() {
+		service = 0
+	}
 	for q.waiting > 0 {
 		e := q.byDeadline.top()
 		remaining := e.item.deadline.Sub(now)
@@ -284,13 +298,11 @@
 	if q.waiting == 0 || q.exclusive {
 		return Item[T]{}, false
 	}
-	b := q.bands[q.next()]
-	f := b.active.top()
-	e := f.first
+	e := q.pick()
 	if e.item.exclusive && q.running > 0 {
 		return Item[T]{}, false
 	}
-	return q.run(now, b, f, e), true
+	return q.run(now, q.bands[e.item.rank], e.flow, e), true
 }
 
 // next returns the rank to serve: the one that is furthest below its floor, otherwise the most urgent one with waiting work.
@@ -466,6 +478,9 @@
 		return 0
 	}
 	each := q.service.seconds / parallel
+	if q.fifo() {
+		return each * (float64(q.waiting) + residual)
+	}
 	b := q.bands[r]
 	own := b.ahead(f, weight, ahead) + residual
 	higher, share := q.above(r)
--- a/internal/stall/group.go
+++ b/internal/stall/group.go
@@ -21,12 +21,27 @@
 	Multiple int
 	// Minimum applies when the expected reply time is short or unknown.
 	Minimum time.Duration
+	// Mode decides whether silent connections are looked for; nil means Detecting.
+	Mode Mode
 }
 
+// Mode decides whether silent connections are looked for: Detecting or Waiting.
+type Mode interface{ mode() }
+
+// Detecting closes silent connections. It is the default.
+type Detecting struct{}
+
+// Waiting leaves silent connections to the deadlines of their requests. The load tool compares with it.
+type Waiting struct{}
+
+func (Detecting) mode() {}
+func (Waiting) mode()   {}
+
 // Group holds the open connections to one searcher. It is safe for concurrent use.
 type Group struct {
 	multiple int
 	minimum  time.Duration
+	waiting  bool
 
 	// answered is the offset at which the latest request was written whose reply began. It only grows, and it outlives the connection,
 	// so that a probe remains a witness after its connection closed.
@@ -46,7 +61,8 @@
 	if s.Minimum <= 0 {
 		s.Minimum = DefaultMinimum
 	}
-	return &Group{multiple: s.Multiple, minimum: s.Minimum, conns: make(map[*Conn]struct{})}
+	_, waiting := s.Mode.(Waiting)
+	return &Group{multiple: s.Multiple, minimum: s.Minimum, waiting: waiting, conns: make(map[*Conn]struct{})}
 }
 
 // Wrap adds a connection that carries one request at a time. The result leaves the group when it is closed. All clocks of a group must
@@ -67,6 +83,9 @@
 // expected is the learned p99 of the reply time. After a pause of the process replies may wait unread, so the caller skips one
 // interval.
 func (g *Group) Check(now time.Time, expected time.Duration) []*Conn {
+	if g.waiting {
+		return nil
+	}
 	conns, base := g.open()
 	limit := g.limit(expected)
 	var closed []*Conn
@@ -83,6 +102,9 @@
 // on a new connection of the group; its reply makes the next Check close the silent connections. While such a request is under way,
 // NeedsProbe returns false.
 func (g *Group) NeedsProbe(now time.Time, expected time.Duration) bool {
+	if g.waiting {
+		return false
+	}
 	conns, base := g.open()
 	states := make([]state, 0, len(conns))
 	for _, c := range conns {
