Keep peer connections when a caller's time runs out, and end all of them at close

A connection is now dropped only when it has ended, and Close ends all connections of the socket before it waits.

--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -186,8 +186,10 @@
 		}
 	}
 	t.mu.Unlock()
+	// This ends the connections that were replaced too, which the tasks wait for.
+	err = errors.CombineErrors(err, t.quic.Close())
 	t.tasks.Wait()
-	return errors.CombineErrors(err, t.quic.Close())
+	return err
 }
 
 // Forget makes the next exchange with a peer open a new connection. The old one may have gone silent, or only be slow, so it stays open for a while for the exchanges
@@ -231,7 +233,10 @@
 	}
 	var stream *quic.Stream
 	if stream, err = conn.OpenStreamSync(ctx); err != nil {
-		t.drop(address, conn)
+		// A caller whose time ran out says nothing about the connection, which others use.
+		if conn.Context().Err() != nil {
+			t.drop(address, conn)
+		}
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	return stream, nil
