--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -84,6 +84,7 @@
 			checkCommand(stdout),
 			askCommand(stdout),
 			statusCommand(stdout),
+			capacityCommand(stdout, stderr),
 		},
 		// Errors are reported by Main, which knows the exit codes.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -36,6 +36,8 @@
 	RegionDelay time.Duration
 	// Emulate puts a Network between the nodes even without latency, so that a test can cut it.
 	Emulate bool
+	// Socket wraps the UDP socket of each node, for example to count its packets; nil leaves it.
+	Socket func(net.PacketConn) net.PacketConn
 	// Policies are passed to each node.
 	Policies node.Policies
 }
@@ -115,6 +117,9 @@
 	}
 	vm := shards.NewVM(id, region, zone, listeners.Callers.Addr().String(), listeners.Peers.LocalAddr().String())
 	admin := listeners.Admin.Addr().String()
+	if f.options.Socket != nil {
+		listeners.Peers = f.options.Socket(listeners.Peers)
+	}
 	f.connect(vm, &listeners)
 	var settings *wire.Settings
 	if settings, err = f.settings(vm, admin); err != nil {
--- /dev/null
+++ b/internal/sizing/slopes.go
@@ -0,0 +1,127 @@
+package sizing
+
+import (
+	_ "embed"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+)
+
+//go:embed slopes.json
+var committed []byte
+
+// Slope is a measured series and the line through it.
+type Slope struct {
+	name    string
+	what    string
+	unit    string
+	per     string
+	command string
+	sizes   []float64
+	values  []float64
+	line    Line
+}
+
+// NewSlope fits a line through a series. The values are in unit and the sizes count what per names.
+func NewSlope(name, what, unit, per string, sizes, values []float64) Slope {
+	return Slope{
+		name: name, what: what, unit: unit, per: per, command: measureCommand,
+		sizes: sizes, values: values, line: Fit(sizes, values),
+	}
+}
+
+// Name returns the name that the tables refer to.
+func (s Slope) Name() string { return s.name }
+
+// Line returns the fitted line.
+func (s Slope) Line() Line { return s.line }
+
+// Sizes returns the measured sizes. The caller must not change the result.
+func (s Slope) Sizes() []float64 { return s.sizes }
+
+// Values returns the measured values. The caller must not change the result.
+func (s Slope) Values() []float64 { return s.values }
+
+// storedSlope is the form of a slope in slopes.json.
+type storedSlope struct {
+	Name       string    `json:"name"`
+	What       string    `json:"what"`
+	Command    string    `json:"command"`
+	Unit       string    `json:"unit"`
+	Per        string    `json:"per"`
+	Sizes      []float64 `json:"sizes"`
+	Values     []float64 `json:"values"`
+	Intercept  float64   `json:"intercept"`
+	Slope      float64   `json:"slope"`
+	SlopeError float64   `json:"slope_error"`
+	Residual   float64   `json:"residual"`
+}
+
+// Slopes is a set of slopes by name, in the order of their measurement.
+type Slopes struct {
+	order  []string
+	byName map[string]Slope
+}
+
+// NewSlopes returns a set.
+func NewSlopes(list []Slope) *Slopes {
+	s := &Slopes{byName: make(map[string]Slope, len(list))}
+	for _, slope := range list {
+		s.order = append(s.order, slope.name)
+		s.byName[slope.name] = slope
+	}
+	return s
+}
+
+// Committed returns the slopes that are part of the source.
+func Committed() (*Slopes, error) { return Read(committed) }
+
+// Read reads slopes from JSON.
+func Read(data []byte) (*Slopes, error) {
+	var stored []storedSlope
+	if err := json.Unmarshal(data, &stored); err != nil {
+		return nil, errors.Wrap(err, "read slopes")
+	}
+	var list []Slope
+	for _, s := range stored {
+		if len(s.Sizes) != len(s.Values) || len(s.Sizes) == 0 {
+			return nil, errors.Newf("slope %s has %d sizes and %d values", s.Name, len(s.Sizes), len(s.Values))
+		}
+		list = append(list, Slope{
+			name: s.Name, what: s.What, unit: s.Unit, per: s.Per, command: s.Command,
+			sizes: s.Sizes, values: s.Values,
+			line: Line{intercept: s.Intercept, slope: s.Slope, slopeError: s.SlopeError, residual: s.Residual},
+		})
+	}
+	return NewSlopes(list), nil
+}
+
+// JSON returns the form that Read reads.
+func (s *Slopes) JSON() ([]byte, error) {
+	stored := make([]storedSlope, 0, len(s.order))
+	for _, slope := range s.All() {
+		stored = append(stored, storedSlope{
+			Name: slope.name, What: slope.what, Command: slope.command, Unit: slope.unit, Per: slope.per,
+			Sizes: slope.sizes, Values: slope.values,
+			Intercept: slope.line.intercept, Slope: slope.line.slope,
+			SlopeError: slope.line.slopeError, Residual: slope.line.residual,
+		})
+	}
+	data, err := json.MarshalIndent(stored, "", "  ")
+	return append(data, '\n'), err
+}
+
+// All returns the slopes in order.
+func (s *Slopes) All() []Slope {
+	all := make([]Slope, 0, len(s.order))
+	for _, name := range s.order {
+		all = append(all, s.byName[name])
+	}
+	return all
+}
+
+// Line returns the line of a slope. A missing slope is recorded as a fault by the caller's table.
+func (s *Slopes) line(name string) (Line, bool) {
+	slope, ok := s.byName[name]
+	return slope.line, ok
+}
