Drop keep-alives between nodes and notice silence by exchanges

A node at the design size has up to 5,398 ends of connections to other nodes.

What the keep-alive guarded now follows from exchanges: one that fails without any packet from the peer for 250 ms replaces the connection, an owner at work on a batch sends an empty frame a second, and an entry gives up on a batch after 5 s without one. Close no longer waits 10 s for replaced connections.

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -18,7 +18,8 @@
 // Batch sends sub-requests to an owner and calls receive for each frame of the answer, the last one included. An error marked with ErrNotSent means that the owner
 // got nothing; after any other error the fate of the unanswered sub-requests is unknown.
 func (t *Transport) Batch(ctx context.Context, to shards.VM, batch *wire.Batch, receive func(*wire.BatchReply)) error {
-	return t.exchange(ctx, to, wire.PeerRequest_builder{Batch: batch}.Build(), func(reader *bufio.Reader) error {
+	return t.exchange(ctx, to, wire.PeerRequest_builder{Batch: batch}.Build(), func(stream *quic.Stream) error {
+		reader := bufio.NewReader(progressReader{stream: stream})
 		for {
 			reply := &wire.PeerReply{}
 			if err := t.receive(reader, reply); err != nil {
@@ -27,6 +28,9 @@
 			if !reply.HasBatch() {
 				return errUnexpected
 			}
+			if isProgress(reply.GetBatch()) {
+				continue
+			}
 			receive(reply.GetBatch())
 			if reply.GetBatch().GetLast() {
 				return nil
@@ -35,6 +39,24 @@
 	})
 }
 
+// isProgress reports whether a frame only says that the owner still works on the batch.
+func isProgress(frame *wire.BatchReply) bool {
+	return !frame.GetLast() && len(frame.GetReplies()) == 0
+}
+
+// progressReader fails when nothing arrives for progressTimeout, so that an owner that went silent is noticed before a late deadline.
+type progressReader struct {
+	stream *quic.Stream
+}
+
+// Read reads from the stream.
+func (r progressReader) Read(p []byte) (int, error) {
+	if err := r.stream.SetReadDeadline(time.Now().Add(progressTimeout)); err != nil {
+		return 0, err
+	}
+	return r.stream.Read(p)
+}
+
 // Cancel tells an owner to stop attempts. There is no answer.
 func (t *Transport) Cancel(ctx context.Context, to shards.VM, cancel *wire.Cancel) error {
 	return t.exchange(ctx, to, wire.PeerRequest_builder{Cancel: cancel}.Build(), nil)
@@ -85,8 +107,8 @@
 // ask sends a request and returns its only reply.
 func (t *Transport) ask(ctx context.Context, to shards.VM, request *wire.PeerRequest) (*wire.PeerReply, error) {
 	reply := &wire.PeerReply{}
-	err := t.exchange(ctx, to, request, func(reader *bufio.Reader) error {
-		return t.receive(reader, reply)
+	err := t.exchange(ctx, to, request, func(stream *quic.Stream) error {
+		return t.receive(bufio.NewReader(stream), reply)
 	})
 	if err != nil {
 		return nil, err
@@ -94,12 +116,24 @@
 	return reply, nil
 }
 
-// exchange opens a stream, sends the request and reads the answer when read is not nil.
-func (t *Transport) exchange(ctx context.Context, to shards.VM, request *wire.PeerRequest, read func(*bufio.Reader) error) error {
-	stream, err := t.open(ctx, to.PeerAddress())
+// exchange opens a stream, sends the request and reads the answer when read is not nil. When it fails and no packet came from the peer, the
+// connection is replaced.
+func (t *Transport) exchange(ctx context.Context, to shards.VM, request *wire.PeerRequest, read func(*quic.Stream) error) error {
+	conn, stream, err := t.open(ctx, to.PeerAddress())
 	if err != nil {
 		return err
 	}
+	began, received := time.Now(), conn.ConnectionStats().PacketsReceived
+	if err = t.converse(ctx, to, stream, request, read); err == nil {
+		return nil
+	}
+	if conn.ConnectionStats().PacketsReceived == received && time.Since(began) >= silentAfter {
+		t.replace(to.PeerAddress(), conn)
+	}
+	return err
+}
+
+func (t *Transport) converse(ctx context.Context, to shards.VM, stream *quic.Stream, request *wire.PeerRequest, read func(*quic.Stream) error) error {
 	stop := context.AfterFunc(ctx, func() { interrupt(stream) })
 	defer stop()
 	if err := t.send(stream, request); err != nil {
@@ -113,7 +147,7 @@
 		stream.CancelRead(0)
 		return nil
 	}
-	if err := read(bufio.NewReader(stream)); err != nil {
+	if err := read(stream); err != nil {
 		interrupt(stream)
 		return errors.Wrapf(cause(ctx, err), "read from %s", to.PeerAddress())
 	}
--- /dev/null
+++ b/internal/peer/silence_test.go
@@ -0,0 +1,170 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+
+	"github.com/fireflylanding/fireflylanding/internal/certs"
+	"github.com/fireflylanding/fireflylanding/internal/events"
+	"github.com/fireflylanding/fireflylanding/internal/shards"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// gatedSocket counts what is sent and drops it while it is shut.
+type gatedSocket struct {
+	net.PacketConn
+	shut atomic.Bool
+	sent atomic.Int64
+}
+
+func (s *gatedSocket) WriteTo(packet []byte, to net.Addr) (int, error) {
+	s.sent.Add(1)
+	if s.shut.Load() {
+		return len(packet), nil
+	}
+	return s.PacketConn.WriteTo(packet, to)
+}
+
+// batchHandler answers digests, and batches when a function returns.
+type batchHandler struct {
+	Handler
+	work func(ctx context.Context)
+}
+
+func (h batchHandler) Digest(context.Context, *wire.Digest) *wire.Digest { return &wire.Digest{} }
+
+func (h batchHandler) Batch(ctx context.Context, batch *wire.Batch, reply func(*wire.BatchReply) error) {
+	h.work(ctx)
+	_ = reply(wire.BatchReply_builder{QueryId: batch.GetQueryId(), Last: true}.Build())
+}
+
+// side is one running transport.
+type side struct {
+	*Transport
+	socket *gatedSocket
+	vm     shards.VM
+}
+
+func start(t *testing.T, handler Handler) side {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys, err := certs.Development(events.Discard(), time.Now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := side{socket: &gatedSocket{PacketConn: conn}, vm: shards.NewVM("", "", "", "", conn.LocalAddr().String())}
+	if s.Transport, err = New(s.socket, keys.Server(), keys.Client(), events.Discard(), metrics.NewRegistry()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks conc.WaitGroup
+	tasks.Go(func() { s.Serve(ctx, handler) })
+	t.Cleanup(func() {
+		cancel()
+		_ = s.Transport.Close()
+		_ = conn.Close()
+		tasks.Wait()
+	})
+	return s
+}
+
+// Guards against idle connections that send packets: thousands of them at full size exceed what a node may spend.
+func TestIdleConnectionSendsNothing(t *testing.T) {
+	t.Parallel()
+	a, b := start(t, batchHandler{}), start(t, batchHandler{})
+	if _, err := a.Digest(context.Background(), b.vm, &wire.Digest{}); err != nil {
+		t.Fatal(err)
+	}
+	// The search for the greatest packet size follows the handshake and ends by itself.
+	quiet := func() bool {
+		before := a.socket.sent.Load() + b.socket.sent.Load()
+		time.Sleep(2 * time.Second)
+		return a.socket.sent.Load()+b.socket.sent.Load() == before
+	}
+	for range 5 {
+		if quiet() {
+			return
+		}
+	}
+	t.Error("got packets on an idle connection in each of 5 intervals of 2 s, want none in one of them")
+}
+
+// Guards against exchanges that go on failing on a connection that went silent.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	t.Parallel()
+	a, b := start(t, batchHandler{}), start(t, batchHandler{})
+	if _, err := a.Digest(context.Background(), b.vm, &wire.Digest{}); err != nil {
+		t.Fatal(err)
+	}
+	b.socket.shut.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*silentAfter)
+	defer cancel()
+	if _, err := a.Digest(ctx, b.vm, &wire.Digest{}); err == nil {
+		t.Fatal("got an answer from a silent peer")
+	}
+	b.socket.shut.Store(false)
+	if _, err := a.Digest(context.Background(), b.vm, &wire.Digest{}); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := a.dials.Count(), int64(2); got != want {
+		t.Errorf("got %d handshakes, want %d", got, want)
+	}
+}
+
+// Guards against a new connection after each exchange that ends early on a connection that works.
+func TestAnsweringConnectionIsKept(t *testing.T) {
+	t.Parallel()
+	a, b := start(t, batchHandler{}), start(t, batchHandler{work: func(ctx context.Context) { <-ctx.Done() }})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*silentAfter)
+	defer cancel()
+	if err := a.Batch(ctx, b.vm, &wire.Batch{}, func(*wire.BatchReply) {}); err == nil {
+		t.Fatal("got an answer to a batch that never ends")
+	}
+	if _, err := a.Digest(context.Background(), b.vm, &wire.Digest{}); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := a.dials.Count(), int64(1); got != want {
+		t.Errorf("got %d handshakes, want %d", got, want)
+	}
+}
+
+// Guards against a long batch that is given up although its owner still works on it.
+func TestLongBatchOutlivesProgressTimeout(t *testing.T) {
+	t.Parallel()
+	a := start(t, batchHandler{})
+	b := start(t, batchHandler{work: func(context.Context) { time.Sleep(progressTimeout + progressInterval) }})
+	frames := 0
+	if err := a.Batch(context.Background(), b.vm, &wire.Batch{}, func(*wire.BatchReply) { frames++ }); err != nil {
+		t.Fatal(err)
+	}
+	if frames != 1 {
+		t.Errorf("got %d frames, want only the last one", frames)
+	}
+}
+
+// Guards against a batch that waits for its late deadline on an owner that went silent.
+func TestSilentOwnerEndsBatchBeforeItsDeadline(t *testing.T) {
+	t.Parallel()
+	a := start(t, batchHandler{})
+	var b side
+	b = start(t, batchHandler{work: func(ctx context.Context) {
+		b.socket.shut.Store(true)
+		<-ctx.Done()
+	}})
+	ctx, cancel := context.WithTimeout(context.Background(), 4*progressTimeout)
+	defer cancel()
+	err := a.Batch(ctx, b.vm, &wire.Batch{}, func(*wire.BatchReply) {})
+	if err == nil || errors.Is(err, ErrNotSent) || ctx.Err() != nil {
+		t.Errorf("got error %v with the context's error %v, want an error of the exchange before the deadline", err, ctx.Err())
+	}
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -25,9 +25,15 @@
 const (
 	// maxMessageBytes admits a full document of 1 MB with its framing.
 	maxMessageBytes = 2 << 20
-	// idleTimeout and keepAlive bound how long a silent connection between nodes goes unnoticed.
-	idleTimeout = 5 * time.Second
-	keepAlive   = time.Second
+	// idleTimeout ends a connection without any exchange. It exceeds the time between two digests to one of some 17 neighbours. There is no
+	// keep-alive: a node at full size has thousands of connections, and a keep-alive a second on each takes a core and 170 KB/s.
+	idleTimeout = 30 * time.Second
+	// progressInterval is how often an owner says that it still works on a batch, and progressTimeout is how long an entry waits for that.
+	progressInterval = time.Second
+	progressTimeout  = 5 * time.Second
+	// silentAfter is the time without any packet, also without an acknowledgement, after which a failed exchange replaces its connection. It
+	// exceeds the greatest round trip of 40 ms and the delay of acknowledgements of 25 ms.
+	silentAfter = 250 * time.Millisecond
 	// dialTimeout bounds a handshake; two nodes are at most 20 ms apart.
 	dialTimeout = time.Second
 	// replacedFor is how long a replaced connection stays open for the exchanges on it.
@@ -98,7 +104,6 @@
 	return &quic.Config{
 		HandshakeIdleTimeout: dialTimeout,
 		MaxIdleTimeout:       idleTimeout,
-		KeepAlivePeriod:      keepAlive,
 		MaxIncomingStreams:   maxStreams,
 		Allow0RTT:            false,
 	}
@@ -152,10 +157,7 @@
 	}
 	switch request.WhichBody() {
 	case wire.PeerRequest_Batch_case:
-		// The stream's context ends when the entry gives up, so that work it no longer waits for leaves the queues.
-		handler.Batch(stream.Context(), request.GetBatch(), func(reply *wire.BatchReply) error {
-			return t.send(stream, wire.PeerReply_builder{Batch: reply}.Build())
-		})
+		t.serveBatch(stream, request.GetBatch(), handler)
 	case wire.PeerRequest_Cancel_case:
 		handler.Cancel(ctx, request.GetCancel())
 	case wire.PeerRequest_Forward_case:
@@ -172,6 +174,16 @@
 	}
 }
 
+// serveBatch answers a batch and says in each progressInterval that it is still at work.
+func (t *Transport) serveBatch(stream *quic.Stream, batch *wire.Batch, handler Handler) {
+	frames := newFrames(func(reply *wire.BatchReply) error {
+		return t.send(stream, wire.PeerReply_builder{Batch: reply}.Build())
+	})
+	defer frames.end()
+	// The stream's context ends when the entry gives up, so that work it no longer waits for leaves the queues.
+	handler.Batch(stream.Context(), batch, frames.send)
+}
+
 // Close closes the socket's connections.
 func (t *Transport) Close() error {
 	err := t.listener.Close()
@@ -186,16 +198,18 @@
 		}
 	}
 	t.mu.Unlock()
+	// The connections that were replaced end here; a task waits for each.
+	err = errors.CombineErrors(err, t.quic.Close())
 	t.tasks.Wait()
-	return errors.CombineErrors(err, t.quic.Close())
+	return err
 }
 
 // Forget makes the next exchange with a peer open a new connection. The old one may have gone silent, or only be slow, so it stays open for a while for the exchanges
 // on it.
 func (t *Transport) Forget(address string) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	c, ok := t.conns[address]
+	t.mu.Unlock()
 	if !ok {
 		return
 	}
@@ -204,8 +218,20 @@
 	default:
 		return
 	}
+	if c.conn != nil {
+		t.replace(address, c.conn)
+	}
+}
+
+// replace makes the next exchange open a new connection unless another took the place of this one already.
+func (t *Transport) replace(address string, conn *quic.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c, ok := t.conns[address]; !ok || c.conn != conn {
+		return
+	}
 	delete(t.conns, address)
-	time.AfterFunc(replacedFor, func() { _ = c.conn.CloseWithError(0, "connection replaced") })
+	time.AfterFunc(replacedFor, func() { _ = conn.CloseWithError(0, "connection replaced") })
 }
 
 func (t *Transport) send(stream *quic.Stream, message proto.Message) error {
@@ -223,18 +249,18 @@
 	return nil
 }
 
-// open returns a stream to a peer. Its errors are marked with ErrNotSent.
-func (t *Transport) open(ctx context.Context, address string) (*quic.Stream, error) {
+// open returns a stream to a peer and its connection. Its errors are marked with ErrNotSent.
+func (t *Transport) open(ctx context.Context, address string) (*quic.Conn, *quic.Stream, error) {
 	conn, err := t.connect(ctx, address)
 	if err != nil {
-		return nil, errors.Mark(err, ErrNotSent)
+		return nil, nil, errors.Mark(err, ErrNotSent)
 	}
 	var stream *quic.Stream
 	if stream, err = conn.OpenStreamSync(ctx); err != nil {
 		t.drop(address, conn)
-		return nil, errors.Mark(err, ErrNotSent)
+		return nil, nil, errors.Mark(err, ErrNotSent)
 	}
-	return stream, nil
+	return conn, stream, nil
 }
 
 // connect returns the connection to a peer and dials it when there is none. Concurrent callers share one handshake.
