Spread the first call of nodes that start together over 2 s

The engine has had StartSpread for this, but no node set it, so 2,700 nodes that start together called the configuration service 2,700 times at once, against 2,000 calls/s. 'serve' now sets 2 s (1,350 calls/s, computed); the in-process fleets of tests still call at once.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,11 +113,17 @@
 	Retry      retry.Settings
 	Quarantine quar.Settings
 	Owner      owner.Policies
+	// StartSpread is the time over which nodes that start together spread their first call on the configuration service; the zero value
+	// calls at once, as small fleets may.
+	StartSpread time.Duration
 }
 
-// New returns a node with the default policies; Run starts it.
+// startSpread keeps 2,700 nodes that start together below the 2,000 calls/s of the configuration service.
+const startSpread = 2 * time.Second
+
+// New returns a node with the default policies of a fleet of any size; Run starts it.
 func New(settings *wire.Settings, listeners Listeners, logger *events.Logger, clock func() time.Time) (*Node, error) {
-	return NewWith(settings, listeners, Policies{}, logger, clock)
+	return NewWith(settings, listeners, Policies{StartSpread: startSpread}, logger, clock)
 }
 
 // NewWith returns a node with the given policies; Run starts it.
@@ -142,7 +148,7 @@
 		return nil, err
 	}
 	quarantine := quar.New(policies.Quarantine)
-	n.buildSpread(quarantine)
+	n.buildSpread(policies, quarantine)
 	n.buildRoles(policies, quarantine)
 	return n, nil
 }
@@ -171,7 +177,7 @@
 }
 
 // buildSpread makes the store of documents and the engine that keeps it up to date.
-func (n *Node) buildSpread(quarantine *quar.Table) {
+func (n *Node) buildSpread(p Policies, quarantine *quar.Table) {
 	s := n.settings
 	n.builder = view.NewBuilder(s.GetNode().GetRegions())
 	n.store = spread.NewStore(n.builder.Validate)
@@ -183,6 +189,7 @@
 		DigestInterval: s.GetPeers().GetDigestInterval().AsDuration(),
 		WatchWait:      s.GetPlatform().GetWatchWait().AsDuration(),
 		FallbackAfter:  s.GetPlatform().GetFallbackAfter().AsDuration(),
+		StartSpread:    p.StartSpread,
 	}, spread.Dependencies{
 		Self:       member.NewNode(n.self.ID(), n.incarnation),
 		Store:      n.store,
