--- a/internal/peer/connection_test.go
+++ b/internal/peer/connection_test.go
@@ -86,7 +86,7 @@
 	cancel()
 	// The choice between an open connection and an expired context is random, so one attempt may not reach the connection.
 	for range 64 {
-		if _, err := from.open(expired, to.Address()); err == nil {
+		if _, _, err := from.open(expired, to.Address()); err == nil {
 			t.Fatal("got a stream for an expired caller, want an error")
 		}
 	}
--- /dev/null
+++ b/rules_test.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// sourceFiles returns the Go files that are not tests, with their content.
+func sourceFiles(t *testing.T) map[string]string {
+	t.Helper()
+	files := make(map[string]string)
+	err := filepath.WalkDir(".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		files[filepath.ToSlash(path)] = string(data)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return files
+}
+
+// Guards against code of the system that writes to disk or starts a process. Only tools on a developer's machine may write files.
+func TestSystemWritesNothing(t *testing.T) {
+	tests := map[string]struct {
+		pattern *regexp.Regexp
+		allowed []string
+	}{
+		"starts a process": {pattern: regexp.MustCompile(`"os/exec"|os\.StartProcess|syscall\.ForkExec`)},
+		"writes a file": {
+			pattern: regexp.MustCompile(`os\.(Create|CreateTemp|WriteFile|OpenFile|Mkdir|MkdirAll|MkdirTemp|Rename|Remove|RemoveAll|Truncate)\(`),
+			allowed: []string{"internal/events/gendoc/", "internal/bench/", "internal/cmd/bench.go", "internal/cmd/capacity.go", "internal/sizing/"},
+		},
+		"stores at the platform": {pattern: regexp.MustCompile(`fasthttp\.MethodPut|MethodPatch|MethodDelete`)},
+	}
+	files := sourceFiles(t)
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for path, text := range files {
+				found := test.pattern.FindString(text)
+				if found != "" && !hasPrefix(path, test.allowed) {
+					t.Errorf("%s: got %s, want none outside %v", path, found, test.allowed)
+				}
+			}
+		})
+	}
+}
+
+func hasPrefix(path string, prefixes []string) bool {
+	for _, prefix := range prefixes {
+		if strings.HasPrefix(path, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against package names outside the house style: 4 to 6 letters, except main, the fixed internal/cmd and tools' own packages.
+func TestPackageNames(t *testing.T) {
+	exceptions := map[string]bool{"main": true, "cmd": true}
+	for path, text := range sourceFiles(t) {
+		parsed, err := parser.ParseFile(token.NewFileSet(), path, text, parser.PackageClauseOnly)
+		if err != nil {
+			t.Fatal(err)
+		}
+		name := parsed.Name.Name
+		if !exceptions[name] && (len(name) < 4 || len(name) > 6) {
+			t.Errorf("%s: got package %s, want a name of 4 to 6 letters", path, name)
+		}
+	}
+}
+
+var (
+	testName       = regexp.MustCompile("`([a-z/]+)\\.((?:Test|Fuzz|Benchmark)[A-Za-z0-9_]+)`")
+	testDefinition = regexp.MustCompile(`(?m)^func ((?:Test|Fuzz|Benchmark)[A-Za-z0-9_]+)\(`)
+)
+
+// Guards against a table of promises or failures that names a test which does not exist.
+func TestNamedTestsExist(t *testing.T) {
+	for _, page := range []string{"docs/promises.md", "docs/failures.md"} {
+		data, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		named := testName.FindAllStringSubmatch(string(data), -1)
+		if len(named) == 0 {
+			t.Errorf("%s: got no test names, want some", page)
+		}
+		for _, match := range named {
+			if !defined(t, match[1], match[2]) {
+				t.Errorf("%s: got %s.%s, want a test that exists", page, match[1], match[2])
+			}
+		}
+	}
+}
+
+// defined reports whether a package, named by its path below the root, internal or pkg, defines a test.
+func defined(t *testing.T, pkg, name string) bool {
+	t.Helper()
+	for _, root := range []string{".", "internal", "pkg"} {
+		files, err := filepath.Glob(filepath.Join(root, filepath.FromSlash(pkg), "*_test.go"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range files {
+			data, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, match := range testDefinition.FindAllStringSubmatch(string(data), -1) {
+				if match[1] == name {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
