--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -61,7 +61,7 @@
 		return false
 	}
 	f.changes++
-	f.uncertain = true
+	f.uncertain = f.uncertain || len(f.attempts) > 0 || f.reflected() > 0
 	f.cancelAttempts(now, func(*attempt) bool { return true })
 	f.snapshot = best
 	f.parts = nil
