Test the entry with scripted owners, and stop its busy loops and stalls

Cause 1: wakeAt returned times in the past on which step cannot act: the hedge time of a non-idempotent or exclusive attempt, and the time of an early answer while too few shards have replied. Before: TestAsk/non-idempotent_is_never_hedged did not end in 10 minutes under synctest, since the goroutine never blocked. After: it ends at its deadline of 200 ms of simulated time. Cause 2: a canary without a replica is settled within step, and nothing woke the query to release the other shards. Before: TestSuspectWithoutReplica got 0 of 2 shards after 200 ms; TestAsk/canary_without_a_replica took 21 ms instead of 1 ms. After: 2 of 2 shards in time, and 1 ms. Cause 3: prepareHedge spent budget before it knew whether another replica exists. Before: TestHedgeNeedsReplica got a spent budget. After: the budget is kept. Conclusion: 3 runs of the package's tests under -race pass.

--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,414 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/fireflylanding/fireflylanding/internal/hedge"
+	"github.com/fireflylanding/fireflylanding/internal/quar"
+	"github.com/fireflylanding/fireflylanding/internal/reason"
+	"github.com/fireflylanding/fireflylanding/internal/token"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+func testQuery() *wire.Query {
+	return wire.Query_builder{Plan: "coverage", Collection: "archive", Query: "lamp", Limit: 100}.Build()
+}
+
+// fails returns an action that ends the attempt with a reason.
+func fails(r wire.Reason) action { return action{reason: r} }
+
+// wrong returns an action whose reply is altered.
+func wrong(change func(*wire.SubReply)) action { return action{change: change} }
+
+var (
+	never  = []action{{never: true}}
+	abrupt = []action{{reason: wire.Reason_REASON_CONNECTION_LOST, abrupt: true}}
+)
+
+// Guards against answers with wrong coverage, run state, snapshot or time for each kind of loss, and against hedges and retries that are not allowed. The
+// query has 3 shards of 2 replicas unless the row says otherwise.
+func TestAsk(t *testing.T) {
+	const (
+		run     = wire.RunState_RUN_STATE_RUN
+		notRun  = wire.RunState_RUN_STATE_NOT_RUN
+		unknown = wire.RunState_RUN_STATE_UNKNOWN
+	)
+	two := map[uint64][][]string{1: {{"s0a"}, {"s1a"}}, 2: {{"s0b"}, {"s1b"}}}
+	tests := map[string]struct {
+		snapshots map[uint64][][]string
+		leaving   []string
+		actions   map[string][]action
+		owners    []ownerFault
+		plan      string
+		once      bool
+		fresh     bool
+		noBudget  bool
+
+		wantRun       wire.RunState
+		wantReason    wire.Reason
+		wantSnapshot  uint64
+		wantMissing   map[uint32]wire.Reason
+		wantSent      int
+		wantCancelled int
+		// wantTook is checked when it is not 0.
+		wantTook  time.Duration
+		wantCount map[wire.Reason]int64
+	}{
+		"all reply": {wantRun: run, wantSent: 3, wantTook: replyTime},
+
+		// Canary.
+		"unknown query goes to one shard first": {fresh: true, wantRun: run, wantSent: 3, wantTook: 2 * replyTime},
+		"slow canary delays by the hedge delay": {fresh: true, actions: map[string][]action{"s1a": {{after: 30 * time.Millisecond}}}, noBudget: true, wantRun: run, wantSent: 3, wantTook: 31 * time.Millisecond},
+		"canary without a replica":              {fresh: true, leaving: []string{"s1a", "s1b"}, wantRun: run, wantMissing: map[uint32]wire.Reason{1: wire.Reason_REASON_NO_REPLICA}, wantSent: 2, wantTook: replyTime},
+
+		// Hedging.
+		"straggler is hedged and cancelled": {actions: map[string][]action{"s0a": never}, wantRun: run, wantSent: 4, wantCancelled: 1, wantTook: testDelay + replyTime, wantCount: map[wire.Reason]int64{wire.Reason_REASON_HEDGE: 1}},
+		"hedge loses to the first attempt":  {actions: map[string][]action{"s0a": {{after: testDelay}}, "s0b": never}, wantRun: run, wantSent: 4, wantCancelled: 1, wantTook: testDelay + replyTime},
+		"no hedge without budget":           {actions: map[string][]action{"s0a": never}, noBudget: true, wantRun: run, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_DEADLINE}, wantSent: 3, wantCancelled: 1, wantTook: testDeadline},
+		"non-idempotent is never hedged":    {once: true, actions: map[string][]action{"s0a": never, "s1a": never, "s2a": never}, wantRun: unknown, wantReason: wire.Reason_REASON_DEADLINE, wantSent: 1, wantCancelled: 1, wantTook: testDeadline},
+		"failed hedge leaves the first":     {actions: map[string][]action{"s0a": {{after: 40 * time.Millisecond}}, "s0b": {fails(wire.Reason_REASON_CONNECT_FAILED)}}, wantRun: run, wantSent: 4, wantTook: 41 * time.Millisecond},
+		"all replicas straggle":             {actions: map[string][]action{"s0a": never, "s0b": never}, wantRun: run, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_DEADLINE}, wantSent: 4, wantCancelled: 2, wantTook: testDeadline},
+
+		// Retry on another replica.
+		"leaving searcher":            {actions: map[string][]action{"s0a": {fails(wire.Reason_REASON_SEARCHER_LEAVING)}}, wantRun: run, wantSent: 4, wantTook: 2 * replyTime},
+		"shed":                        {actions: map[string][]action{"s0a": {fails(wire.Reason_REASON_SEARCHER_SHED)}}, wantRun: run, wantSent: 4},
+		"connection lost":             {actions: map[string][]action{"s0a": {fails(wire.Reason_REASON_CONNECTION_LOST)}}, wantRun: run, wantSent: 4},
+		"expired is not tried again":  {actions: map[string][]action{"s0a": {fails(wire.Reason_REASON_EXPIRED)}}, wantRun: run, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_EXPIRED}, wantSent: 3},
+		"both replicas fail":          {actions: map[string][]action{"s0a": {fails(wire.Reason_REASON_CONNECT_FAILED)}, "s0b": {fails(wire.Reason_REASON_SEARCHER_ERROR)}}, wantRun: run, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_SEARCHER_ERROR}, wantSent: 4},
+		"no reachable replica":        {leaving: []string{"s0a", "s0b"}, wantRun: run, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_NO_REPLICA}, wantSent: 2},
+		"no searcher at all":          {leaving: []string{"s0a", "s0b", "s1a", "s1b", "s2a", "s2b"}, wantRun: notRun, wantReason: wire.Reason_REASON_NO_REPLICA, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_NO_REPLICA, 1: wire.Reason_REASON_NO_REPLICA, 2: wire.Reason_REASON_NO_REPLICA}},
+		"once, refused and retried":   {once: true, actions: everywhere("a", fails(wire.Reason_REASON_CONNECT_FAILED)), wantRun: run, wantSent: 2},
+		"once, refused twice":         {once: true, actions: everywhere("ab", fails(wire.Reason_REASON_CONNECT_FAILED)), wantRun: notRun, wantReason: wire.Reason_REASON_CONNECT_FAILED, wantSent: 2},
+		"once, lost":                  {once: true, actions: everywhere("a", fails(wire.Reason_REASON_CONNECTION_LOST)), wantRun: unknown, wantReason: wire.Reason_REASON_CONNECTION_LOST, wantSent: 1, wantCount: map[wire.Reason]int64{wire.Reason_REASON_RETRY_UNSAFE: 1}},
+		"once, refused then lost":     {once: true, actions: merge(everywhere("a", fails(wire.Reason_REASON_SEARCHER_SHED)), everywhere("b", fails(wire.Reason_REASON_CONNECTION_SILENT))), wantRun: unknown, wantReason: wire.Reason_REASON_CONNECTION_SILENT, wantSent: 2},
+		"once, mismatched reply":      {once: true, actions: everywhere("a", wrong(func(r *wire.SubReply) { r.SetSnapshot(9) })), wantRun: unknown, wantReason: wire.Reason_REASON_REPLY_MISMATCH, wantSent: 1},
+		"lost once, then refused":     {snapshots: map[uint64][][]string{1: {{"s0a", "s0b"}}}, actions: map[string][]action{"s0a": {fails(wire.Reason_REASON_CONNECTION_LOST)}, "s0b": {fails(wire.Reason_REASON_CONNECT_FAILED)}}, wantRun: unknown, wantReason: wire.Reason_REASON_CONNECT_FAILED, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_CONNECT_FAILED}, wantSent: 2},
+		"hedge refused, first in air": {snapshots: map[uint64][][]string{1: {{"s0a", "s0b"}}}, actions: map[string][]action{"s0a": never, "s0b": {fails(wire.Reason_REASON_QUEUE_FULL)}}, wantRun: unknown, wantReason: wire.Reason_REASON_DEADLINE, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_DEADLINE}, wantSent: 2, wantCancelled: 1},
+
+		// Owners.
+		"primary owner unreachable":       {owners: []ownerFault{ownerUnreachable}, wantRun: run, wantSent: 3},
+		"two owners unreachable":          {owners: []ownerFault{ownerUnreachable, ownerUnreachable}, wantRun: run, wantSent: 3},
+		"all owners unreachable":          {owners: []ownerFault{ownerUnreachable, ownerUnreachable, ownerUnreachable}, wantRun: notRun, wantReason: wire.Reason_REASON_OWNER_UNREACHABLE, wantMissing: allMissing(wire.Reason_REASON_OWNER_UNREACHABLE)},
+		"primary owner lost":              {owners: []ownerFault{ownerLost}, wantRun: run, wantSent: 6},
+		"owner lost, rest unreachable":    {snapshots: map[uint64][][]string{1: replicas(1)}, owners: []ownerFault{ownerLost, ownerUnreachable, ownerUnreachable}, wantRun: unknown, wantReason: wire.Reason_REASON_OWNER_UNREACHABLE, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_OWNER_UNREACHABLE}, wantSent: 1},
+		"once, primary owner unreachable": {once: true, owners: []ownerFault{ownerUnreachable}, wantRun: run, wantSent: 1},
+		"once, all owners unreachable":    {once: true, owners: []ownerFault{ownerUnreachable, ownerUnreachable, ownerUnreachable}, wantRun: notRun, wantReason: wire.Reason_REASON_OWNER_UNREACHABLE},
+		"once, primary owner lost":        {once: true, owners: []ownerFault{ownerLost}, wantRun: unknown, wantReason: wire.Reason_REASON_OWNER_LOST, wantSent: 1},
+
+		// Plans that prefer the tail answer at twice the hedge delay after the hedge.
+		"tail, 1 of 20 straggles":     {plan: "tail", snapshots: map[uint64][][]string{1: replicas(20)}, actions: map[string][]action{"s0a": never, "s0b": never}, wantRun: run, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_ANSWERED_EARLY}, wantSent: 21, wantCancelled: 2, wantTook: 3 * testDelay},
+		"tail, 2 of 20 straggle":      {plan: "tail", snapshots: map[uint64][][]string{1: replicas(20)}, actions: map[string][]action{"s0a": never, "s0b": never, "s1a": never, "s1b": never}, wantRun: run, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_DEADLINE, 1: wire.Reason_REASON_DEADLINE}, wantSent: 22, wantCancelled: 4, wantTook: testDeadline},
+		"coverage, 1 of 20 straggles": {snapshots: map[uint64][][]string{1: replicas(20)}, actions: map[string][]action{"s0a": never, "s0b": never}, wantRun: run, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_DEADLINE}, wantSent: 21, wantCancelled: 2, wantTook: testDeadline},
+
+		// Late, crossed and duplicate frames.
+		"duplicate reply":        {actions: map[string][]action{"s0a": {{twice: true}}, "s1a": {{after: replyTime}}}, wantRun: run, wantSent: 3},
+		"reply of another shard": {actions: map[string][]action{"s0a": {wrong(func(r *wire.SubReply) { r.SetShard(1) })}}, wantRun: run, wantSent: 4, wantCount: map[wire.Reason]int64{wire.Reason_REASON_REPLY_MISMATCH: 1}},
+		"reply of a snapshot":    {actions: map[string][]action{"s0a": {wrong(func(r *wire.SubReply) { r.SetSnapshot(9) })}}, wantRun: run, wantSent: 4, wantCount: map[wire.Reason]int64{wire.Reason_REASON_REPLY_MISMATCH: 1}},
+		"frame of another query": {actions: map[string][]action{"s0a": {{query: 7}}}, wantRun: run, wantSent: 4, wantCount: map[wire.Reason]int64{wire.Reason_REASON_REPLY_MISMATCH: 1}},
+		"unknown attempt":        {actions: map[string][]action{"s0a": {wrong(func(r *wire.SubReply) { r.SetAttemptId(7) })}}, wantRun: run, wantSent: 4, wantCount: map[wire.Reason]int64{wire.Reason_REASON_OWNER_LOST: 1}},
+		"stream without a reply": {actions: map[string][]action{"s0a": {{drop: true}}}, wantRun: run, wantSent: 4, wantCount: map[wire.Reason]int64{wire.Reason_REASON_OWNER_LOST: 1}},
+
+		// Snapshots.
+		"newest on a tie":                  {snapshots: two, wantRun: run, wantSnapshot: 2, wantSent: 2},
+		"best coverage":                    {snapshots: two, leaving: []string{"s1b"}, wantRun: run, wantSnapshot: 1, wantSent: 2},
+		"gone everywhere, older is whole":  {snapshots: two, actions: map[string][]action{"s0b": {fails(wire.Reason_REASON_SNAPSHOT_GONE)}, "s1b": {fails(wire.Reason_REASON_SNAPSHOT_GONE)}}, wantRun: run, wantSnapshot: 1, wantSent: 4, wantCancelled: 1},
+		"gone in one shard after replies":  {snapshots: two, actions: map[string][]action{"s1b": {{reason: wire.Reason_REASON_SNAPSHOT_GONE, after: replyTime}}}, wantRun: run, wantSnapshot: 1, wantSent: 4},
+		"gone, other replica has it":       {actions: map[string][]action{"s0a": {fails(wire.Reason_REASON_SNAPSHOT_GONE)}}, wantRun: run, wantSent: 4},
+		"gone, no other snapshot":          {actions: map[string][]action{"s0a": {fails(wire.Reason_REASON_SNAPSHOT_GONE)}, "s0b": {fails(wire.Reason_REASON_SNAPSHOT_GONE)}}, wantRun: run, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_SNAPSHOT_GONE}, wantSent: 4},
+		"once, gone, then refused":         {snapshots: two, once: true, actions: merge(everywhere("b", fails(wire.Reason_REASON_SNAPSHOT_GONE)), everywhere("a", fails(wire.Reason_REASON_CONNECT_FAILED))), wantRun: notRun, wantReason: wire.Reason_REASON_CONNECT_FAILED, wantSnapshot: 1, wantSent: 2},
+		"gone after replies, then refused": {snapshots: two, actions: merge(map[string][]action{"s1b": {{reason: wire.Reason_REASON_SNAPSHOT_GONE, after: replyTime}}}, everywhere("a", fails(wire.Reason_REASON_CONNECT_FAILED))), wantRun: unknown, wantReason: wire.Reason_REASON_CONNECT_FAILED, wantSnapshot: 1, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_CONNECT_FAILED, 1: wire.Reason_REASON_CONNECT_FAILED}, wantSent: 4},
+
+		// Crashing requests.
+		"one crash, then alone":        {fresh: true, actions: map[string][]action{"s1a": abrupt}, wantRun: run, wantSent: 4},
+		"two crashes":                  {fresh: true, actions: map[string][]action{"s1a": abrupt, "s1b": abrupt}, wantRun: unknown, wantReason: wire.Reason_REASON_QUARANTINED, wantMissing: allMissing(wire.Reason_REASON_QUARANTINED), wantSent: 2},
+		"crash, other replica leaving": {fresh: true, leaving: []string{"s1b"}, actions: map[string][]action{"s1a": abrupt}, wantRun: run, wantMissing: map[uint32]wire.Reason{1: wire.Reason_REASON_CONNECTION_LOST}, wantSent: 3},
+		"crash among others in flight": {actions: map[string][]action{"s0a": {{reason: wire.Reason_REASON_CONNECTION_LOST, abrupt: true, after: replyTime}}, "s1a": {{after: 5 * time.Millisecond}}}, wantRun: run, wantSent: 5, wantCancelled: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				if test.snapshots == nil {
+					test.snapshots = map[uint64][][]string{1: replicas(3)}
+				}
+				w := newWorld(t, test.snapshots, test.leaving...)
+				w.actions = maps.Clone(test.actions)
+				w.faultOwners(test.owners...)
+				if !test.noBudget {
+					w.policies.Hedger.Sent(1000)
+				}
+				query := testQuery()
+				if test.plan != "" {
+					query.SetPlan(test.plan)
+				}
+				if test.once {
+					query.SetNonIdempotent(true)
+					query.SetKey("order")
+					query.SetToken(w.policies.Issuer.Issue(1)[0])
+				}
+				if !test.fresh {
+					w.complete(query)
+				}
+				answer, took := w.ask(t, query)
+				if answer.GetRun() != test.wantRun || answer.GetReason() != test.wantReason {
+					t.Errorf("got %v with %v, want %v with %v", answer.GetRun(), answer.GetReason(), test.wantRun, test.wantReason)
+				}
+				if want := max(test.wantSnapshot, 1); answer.GetSnapshot() != want {
+					t.Errorf("got snapshot %d, want %d", answer.GetSnapshot(), want)
+				}
+				missing := make(map[uint32]wire.Reason)
+				for _, m := range answer.GetCoverage().GetMissing() {
+					missing[m.GetShard()] = m.GetReason()
+				}
+				if !test.once && !maps.Equal(missing, test.wantMissing) {
+					t.Errorf("got missing shards %v, want %v", missing, test.wantMissing)
+				}
+				if len(w.sent) != test.wantSent || len(w.cancelled) != test.wantCancelled {
+					t.Errorf("got %d attempts %v and %d cancelled, want %d and %d", len(w.sent), w.searchers(), len(w.cancelled), test.wantSent, test.wantCancelled)
+				}
+				if test.wantTook != 0 && took != test.wantTook {
+					t.Errorf("got an answer after %v, want %v", took, test.wantTook)
+				}
+				for r, want := range test.wantCount {
+					if got := w.counters.Count(r); got != want {
+						t.Errorf("counter of %v: got %d, want %d", r, got, want)
+					}
+				}
+			})
+		})
+	}
+}
+
+// everywhere gives the replicas with the given letters of all shards one action.
+func everywhere(letters string, todo action) map[string][]action {
+	all := make(map[string][]action)
+	for _, ids := range replicas(3) {
+		for _, id := range ids {
+			if slices.Contains([]byte(letters), id[len(id)-1]) {
+				all[id] = []action{todo}
+			}
+		}
+	}
+	return all
+}
+
+func merge(all ...map[string][]action) map[string][]action {
+	merged := make(map[string][]action)
+	for _, actions := range all {
+		maps.Copy(merged, actions)
+	}
+	return merged
+}
+
+func allMissing(r wire.Reason) map[uint32]wire.Reason {
+	return map[uint32]wire.Reason{0: r, 1: r, 2: r}
+}
+
+// Guards against a crashing request that reaches more than two searchers when it is sent again, and against an answer that leaves before the other entries
+// know of the loss.
+func TestQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[uint64][][]string{1: replicas(3)})
+		w.actions = everywhere("ab", abrupt[0])
+		if _, took := w.ask(t, testQuery()); took < quar.HoldBack {
+			t.Errorf("got an answer after %v, want it held back for %v", took, quar.HoldBack)
+		}
+		if w.marked != 2 {
+			t.Errorf("got %d marks announced, want 2", w.marked)
+		}
+		if first, second := w.sent[0], w.sent[1]; first.batch.GetExclusive() || !second.batch.GetExclusive() || first.searcher == second.searcher {
+			t.Errorf("got attempts at %v, exclusive %v and %v; want two searchers, the second alone", w.searchers(), first.batch.GetExclusive(), second.batch.GetExclusive())
+		}
+		before := len(w.sent)
+		answer, took := w.ask(t, testQuery())
+		if answer.GetReason() != wire.Reason_REASON_QUARANTINED || answer.GetRun() != wire.RunState_RUN_STATE_NOT_RUN || took != 0 {
+			t.Errorf("resend: got %v, %v after %v; want quarantined, not run, at once", answer.GetReason(), answer.GetRun(), took)
+		}
+		if len(w.sent) != before {
+			t.Errorf("resend: got %d attempts, want none", len(w.sent)-before)
+		}
+	})
+}
+
+// Guards against a suspect query that waits for its deadline because the shard it would try first has no replica.
+func TestSuspectWithoutReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[uint64][][]string{1: replicas(3)}, "s1a", "s1b")
+		query := testQuery()
+		w.policies.Quarantine.Lost(time.Now(), quar.Fingerprint(query.GetPlan(), query.GetCollection(), query.GetQuery()), "s9")
+		answer, took := w.ask(t, query)
+		if got := answer.GetCoverage().GetReflected(); got != 2 || took > testDelay {
+			t.Errorf("got %d shards after %v, want 2 within %v", got, took, testDelay)
+		}
+	})
+}
+
+// Guards against a hedge budget that is spent on shards without another replica.
+func TestHedgeNeedsReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[uint64][][]string{1: {{"s0a"}}})
+		w.actions = map[string][]action{"s0a": {{after: 3 * testDelay}}}
+		w.policies.Hedger = hedge.New(hedge.Settings{InitialDelay: testDelay, MaxSaved: 1})
+		w.entry.policies = w.policies
+		w.policies.Hedger.Sent(100)
+		query := testQuery()
+		w.complete(query)
+		w.ask(t, query)
+		if !w.policies.Hedger.Allow(0) {
+			t.Error("got a spent budget, want it kept: no hedge was sent")
+		}
+	})
+}
+
+// Guards against work that goes on after the caller left.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[uint64][][]string{1: replicas(1)})
+		w.actions = map[string][]action{"s0a": never, "s0b": never}
+		query := testQuery()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+		defer cancel()
+		answer := w.entry.Ask(ctx, time.Now(), query)
+		w.entry.Wait()
+		if took := time.Since(w.start); took != 5*time.Millisecond || answer.GetRun() != wire.RunState_RUN_STATE_UNKNOWN {
+			t.Errorf("got %v after %v, want unknown after 5ms", answer.GetRun(), took)
+		}
+		if len(w.cancelled) != 1 || w.entry.InFlight() != 0 {
+			t.Errorf("got %d attempts cancelled and %d requests in flight, want 1 and 0", len(w.cancelled), w.entry.InFlight())
+		}
+	})
+}
+
+// Guards against malformed or unlisted queries that reach a searcher, and against refusals that are not counted.
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		change func(*wire.Query)
+		gate   *reason.Refusal
+		want   wire.Reason
+	}{
+		"no plan":            {change: func(q *wire.Query) { q.SetPlan("") }, want: wire.Reason_REASON_BAD_REQUEST},
+		"no collection":      {change: func(q *wire.Query) { q.SetCollection("") }, want: wire.Reason_REASON_BAD_REQUEST},
+		"once without key":   {change: func(q *wire.Query) { q.SetNonIdempotent(true) }, want: wire.Reason_REASON_BAD_REQUEST},
+		"limit too high":     {change: func(q *wire.Query) { q.SetLimit(101) }, want: wire.Reason_REASON_BAD_REQUEST},
+		"zero deadline":      {change: func(q *wire.Query) { q.SetDeadline(durationpb.New(0)) }, want: wire.Reason_REASON_BAD_REQUEST},
+		"negative deadline":  {change: func(q *wire.Query) { q.SetDeadline(durationpb.New(-1)) }, want: wire.Reason_REASON_BAD_REQUEST},
+		"deadline too high":  {change: func(q *wire.Query) { q.SetDeadline(durationpb.New(time.Second + 1)) }, want: wire.Reason_REASON_BAD_REQUEST},
+		"huge deadline":      {change: func(q *wire.Query) { q.SetDeadline(&durationpb.Duration{Seconds: 1 << 62}) }, want: wire.Reason_REASON_BAD_REQUEST},
+		"unknown plan":       {change: func(q *wire.Query) { q.SetPlan("none") }, want: wire.Reason_REASON_PLAN_UNKNOWN},
+		"use not listed":     {change: func(q *wire.Query) { q.SetPlan("tail"); q.SetCollection("lost") }, want: wire.Reason_REASON_USE_NOT_LISTED},
+		"unknown collection": {change: func(q *wire.Query) { q.SetCollection("lost") }, want: wire.Reason_REASON_COLLECTION_UNKNOWN},
+		"stopping":           {change: func(*wire.Query) {}, gate: reason.New(wire.Reason_REASON_STOPPING, ""), want: wire.Reason_REASON_STOPPING},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, map[uint64][][]string{1: replicas(1)})
+				w.gate = test.gate
+				query := testQuery()
+				test.change(query)
+				answer, _ := w.ask(t, query)
+				if answer.GetReason() != test.want || answer.GetRun() != wire.RunState_RUN_STATE_NOT_RUN || answer.GetDetail() == "" {
+					t.Errorf("got %v, %v, %q; want %v, not run, with a detail", answer.GetReason(), answer.GetRun(), answer.GetDetail(), test.want)
+				}
+				if got := w.counters.Count(test.want); got != 1 || len(w.sent) != 0 {
+					t.Errorf("got %d counted and %d attempts, want 1 and 0", got, len(w.sent))
+				}
+			})
+		})
+	}
+}
+
+// Guards against a non-idempotent request that runs twice, and against a resend that is told less than its token's state.
+func TestTokens(t *testing.T) {
+	const (
+		run     = wire.RunState_RUN_STATE_RUN
+		notRun  = wire.RunState_RUN_STATE_NOT_RUN
+		unknown = wire.RunState_RUN_STATE_UNKNOWN
+	)
+	other := token.New("127.0.0.1:22", 7, []byte("other"))
+	own := func(w *world) string { return w.policies.Issuer.Issue(1)[0] }
+	spent := func(state token.State) func(*world) string {
+		return func(w *world) string {
+			t := own(w)
+			w.policies.Issuer.Finish(w.policies.Issuer.Begin(t).(token.Run).Sequence(), state)
+			return t
+		}
+	}
+	elsewhere := func(*world) string { return other.Issue(1)[0] }
+	tests := map[string]struct {
+		token     func(*world) string
+		forward   error
+		forwarded bool
+		actions   map[string][]action
+		gate      *reason.Refusal
+
+		wantRun    wire.RunState
+		wantReason wire.Reason
+		wantFresh  bool
+		// wantResend is the reason of a second presentation, and unspecified when there is none.
+		wantResend   wire.Reason
+		wantSent     int
+		wantForwards int
+	}{
+		"missing":             {token: func(*world) string { return "" }, wantRun: notRun, wantReason: wire.Reason_REASON_TOKEN_MISSING, wantFresh: true},
+		"malformed":           {token: func(*world) string { return "x" }, wantRun: notRun, wantReason: wire.Reason_REASON_TOKEN_INVALID, wantFresh: true},
+		"issued":              {token: own, wantRun: run, wantSent: 1, wantResend: wire.Reason_REASON_TOKEN_COMPLETED},
+		"issued, refused":     {token: own, actions: everywhere("ab", fails(wire.Reason_REASON_CONNECT_FAILED)), wantRun: notRun, wantReason: wire.Reason_REASON_CONNECT_FAILED, wantFresh: true, wantSent: 2, wantResend: wire.Reason_REASON_TOKEN_NOT_RUN},
+		"issued, lost":        {token: own, actions: everywhere("a", fails(wire.Reason_REASON_CONNECTION_LOST)), wantRun: unknown, wantReason: wire.Reason_REASON_CONNECTION_LOST, wantSent: 1, wantResend: wire.Reason_REASON_TOKEN_UNKNOWN},
+		"issued, stopping":    {token: own, gate: reason.New(wire.Reason_REASON_STOPPING, ""), wantRun: notRun, wantReason: wire.Reason_REASON_STOPPING, wantFresh: true, wantResend: wire.Reason_REASON_TOKEN_NOT_RUN},
+		"completed, stopping": {token: spent(token.Completed), gate: reason.New(wire.Reason_REASON_STOPPING, ""), wantRun: run, wantReason: wire.Reason_REASON_TOKEN_COMPLETED},
+		"not run":             {token: spent(token.NotRun), wantRun: notRun, wantReason: wire.Reason_REASON_TOKEN_NOT_RUN, wantFresh: true},
+		"unknown":             {token: spent(token.Unknown), wantRun: unknown, wantReason: wire.Reason_REASON_TOKEN_UNKNOWN},
+		"running":             {token: func(w *world) string { t := own(w); w.policies.Issuer.Begin(t); return t }, wantRun: unknown, wantReason: wire.Reason_REASON_TOKEN_RUNNING},
+		"expired":             {token: func(w *world) string { t := own(w); w.policies.Issuer.Issue(token.WindowSize); return t }, wantRun: unknown, wantReason: wire.Reason_REASON_TOKEN_EXPIRED},
+		"former incarnation":  {token: func(*world) string { return token.New("127.0.0.1:21", 9, []byte("key")).Issue(1)[0] }, wantRun: unknown, wantReason: wire.Reason_REASON_TOKEN_ISSUER_GONE},
+		"unlisted issuer":     {token: func(*world) string { return token.New("10.0.0.9:22", 9, []byte("key")).Issue(1)[0] }, wantRun: unknown, wantReason: wire.Reason_REASON_TOKEN_ISSUER_GONE},
+		"other issuer":        {token: elsewhere, wantRun: run, wantForwards: 1},
+		"issuer unreachable":  {token: elsewhere, forward: errors.New("no route"), wantRun: unknown, wantReason: wire.Reason_REASON_TOKEN_ISSUER_GONE, wantForwards: 1},
+		"forwarded twice":     {token: elsewhere, forwarded: true, wantRun: unknown, wantReason: wire.Reason_REASON_TOKEN_ISSUER_GONE},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, map[uint64][][]string{1: replicas(3)})
+				w.actions = maps.Clone(test.actions)
+				w.gate = test.gate
+				forwards := 0
+				w.forward = func(address string, query *wire.Query) (*wire.Answer, error) {
+					forwards++
+					if got := query.GetDeadline().AsDuration(); address != "127.0.0.1:22" || got <= 0 || got > testDeadline {
+						t.Errorf("forwarded to %s with %v left, want the issuer with at most %v", address, got, testDeadline)
+					}
+					return wire.Answer_builder{Run: run}.Build(), test.forward
+				}
+				query := testQuery()
+				query.SetNonIdempotent(true)
+				query.SetKey("order")
+				query.SetToken(test.token(w))
+				answer := w.entry.serve(t.Context(), time.Now(), query, test.forwarded)
+				w.entry.Wait()
+				if answer.GetRun() != test.wantRun || answer.GetReason() != test.wantReason {
+					t.Errorf("got %v with %v, want %v with %v", answer.GetRun(), answer.GetReason(), test.wantRun, test.wantReason)
+				}
+				if got := answer.GetFreshToken() != ""; got != test.wantFresh {
+					t.Errorf("got a fresh token %v, want %v", got, test.wantFresh)
+				}
+				if test.wantResend != wire.Reason_REASON_UNSPECIFIED {
+					if again, _ := w.ask(t, query); again.GetReason() != test.wantResend {
+						t.Errorf("resend: got %v, want %v", again.GetReason(), test.wantResend)
+					}
+				}
+				if len(w.sent) != test.wantSent || forwards != test.wantForwards {
+					t.Errorf("got %d attempts and %d forwards, want %d and %d", len(w.sent), forwards, test.wantSent, test.wantForwards)
+				}
+			})
+		})
+	}
+}
--- a/internal/entry/fanout.go
+++ b/internal/entry/fanout.go
@@ -136,7 +136,7 @@
 		if f.open == 0 {
 			break
 		}
-		timer.Reset(max(0, f.wakeAt().Sub(now)))
+		timer.Reset(max(0, f.wakeAt(now).Sub(now)))
 		select {
 		case ev := <-f.events:
 			now = f.entry.sources.Clock()
@@ -271,8 +271,13 @@
 	return count
 }
 
-// wakeAt returns the earliest time at which step has something to do.
-func (f *fanout) wakeAt() time.Time {
+// wakeAt returns the earliest time at which step has something to do. A time in the past that step cannot act on must not be among them, or the query's
+// goroutine would spin until the next event.
+func (f *fanout) wakeAt(now time.Time) time.Time {
+	if f.canary != nil && f.canary.settled {
+		// The canary had no replica, so no reply will release the other parts.
+		return now
+	}
 	at := f.deadline
 	earlier := func(t time.Time) {
 		if !t.IsZero() && t.Before(at) {
@@ -282,8 +287,8 @@
 	if f.canary != nil && !f.exclusive {
 		earlier(f.started.Add(f.hedgeDelay))
 	}
-	if _, ok := f.plan.Preference().(plans.Tail); ok && !f.hedged.IsZero() {
-		earlier(f.hedged.Add(2 * f.hedgeDelay))
+	if early := f.hedged.Add(2 * f.hedgeDelay); !f.hedged.IsZero() && early.After(now) {
+		earlier(early)
 	}
 	for i := range f.parts {
 		p := &f.parts[i]
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -33,7 +33,10 @@
 	if p.firstSent.IsZero() {
 		p.firstSent = now
 	}
-	p.hedgeAt = now.Add(f.hedgeDelay)
+	p.hedgeAt = time.Time{}
+	if f.mayHedge() {
+		p.hedgeAt = now.Add(f.hedgeDelay)
+	}
 	return append(batch, a)
 }
 
@@ -45,28 +48,30 @@
 	return wire.Reason_REASON_NO_REPLICA
 }
 
+// mayHedge reports whether a second searcher may get the query's shards while the first still works on them.
+func (f *fanout) mayHedge() bool { return !f.query.GetNonIdempotent() && !f.exclusive }
+
 func (f *fanout) hedgeDue(now time.Time, p *part) bool {
-	if f.query.GetNonIdempotent() || p.inFlight != 1 || f.exclusive {
-		return false
-	}
-	return !p.hedgeAt.IsZero() && !now.Before(p.hedgeAt)
+	return f.mayHedge() && p.inFlight == 1 && !p.hedgeAt.IsZero() && !now.Before(p.hedgeAt)
 }
 
 // prepareHedge adds a second attempt for a straggling part when the budget allows it.
 func (f *fanout) prepareHedge(now time.Time, batch []*attempt, p *part) []*attempt {
+	if _, _, ok := f.replica(now, p); !ok {
+		// Without another replica a hedge would only spend the budget.
+		p.hedgeAt = time.Time{}
+		return batch
+	}
 	if !f.entry.policies.Hedger.Allow(f.pressure) {
 		f.entry.counters.Add(wire.Reason_REASON_HEDGE_BUDGET)
 		p.hedgeAt = now.Add(f.hedgeDelay)
 		return batch
 	}
-	before := len(batch)
 	batch = f.prepare(now, batch, p, true)
 	// Further hedges of the same part need the loss of an attempt first.
 	p.hedgeAt = time.Time{}
-	if len(batch) > before {
-		f.hedged = now
-		f.entry.counters.Add(wire.Reason_REASON_HEDGE)
-	}
+	f.hedged = now
+	f.entry.counters.Add(wire.Reason_REASON_HEDGE)
 	return batch
 }
 
