End every peer connection on close

Seen: internal/proof TestAnswersUnderFailure/several_at_once did not end within 10 min; a killed node waited in peer.Transport.Close. An earlier run panicked in conc.WaitGroup.Wait during a node's stop, and the race detector reported drop reading the conn of another, unfinished handshake. Cause: Close waited for one goroutine per connection before it closed the socket, and ended only connections that were in the map and ready. A replaced connection, or one whose handshake ended later, stays open by keep-alive. A dial after Close reused the wait group. drop compared conn, which an unfinished dial still writes. Ruled out: owner and entry tasks; the goroutine dump shows none of them waiting. Before: hang above 10 min. Conclusion: Close marks the transport closed, closes the QUIC transport and then waits.

--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -39,6 +39,9 @@
 // ErrNotSent marks an exchange of which no byte left this node, so that the peer surely did not act on it.
 var ErrNotSent = errors.New("message was not sent")
 
+// errClosed is the error of exchanges after Close.
+var errClosed = errors.New("transport is closed")
+
 // Handler serves the exchanges that peers open. Its methods are called concurrently.
 type Handler interface {
 	// Batch runs sub-requests and calls reply for each frame; the last frame has its last flag set.
@@ -65,6 +68,8 @@
 
 	mu    sync.Mutex
 	conns map[string]*connection
+	// closed is set by Close; no task starts afterwards.
+	closed bool
 }
 
 // connection is a connection to one peer; ready is closed when the handshake ended.
@@ -172,10 +177,11 @@
 	}
 }
 
-// Close closes the socket's connections.
+// Close closes all connections, also those that were replaced and those whose handshake has not ended.
 func (t *Transport) Close() error {
 	err := t.listener.Close()
 	t.mu.Lock()
+	t.closed = true
 	for _, c := range t.conns {
 		select {
 		case <-c.ready:
@@ -186,8 +192,10 @@
 		}
 	}
 	t.mu.Unlock()
+	// This ends the handshakes that the tasks wait for, so it comes before the wait.
+	err = errors.CombineErrors(err, t.quic.Close())
 	t.tasks.Wait()
-	return errors.CombineErrors(err, t.quic.Close())
+	return err
 }
 
 // Forget makes the next exchange with a peer open a new connection. The old one may have gone silent, or only be slow, so it stays open for a while for the exchanges
@@ -225,28 +233,24 @@
 
 // open returns a stream to a peer. Its errors are marked with ErrNotSent.
 func (t *Transport) open(ctx context.Context, address string) (*quic.Stream, error) {
-	conn, err := t.connect(ctx, address)
+	c, err := t.connect(ctx, address)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	var stream *quic.Stream
-	if stream, err = conn.OpenStreamSync(ctx); err != nil {
-		t.drop(address, conn)
+	if stream, err = c.conn.OpenStreamSync(ctx); err != nil {
+		t.drop(address, c)
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	return stream, nil
 }
 
 // connect returns the connection to a peer and dials it when there is none. Concurrent callers share one handshake.
-func (t *Transport) connect(ctx context.Context, address string) (*quic.Conn, error) {
-	t.mu.Lock()
-	c, ok := t.conns[address]
-	if !ok {
-		c = &connection{ready: make(chan struct{})}
-		t.conns[address] = c
-		t.tasks.Go(func() { t.dial(address, c) })
+func (t *Transport) connect(ctx context.Context, address string) (*connection, error) {
+	c, err := t.connection(address)
+	if err != nil {
+		return nil, err
 	}
-	t.mu.Unlock()
 	select {
 	case <-c.ready:
 	case <-ctx.Done():
@@ -256,10 +260,26 @@
 		return nil, c.err
 	}
 	if c.conn.Context().Err() != nil {
-		t.drop(address, c.conn)
+		t.drop(address, c)
 		return nil, context.Cause(c.conn.Context())
 	}
-	return c.conn, nil
+	return c, nil
+}
+
+// connection returns the present connection to a peer, or a new one whose handshake it starts.
+func (t *Transport) connection(address string) (*connection, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, errClosed
+	}
+	c, ok := t.conns[address]
+	if !ok {
+		c = &connection{ready: make(chan struct{})}
+		t.conns[address] = c
+		t.tasks.Go(func() { t.dial(address, c) })
+	}
+	return c, nil
 }
 
 // dial does not depend on the context of the exchange that caused it, since others wait for it too.
@@ -272,25 +292,19 @@
 		c.conn, c.err = t.quic.Dial(ctx, udp, t.clientTLS, config())
 	}
 	if c.err != nil {
-		t.mu.Lock()
-		if t.conns[address] == c {
-			delete(t.conns, address)
-		}
-		t.mu.Unlock()
+		t.drop(address, c)
 	}
 	close(c.ready)
 	if c.err == nil {
-		t.tasks.Go(func() {
-			<-c.conn.Context().Done()
-			t.drop(address, c.conn)
-		})
+		context.AfterFunc(c.conn.Context(), func() { t.drop(address, c) })
 	}
 }
 
-func (t *Transport) drop(address string, conn *quic.Conn) {
+// drop forgets a connection unless another has taken its place.
+func (t *Transport) drop(address string, c *connection) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if c, ok := t.conns[address]; ok && c.conn == conn {
+	if t.conns[address] == c {
 		delete(t.conns, address)
 	}
 }
