--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -119,16 +119,16 @@
 // exchange opens a stream, sends the request and reads the answer when read is not nil. When it fails and no packet came from the peer, the
 // connection is replaced.
 func (t *Transport) exchange(ctx context.Context, to shards.VM, request *wire.PeerRequest, read func(*quic.Stream) error) error {
-	conn, stream, err := t.open(ctx, to.PeerAddress())
+	c, stream, err := t.open(ctx, to.PeerAddress())
 	if err != nil {
 		return err
 	}
-	began, received := time.Now(), conn.ConnectionStats().PacketsReceived
+	began, received := time.Now(), c.conn.ConnectionStats().PacketsReceived
 	if err = t.converse(ctx, to, stream, request, read); err == nil {
 		return nil
 	}
-	if conn.ConnectionStats().PacketsReceived == received && time.Since(began) >= silentAfter {
-		t.replace(to.PeerAddress(), conn)
+	if c.conn.ConnectionStats().PacketsReceived == received && time.Since(began) >= silentAfter {
+		t.replace(to.PeerAddress(), c)
 	}
 	return err
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -45,6 +45,9 @@
 // ErrNotSent marks an exchange of which no byte left this node, so that the peer surely did not act on it.
 var ErrNotSent = errors.New("message was not sent")
 
+// errClosed is the error of exchanges after Close.
+var errClosed = errors.New("transport is closed")
+
 // Handler serves the exchanges that peers open. Its methods are called concurrently.
 type Handler interface {
 	// Batch runs sub-requests and calls reply for each frame; the last frame has its last flag set.
@@ -71,6 +74,8 @@
 
 	mu    sync.Mutex
 	conns map[string]*connection
+	// closed is set by Close; no task starts afterwards.
+	closed bool
 }
 
 // connection is a connection to one peer; ready is closed when the handshake ended.
@@ -184,10 +189,11 @@
 	handler.Batch(stream.Context(), batch, frames.send)
 }
 
-// Close closes the socket's connections.
+// Close closes all connections, also those that were replaced and those whose handshake has not ended.
 func (t *Transport) Close() error {
 	err := t.listener.Close()
 	t.mu.Lock()
+	t.closed = true
 	for _, c := range t.conns {
 		select {
 		case <-c.ready:
@@ -198,7 +204,7 @@
 		}
 	}
 	t.mu.Unlock()
-	// The connections that were replaced end here; a task waits for each.
+	// This ends the handshakes that the tasks wait for, so it comes before the wait.
 	err = errors.CombineErrors(err, t.quic.Close())
 	t.tasks.Wait()
 	return err
@@ -219,19 +225,19 @@
 		return
 	}
 	if c.conn != nil {
-		t.replace(address, c.conn)
+		t.replace(address, c)
 	}
 }
 
 // replace makes the next exchange open a new connection unless another took the place of this one already.
-func (t *Transport) replace(address string, conn *quic.Conn) {
+func (t *Transport) replace(address string, c *connection) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if c, ok := t.conns[address]; !ok || c.conn != conn {
+	if t.conns[address] != c {
 		return
 	}
 	delete(t.conns, address)
-	time.AfterFunc(replacedFor, func() { _ = conn.CloseWithError(0, "connection replaced") })
+	time.AfterFunc(replacedFor, func() { _ = c.conn.CloseWithError(0, "connection replaced") })
 }
 
 func (t *Transport) send(stream *quic.Stream, message proto.Message) error {
@@ -250,32 +256,28 @@
 }
 
 // open returns a stream to a peer and its connection. Its errors are marked with ErrNotSent.
-func (t *Transport) open(ctx context.Context, address string) (*quic.Conn, *quic.Stream, error) {
-	conn, err := t.connect(ctx, address)
+func (t *Transport) open(ctx context.Context, address string) (*connection, *quic.Stream, error) {
+	c, err := t.connect(ctx, address)
 	if err != nil {
 		return nil, nil, errors.Mark(err, ErrNotSent)
 	}
 	var stream *quic.Stream
-	if stream, err = conn.OpenStreamSync(ctx); err != nil {
+	if stream, err = c.conn.OpenStreamSync(ctx); err != nil {
 		// A caller whose time ran out says nothing about the connection, which others use.
-		if conn.Context().Err() != nil {
-			t.drop(address, conn)
+		if c.conn.Context().Err() != nil {
+			t.drop(address, c)
 		}
 		return nil, nil, errors.Mark(err, ErrNotSent)
 	}
-	return conn, stream, nil
+	return c, stream, nil
 }
 
 // connect returns the connection to a peer and dials it when there is none. Concurrent callers share one handshake.
-func (t *Transport) connect(ctx context.Context, address string) (*quic.Conn, error) {
-	t.mu.Lock()
-	c, ok := t.conns[address]
-	if !ok {
-		c = &connection{ready: make(chan struct{})}
-		t.conns[address] = c
-		t.tasks.Go(func() { t.dial(address, c) })
+func (t *Transport) connect(ctx context.Context, address string) (*connection, error) {
+	c, err := t.connection(address)
+	if err != nil {
+		return nil, err
 	}
-	t.mu.Unlock()
 	select {
 	case <-c.ready:
 	case <-ctx.Done():
@@ -285,10 +287,26 @@
 		return nil, c.err
 	}
 	if c.conn.Context().Err() != nil {
-		t.drop(address, c.conn)
+		t.drop(address, c)
 		return nil, context.Cause(c.conn.Context())
 	}
-	return c.conn, nil
+	return c, nil
+}
+
+// connection returns the present connection to a peer, or a new one whose handshake it starts.
+func (t *Transport) connection(address string) (*connection, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, errClosed
+	}
+	c, ok := t.conns[address]
+	if !ok {
+		c = &connection{ready: make(chan struct{})}
+		t.conns[address] = c
+		t.tasks.Go(func() { t.dial(address, c) })
+	}
+	return c, nil
 }
 
 // dial does not depend on the context of the exchange that caused it, since others wait for it too.
@@ -301,25 +319,19 @@
 		c.conn, c.err = t.quic.Dial(ctx, udp, t.clientTLS, config())
 	}
 	if c.err != nil {
-		t.mu.Lock()
-		if t.conns[address] == c {
-			delete(t.conns, address)
-		}
-		t.mu.Unlock()
+		t.drop(address, c)
 	}
 	close(c.ready)
 	if c.err == nil {
-		t.tasks.Go(func() {
-			<-c.conn.Context().Done()
-			t.drop(address, c.conn)
-		})
+		context.AfterFunc(c.conn.Context(), func() { t.drop(address, c) })
 	}
 }
 
-func (t *Transport) drop(address string, conn *quic.Conn) {
+// drop forgets a connection unless another has taken its place.
+func (t *Transport) drop(address string, c *connection) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if c, ok := t.conns[address]; ok && c.conn == conn {
+	if t.conns[address] == c {
 		delete(t.conns, address)
 	}
 }
