Test the peer transport, count refused peers and close at once

Cause 1: the listener hands out connections after their handshake only, so a peer without certificate was never counted. Before: TestPeerWithoutCertificate got 0 refusals counted, want 1. After: 1, from the connection's own context. Cause 2: Close waited for the tasks of replaced connections before it closed the socket's connections. Before: TestForget got a Close of 5.0 s. After: below the bound of 2 s. Cause 3: an exchange whose own context had ended dropped a good connection without closing it. Before: TestEndedContextKeepsConnection got 2 connections and a Close of 5.0 s. After: 1 connection.

--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -87,6 +87,7 @@
 		refused:       metrics.NewRegisteredCounter("peer.refused", registry),
 		dials:         metrics.NewRegisteredCounter("peer.dials", registry),
 	}
+	t.quic.ConnContext = t.watchHandshake
 	var err error
 	if t.listener, err = t.quic.Listen(serverTLS, config()); err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
@@ -126,21 +127,22 @@
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
-			t.logRefusal(conn, err)
 			return
 		}
 		tasks.Go(func() { t.serveStream(ctx, stream, handler) })
 	}
 }
 
-// logRefusal counts connections that ended because of their certificate.
-func (t *Transport) logRefusal(conn *quic.Conn, err error) {
-	var transportErr *quic.TransportError
-	if !errors.As(err, &transportErr) || !transportErr.ErrorCode.IsCryptoError() {
-		return
-	}
-	t.refused.Inc(1)
-	t.logger.Log(wire.Event_EVENT_PEER_REFUSED, zap.String("peer", conn.RemoteAddr().String()), zap.Error(err))
+// watchHandshake counts connections that end because of their certificate. The listener never hands out those whose handshake failed, so only their context tells.
+func (t *Transport) watchHandshake(ctx context.Context, client *quic.ClientInfo) (context.Context, error) {
+	context.AfterFunc(ctx, func() {
+		var transportErr *quic.TransportError
+		if err := context.Cause(ctx); errors.As(err, &transportErr) && transportErr.ErrorCode.IsCryptoError() {
+			t.refused.Inc(1)
+			t.logger.Log(wire.Event_EVENT_PEER_REFUSED, zap.String("peer", client.RemoteAddr.String()), zap.Error(err))
+		}
+	})
+	return ctx, nil
 }
 
 func (t *Transport) serveStream(ctx context.Context, stream *quic.Stream, handler Handler) {
@@ -186,8 +188,10 @@
 		}
 	}
 	t.mu.Unlock()
+	// This ends the connections that were replaced or are still being opened, for which the tasks wait.
+	err = errors.CombineErrors(err, t.quic.Close())
 	t.tasks.Wait()
-	return errors.CombineErrors(err, t.quic.Close())
+	return err
 }
 
 // Forget makes the next exchange with a peer open a new connection. The old one may have gone silent, or only be slow, so it stays open for a while for the exchanges
@@ -231,7 +235,7 @@
 	}
 	var stream *quic.Stream
 	if stream, err = conn.OpenStreamSync(ctx); err != nil {
-		t.drop(address, conn)
+		// A connection that ended drops itself; one that only this exchange gave up on stays in use.
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	return stream, nil
--- /dev/null
+++ b/internal/peer/transport_test.go
@@ -0,0 +1,264 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/goleak"
+
+	"github.com/fireflylanding/fireflylanding/internal/certs"
+	"github.com/fireflylanding/fireflylanding/internal/events"
+	"github.com/fireflylanding/fireflylanding/internal/shards"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+const callTimeout = 5 * time.Second
+
+// TestMain guards against goroutines that outlive Close.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// dropSocket loses what is sent while it is silent.
+type dropSocket struct {
+	net.PacketConn
+	silent atomic.Bool
+}
+
+// WriteTo sends or loses a packet.
+func (s *dropSocket) WriteTo(packet []byte, to net.Addr) (int, error) {
+	if s.silent.Load() {
+		return len(packet), nil
+	}
+	return s.PacketConn.WriteTo(packet, to)
+}
+
+// echo answers each exchange with what identifies the request.
+type echo struct{ notes chan string }
+
+func (e *echo) Batch(ctx context.Context, batch *wire.Batch, reply func(*wire.BatchReply) error) {
+	if batch.GetQuery() == "wait" {
+		<-ctx.Done()
+		e.notes <- "batch ended"
+		return
+	}
+	for i, item := range batch.GetItems() {
+		sub := wire.SubReply_builder{AttemptId: item.GetAttemptId()}.Build()
+		last := i == len(batch.GetItems())-1
+		_ = reply(wire.BatchReply_builder{QueryId: batch.GetQueryId(), Replies: []*wire.SubReply{sub}, Last: last}.Build())
+	}
+}
+
+func (e *echo) Cancel(_ context.Context, cancel *wire.Cancel) { e.notes <- "cancel" }
+
+func (e *echo) Forward(_ context.Context, forward *wire.Forward) *wire.Answer {
+	return wire.Answer_builder{Detail: forward.GetQuery().GetQuery()}.Build()
+}
+
+func (e *echo) Digest(_ context.Context, digest *wire.Digest) *wire.Digest { return digest }
+
+func (e *echo) Push(_ context.Context, push *wire.Push) { e.notes <- "push " + push.GetFrom() }
+
+func (e *echo) Pull(context.Context, *wire.Pull) *wire.Push {
+	return wire.Push_builder{From: "pulled"}.Build()
+}
+
+// endpoint is a running transport.
+type endpoint struct {
+	*Transport
+	socket *dropSocket
+	vm     shards.VM
+	notes  chan string
+}
+
+func start(t *testing.T) *endpoint {
+	t.Helper()
+	keys, err := certs.Development(events.Discard(), time.Now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &endpoint{socket: &dropSocket{PacketConn: conn}, notes: make(chan string, 16)}
+	if e.Transport, err = New(e.socket, keys.Server(), keys.Client(), events.Discard(), metrics.NewRegistry()); err != nil {
+		t.Fatal(err)
+	}
+	e.vm = shards.NewVM("p", "r", "z", "", e.Address())
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		e.Serve(ctx, &echo{notes: e.notes})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		began := time.Now()
+		_ = e.Close()
+		if took := time.Since(began); took > 2*dialTimeout {
+			t.Errorf("close: got %v, want at most %v", took, 2*dialTimeout)
+		}
+		_ = conn.Close()
+		<-served
+	})
+	return e
+}
+
+func timeout(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func (e *endpoint) expect(t *testing.T, want string) {
+	t.Helper()
+	select {
+	case got := <-e.notes:
+		if got != want {
+			t.Errorf("peer: got %q, want %q", got, want)
+		}
+	case <-time.After(callTimeout):
+		t.Errorf("peer: got nothing, want %q", want)
+	}
+}
+
+// Guards against exchanges that lose, mix up or cut short what a peer sends.
+func TestExchanges(t *testing.T) {
+	a, b := start(t), start(t)
+	tests := map[string]func(ctx context.Context) (got string, err error){
+		"digest": func(ctx context.Context) (string, error) {
+			reply, err := a.Digest(ctx, b.vm, wire.Digest_builder{Id: "digest"}.Build())
+			return reply.GetId(), err
+		},
+		"pulled": func(ctx context.Context) (string, error) {
+			reply, err := a.Pull(ctx, b.vm, &wire.Pull{})
+			return reply.GetFrom(), err
+		},
+		"forward": func(ctx context.Context) (string, error) {
+			reply, err := a.Forward(ctx, b.Address(), wire.Query_builder{Query: "forward"}.Build())
+			return reply.GetDetail(), err
+		},
+		"push a": func(ctx context.Context) (string, error) {
+			err := a.Push(ctx, b.vm, wire.Push_builder{From: "a"}.Build())
+			return <-b.notes, err
+		},
+		"cancel": func(ctx context.Context) (string, error) {
+			err := a.Cancel(ctx, b.vm, &wire.Cancel{})
+			return <-b.notes, err
+		},
+		"123": func(ctx context.Context) (string, error) {
+			items := []*wire.SubRequest{wire.SubRequest_builder{AttemptId: 1}.Build(), wire.SubRequest_builder{AttemptId: 2}.Build(), wire.SubRequest_builder{AttemptId: 3}.Build()}
+			got := ""
+			err := a.Batch(ctx, b.vm, wire.Batch_builder{Items: items}.Build(), func(reply *wire.BatchReply) {
+				got += string(rune('0' + reply.GetReplies()[0].GetAttemptId()))
+			})
+			return got, err
+		},
+	}
+	for want, exchange := range tests {
+		t.Run(want, func(t *testing.T) {
+			if got, err := exchange(timeout(t, callTimeout)); err != nil || got != want {
+				t.Errorf("got %q, %v, want %q", got, err, want)
+			}
+		})
+	}
+	if got := a.dials.Count(); got != 1 {
+		t.Errorf("got %d connections, want 1 for all exchanges", got)
+	}
+	if a.clientTLS.SessionTicketsDisabled != true || config().Allow0RTT {
+		t.Error("got 0-RTT or session tickets, want neither")
+	}
+}
+
+// Guards against "not sent" for a request that a peer may have acted on, which would let a non-idempotent request run twice, and against a request that was not
+// sent and counts as lost.
+func TestNotSent(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(t *testing.T, a, b *endpoint)
+		query   string
+		want    bool
+	}{
+		"no such address":   {prepare: func(_ *testing.T, _, b *endpoint) { b.vm = shards.NewVM("p", "r", "z", "", "127.0.0.1:nowhere") }, want: true},
+		"silent from begin": {prepare: func(_ *testing.T, _, b *endpoint) { b.socket.silent.Store(true) }, want: true},
+		"no answer":         {query: "wait"},
+		"silent afterwards": {prepare: func(t *testing.T, a, b *endpoint) { a.warm(t, b); b.socket.silent.Store(true) }},
+		"message too large": {query: strings.Repeat("x", maxMessageBytes+1)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, b := start(t), start(t)
+			if test.prepare != nil {
+				test.prepare(t, a, b)
+			}
+			items := []*wire.SubRequest{wire.SubRequest_builder{AttemptId: 1}.Build()}
+			batch := wire.Batch_builder{Query: test.query, Items: items}.Build()
+			err := a.Batch(timeout(t, 300*time.Millisecond), b.vm, batch, func(*wire.BatchReply) { t.Error("got a reply, want none") })
+			if err == nil {
+				t.Fatal("got no error, want one")
+			}
+			if got := errors.Is(err, ErrNotSent); got != test.want {
+				t.Errorf("got not sent %v (%v), want %v", got, err, test.want)
+			}
+			if test.query == "wait" {
+				b.expect(t, "batch ended")
+			}
+		})
+	}
+}
+
+// warm opens a connection from a to b.
+func (e *endpoint) warm(t *testing.T, to *endpoint) {
+	t.Helper()
+	if _, err := e.Digest(timeout(t, callTimeout), to.vm, &wire.Digest{}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a peer that stays unreachable after its connection went silent, and against Close that waits for a replaced connection.
+func TestForget(t *testing.T) {
+	a, b := start(t), start(t)
+	a.warm(t, b)
+	a.Forget(b.Address())
+	a.Forget("127.0.0.1:1")
+	a.warm(t, b)
+	if got := a.dials.Count(); got != 2 {
+		t.Errorf("got %d connections, want 2", got)
+	}
+}
+
+// Guards against a good connection that is given up, and left open unused, because one exchange ended early.
+func TestEndedContextKeepsConnection(t *testing.T) {
+	a, b := start(t), start(t)
+	a.warm(t, b)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 20 {
+		if _, err := a.Digest(ctx, b.vm, &wire.Digest{}); !errors.Is(err, ErrNotSent) {
+			t.Errorf("got %v, want not sent", err)
+		}
+	}
+	a.warm(t, b)
+	if got := a.dials.Count(); got != 1 {
+		t.Errorf("got %d connections, want 1", got)
+	}
+}
+
+// Guards against peers without a certificate that are let in or refused unnoticed.
+func TestPeerWithoutCertificate(t *testing.T) {
+	a, b := start(t), start(t)
+	a.clientTLS = &tls.Config{InsecureSkipVerify: true, NextProtos: []string{certs.Protocol}, MinVersion: tls.VersionTLS13}
+	if _, err := a.Digest(timeout(t, callTimeout), b.vm, &wire.Digest{}); err == nil {
+		t.Error("got an answer, want none without a certificate")
+	}
+	for end := time.Now().Add(callTimeout); b.refused.Count() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	if got := b.refused.Count(); got != 1 {
+		t.Errorf("got %d refusals counted, want 1", got)
+	}
+}
