--- /dev/null
+++ b/internal/owner/owner_test.go
@@ -0,0 +1,290 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/fireflylanding/fireflylanding/internal/events"
+	"github.com/fireflylanding/fireflylanding/internal/fakes"
+	"github.com/fireflylanding/fireflylanding/internal/plans"
+	"github.com/fireflylanding/fireflylanding/internal/reason"
+	"github.com/fireflylanding/fireflylanding/internal/shards"
+	"github.com/fireflylanding/fireflylanding/internal/view"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+const (
+	testSnapshot = 7
+	// waitTimeout bounds each wait of a test; reaching it is a failure.
+	waitTimeout = 5 * time.Second
+)
+
+// TestMain guards against goroutines that outlive Close. The cleaners of fasthttp clients end by themselves within 10 s.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"))
+}
+
+// world is an owner in front of one searcher that holds shard 0.
+type world struct {
+	*Owner
+	searcher *fakes.Searcher
+	counters *reason.Counters
+	view     *view.Snapshot
+}
+
+func newWorld(t *testing.T, change func(fakes.SearcherSettings) fakes.SearcherSettings) *world {
+	t.Helper()
+	settings := fakes.NewSearcherSettings("s1").WithIndex("archive", testSnapshot, 0)
+	if change != nil {
+		settings = change(settings)
+	}
+	searcher, err := fakes.StartSearcher(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{searcher: searcher, counters: reason.NewCounters(metrics.NewRegistry(), "reasons")}
+	w.list(t, searcher.Address(), false, "e1")
+	w.Owner = New("e1", func() *view.Snapshot { return w.view }, Policies{}, time.Now, events.Discard(), w.counters, metrics.NewRegistry())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		w.Close()
+		searcher.Close()
+	})
+	return w
+}
+
+// list sets the view: where the searcher is, whether it is leaving, and which entries there are.
+func (w *world) list(t *testing.T, address string, leaving bool, entries ...string) {
+	t.Helper()
+	index, err := shards.ParseIndex("archive", 1, map[string]string{
+		"searcher s1": fmt.Sprintf("address = %s\nregion = r\navailability_zone = a\nslots = %d\nconnections = %d\n",
+			address, w.searcher.Settings().Slots(), w.searcher.Settings().Connections()),
+		"snapshot 7": "shards = 1\n",
+		"shard 7/0":  "searchers = s1\n",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var vms []shards.VM
+	for i, id := range entries {
+		vms = append(vms, shards.NewVM(id, "r", string(rune('a'+i)), "127.0.0.1:1", "127.0.0.1:2"))
+	}
+	if leaving {
+		left := shards.NewVM("s1", "r", "a", address, "").Left()
+		vms = append(vms, left)
+	}
+	w.view = view.New(1, plans.NewLists(nil, nil), vms, []*shards.Index{index})
+}
+
+func testBatch(query string, ids ...uint64) *wire.Batch {
+	items := make([]*wire.SubRequest, len(ids))
+	for i, id := range ids {
+		items[i] = wire.SubRequest_builder{AttemptId: id, Searcher: "s1"}.Build()
+	}
+	return wire.Batch_builder{
+		QueryId: 1, Plan: "p", Rank: wire.Rank_RANK_URGENT, Weight: 1, Collection: "archive", Snapshot: testSnapshot, Query: query,
+		Remaining: durationpb.New(waitTimeout), Limit: 5, Items: items,
+	}.Build()
+}
+
+// run sends a batch and returns its replies by attempt. It checks that exactly the final frame has the last flag.
+func (w *world) run(t *testing.T, batch *wire.Batch) map[uint64]*wire.SubReply {
+	t.Helper()
+	replies := make(map[uint64]*wire.SubReply)
+	var last []bool
+	w.Batch(t.Context(), batch, func(frame *wire.BatchReply) error {
+		for _, reply := range frame.GetReplies() {
+			replies[reply.GetAttemptId()] = reply
+		}
+		last = append(last, frame.GetLast())
+		return nil
+	})
+	if len(last) == 0 || slices.Index(last, true) != len(last)-1 || len(replies) != len(batch.GetItems()) {
+		t.Errorf("got %d replies in frames with last flags %v, want %d and the flag on the final frame", len(replies), last, len(batch.GetItems()))
+	}
+	return replies
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Errorf("%s: not seen within %v", what, waitTimeout)
+}
+
+// Guards against outcomes of a searcher that are translated wrongly: a wrong run state lets work run twice or lose its answer.
+func TestOutcomes(t *testing.T) {
+	tests := map[string]struct {
+		settings func(fakes.SearcherSettings) fakes.SearcherSettings
+		prepare  func(t *testing.T, w *world)
+		batch    func(*wire.Batch)
+		query    string
+		want     wire.Reason
+		abrupt   bool
+		hits     int
+		started  int
+	}{
+		"served":             {hits: 5, started: 1},
+		"leaving in reply":   {prepare: func(_ *testing.T, w *world) { w.searcher.Leave() }, want: wire.Reason_REASON_SEARCHER_LEAVING},
+		"leaving in VM list": {prepare: func(t *testing.T, w *world) { w.list(t, w.searcher.Address(), true, "e1") }, want: wire.Reason_REASON_SEARCHER_LEAVING},
+		"snapshot gone":      {prepare: func(_ *testing.T, w *world) { w.searcher.Drop("archive", testSnapshot) }, want: wire.Reason_REASON_SNAPSHOT_GONE},
+		"crossed reply":      {prepare: func(_ *testing.T, w *world) { w.searcher.Plant(fakes.CrossReplies{}) }, want: wire.Reason_REASON_REPLY_MISMATCH, started: 1},
+		"truncated reply":    {prepare: func(_ *testing.T, w *world) { w.searcher.Plant(fakes.TruncateHits{}) }, want: wire.Reason_REASON_REPLY_MISMATCH, started: 1},
+		"wrong snapshot":     {prepare: func(_ *testing.T, w *world) { w.searcher.Plant(fakes.WrongSnapshot{}) }, want: wire.Reason_REASON_REPLY_MISMATCH, started: 1},
+		"crash":              {settings: func(s fakes.SearcherSettings) fakes.SearcherSettings { return s.WithCrash("boom", 0) }, query: "boom", want: wire.Reason_REASON_CONNECTION_LOST, abrupt: true, started: 1},
+		"down":               {prepare: func(_ *testing.T, w *world) { w.searcher.Crash() }, want: wire.Reason_REASON_CONNECT_FAILED},
+		"unknown searcher":   {batch: func(b *wire.Batch) { b.GetItems()[0].SetSearcher("s9") }, want: wire.Reason_REASON_NOT_OWNER},
+		"no remaining time":  {batch: func(b *wire.Batch) { b.SetRemaining(durationpb.New(0)) }, want: wire.Reason_REASON_EXPIRED},
+		"deadline in the run": {settings: func(s fakes.SearcherSettings) fakes.SearcherSettings {
+			return s.WithServiceTime(fakes.Fixed{Time: time.Second}, 1)
+		}, batch: func(b *wire.Batch) { b.SetRemaining(durationpb.New(100 * time.Millisecond)) }, want: wire.Reason_REASON_DEADLINE, started: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, test.settings)
+			if test.prepare != nil {
+				test.prepare(t, w)
+			}
+			batch := testBatch(test.query, 1)
+			if test.batch != nil {
+				test.batch(batch)
+			}
+			reply := w.run(t, batch)[1]
+			got := reply.GetReason()
+			// The searcher may report the end of the deadline just before the client notices it; both say that it may have run.
+			if got == wire.Reason_REASON_CANCELLED_RUNNING {
+				got = wire.Reason_REASON_DEADLINE
+			}
+			if got != test.want || reply.GetAbrupt() != test.abrupt || len(reply.GetHits()) != test.hits {
+				t.Errorf("got %v, abrupt %v, %d hits; want %v, %v, %d", got, reply.GetAbrupt(), len(reply.GetHits()), test.want, test.abrupt, test.hits)
+			}
+			if got := w.searcher.Started(); got != test.started {
+				t.Errorf("got %d runs at the searcher, want %d", got, test.started)
+			}
+			if w.InFlight() != 0 {
+				t.Errorf("got %d sub-requests in flight, want none", w.InFlight())
+			}
+		})
+	}
+}
+
+// Guards against new work for a searcher whose health endpoint alone says that it is leaving.
+func TestLeavingByHealth(t *testing.T) {
+	w := newWorld(t, nil)
+	w.run(t, testBatch("q", 1))
+	w.searcher.Leave()
+	eventually(t, "leaving", func() bool { return w.Stations(time.Now())[0].Leaving() })
+}
+
+// Guards against a crash report for a connection that the searcher closed while it was idle.
+func TestIdleCloseIsNotAbrupt(t *testing.T) {
+	w := newWorld(t, nil)
+	w.run(t, testBatch("q", 1))
+	if err := w.searcher.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	if reply := w.run(t, testBatch("q", 2))[2]; reply.GetAbrupt() {
+		t.Errorf("got abrupt with %v, want not abrupt", reply.GetReason())
+	}
+}
+
+// Guards against cancelled work that keeps its slot at the searcher or in the queue.
+func TestCancel(t *testing.T) {
+	w := newWorld(t, func(s fakes.SearcherSettings) fakes.SearcherSettings {
+		return s.WithSlots(1).WithServiceTime(fakes.Fixed{Time: 4 * time.Second}, 1)
+	})
+	done := make(chan map[uint64]*wire.SubReply, 1)
+	go func() { done <- w.run(t, testBatch("q", 1, 2, 3)) }()
+	eventually(t, "one running, the rest waiting", func() bool { return w.searcher.Started() == 1 && w.InFlight() == 3 })
+	w.Cancel(t.Context(), wire.Cancel_builder{QueryId: 9, AttemptIds: []uint64{1, 2, 3}}.Build())
+	if w.InFlight() != 3 {
+		t.Errorf("cancel of another query: got %d in flight, want 3", w.InFlight())
+	}
+	began := time.Now()
+	w.Cancel(t.Context(), wire.Cancel_builder{QueryId: 1, AttemptIds: []uint64{3, 2, 1}}.Build())
+	replies := <-done
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("got an end after %v, want it before the service time", took)
+	}
+	for id, want := range map[uint64]wire.Reason{1: wire.Reason_REASON_CANCELLED_RUNNING, 2: wire.Reason_REASON_CANCELLED, 3: wire.Reason_REASON_CANCELLED} {
+		if got := replies[id].GetReason(); got != want {
+			t.Errorf("attempt %d: got %v, want %v", id, got, want)
+		}
+	}
+}
+
+// Guards against connections beyond this node's share, also after the share changed while requests were in flight.
+func TestShareOfConnections(t *testing.T) {
+	w := newWorld(t, func(s fakes.SearcherSettings) fakes.SearcherSettings {
+		return s.WithSlots(4).WithConnections(10, 0).WithServiceTime(fakes.Fixed{Time: 50 * time.Millisecond}, 1)
+	})
+	ids := []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16}
+	w.run(t, testBatch("q", ids...))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.run(t, testBatch("q", ids...))
+	}()
+	eventually(t, "work in flight", func() bool { return w.Stations(time.Now())[0].InFlight() > 1 })
+	w.list(t, w.searcher.Address(), false, "e2", "e3", "e4")
+	w.Refresh(time.Now())
+	<-done
+	const otherNode = 1
+	if got := w.Stations(time.Now())[0].Share(); got != otherNode {
+		t.Errorf("got a share of %d, want %d", got, otherNode)
+	}
+	eventually(t, "connections within the share", func() bool { return w.searcher.Connections() <= otherNode })
+	if got := w.searcher.RefusedConnections(); got != 0 {
+		t.Errorf("got %d connections beyond the searcher's cap, want none", got)
+	}
+}
+
+// Guards against a silent connection that holds work until its deadline.
+func TestSilentConnection(t *testing.T) {
+	w := newWorld(t, func(s fakes.SearcherSettings) fakes.SearcherSettings {
+		return s.WithServiceTime(fakes.Fixed{Time: 20 * time.Millisecond}, 1)
+	})
+	w.run(t, testBatch("q", 1))
+	w.searcher.Silence(w.searcher.Connections())
+	if got := w.run(t, testBatch("q", 2))[2].GetReason(); got != wire.Reason_REASON_CONNECTION_SILENT {
+		t.Errorf("got %v, want the connection reported silent", got)
+	}
+	id := uint64(2)
+	eventually(t, "service on a new connection", func() bool {
+		id++
+		return w.run(t, testBatch("q", id))[id].GetReason() == wire.Reason_REASON_UNSPECIFIED
+	})
+}
+
+// Guards against work for the former address of a searcher that moved.
+func TestMovedSearcher(t *testing.T) {
+	w := newWorld(t, nil)
+	w.run(t, testBatch("q", 1))
+	moved, err := fakes.StartSearcher(fakes.NewSearcherSettings("s1").WithIndex("archive", testSnapshot, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer moved.Close()
+	w.list(t, moved.Address(), false, "e1")
+	w.Refresh(time.Now())
+	if got := w.run(t, testBatch("q", 2))[2].GetReason(); got != wire.Reason_REASON_UNSPECIFIED || moved.Started() != 1 {
+		t.Errorf("got %v and %d runs at the new address, want 1", got, moved.Started())
+	}
+}
