--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -76,6 +76,7 @@
    fireflylanding serve --config node.ini
    fireflylanding ask --entry 127.0.0.1:8080 --plan nykterida-urgent --collection care-desk "lamp 4711"
    fireflylanding status --admin 127.0.0.1:8082
+   fireflylanding capacity --nodes 100 --searchers 900
 
 Exit codes: 0 success, 1 failure, 2 usage, 3 invalid settings, 4 not run, 5 outcome unknown, 6 partial answer, 7 requests cut off.`,
 		Commands: []*cli.Command{
--- a/internal/sizing/model.go
+++ b/internal/sizing/model.go
@@ -81,8 +81,8 @@
 // Tables returns all tables of the page. The error names slopes that are missing.
 func (m *Model) Tables() ([]Table, error) {
 	tables := []Table{
-		m.slopeTable(), m.budgetTable(), m.roleTable(), m.changeTable(), m.dayTable(), m.caseTable(), m.latencyTable(), m.deltaTable(), m.markTable(),
-		m.queryTable(),
+		m.budgetTable(), m.roleTable(), m.queryTable(), m.changeTable(), m.deltaTable(), m.markTable(),
+		m.dayTable(), m.caseTable(), m.latencyTable(), m.slopeTable(),
 	}
 	if len(m.missing) > 0 {
 		return nil, errors.Newf("slopes are missing: %v", m.missing)
@@ -144,6 +144,12 @@
 	return m.changeTime("searcher") + max(0, m.line("view_time").At(m.nodes()*m.searchers()/pairs))
 }
 
+// movedByNode is the number of searchers with another primary after one node left. It was measured with the searchers of the design.
+func (m *Model) movedByNode() float64 {
+	return m.line("moved_primaries").Slope() / m.nodes() * m.searchers() / designSearchers
+}
+
+// worstListed is the time of the change of plans, uses or an index that takes longest.
 func (m *Model) worstListed() float64 {
 	return max(m.changeTime("plan"), m.changeTime("use"), m.changeTime("index"))
 }
--- a/internal/sizing/tables.go
+++ b/internal/sizing/tables.go
@@ -89,7 +89,7 @@
 func (m *Model) dayTable() Table {
 	t := Table{name: "day", header: []string{"cause", "a day", "document changes", "moved primaries", "calls on the service"}}
 	perChange := readersPerKey * float64(m.size.Regions)
-	moved := m.searchers() / m.nodes()
+	moved := m.movedByNode()
 	nodeShare := m.nodes() / (m.nodes() + m.searchers())
 	add := func(cause string, count, changes, moves float64) {
 		t.add(cause, number(count), number(changes), number(moves), number(changes*perChange))
@@ -111,7 +111,7 @@
 	lost := func(name string, nodes float64) {
 		vms := nodes * (1 + m.searchers()/m.nodes())
 		load := m.subQueries() * perRegion / (perRegion - nodes)
-		t.add(name, number(vms), number(nodes*m.searchers()/m.nodes()), number(load)+"/s, "+verdict(load, budgetSubQueries),
+		t.add(name, number(vms), number(nodes*m.movedByNode()), number(load)+"/s, "+verdict(load, budgetSubQueries),
 			bytesText(vms*section), timeText(m.entryChangeTime())+" a revision", revision)
 	}
 	lost(fmt.Sprintf("rack lost (1 of %d in a zone)", racksPerZone), perZone/racksPerZone)
