Deliver cancellations and health polls while all connections are busy

Cause: cancellations and health polls used the client whose connections the running work held, and failed when none was free. Conclusion: an owner with one connection obeys both; it opens one connection beyond its share for the call.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -210,6 +210,7 @@
 	w := newWorld(t, func(s fakes.SearcherSettings) fakes.SearcherSettings {
 		return s.WithSlots(1).WithServiceTime(fakes.Fixed{Time: 4 * time.Second}, 1)
 	})
+	w.policies.Stall.Minimum = time.Minute
 	done := make(chan map[uint64]*wire.SubReply, 1)
 	go func() { done <- w.run(t, testBatch("q", 1, 2, 3)) }()
 	eventually(t, "one running, the rest waiting", func() bool { return w.searcher.Started() == 1 && w.InFlight() == 3 })
@@ -230,6 +231,42 @@
 	}
 }
 
+// Guards against a cancellation or a leaving signal that is lost because running work takes all connections of the share.
+func TestEndpointsWhileBusy(t *testing.T) {
+	w := newWorld(t, func(s fakes.SearcherSettings) fakes.SearcherSettings {
+		return s.WithServiceTime(fakes.Fixed{Time: 4 * time.Second}, 1)
+	})
+	w.policies.Stall.Minimum = time.Minute
+	w.view = view.New(2, w.view.Lists(), w.view.VMs(), []*shards.Index{w.oneConnection(t)})
+	done := make(chan map[uint64]*wire.SubReply, 1)
+	go func() { done <- w.run(t, testBatch("q", 1)) }()
+	eventually(t, "one running", func() bool { return w.searcher.Started() == 1 })
+	began := time.Now()
+	w.searcher.Leave()
+	eventually(t, "leaving", func() bool { return w.Stations(time.Now())[0].Leaving() })
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("got the leaving signal after %v, want it within 3s", took)
+	}
+	w.Cancel(t.Context(), wire.Cancel_builder{QueryId: 1, AttemptIds: []uint64{1}}.Build())
+	if got := (<-done)[1].GetReason(); got != wire.Reason_REASON_CANCELLED_RUNNING {
+		t.Errorf("got %v, want a cancelled run", got)
+	}
+}
+
+// oneConnection returns the index with a searcher that accepts one connection from each owner.
+func (w *world) oneConnection(t *testing.T) *shards.Index {
+	t.Helper()
+	index, err := shards.ParseIndex("archive", 2, map[string]string{
+		"searcher s1": "address = " + w.searcher.Address() + "\nregion = r\navailability_zone = a\nslots = 2\nconnections = 1\n",
+		"snapshot 7":  "shards = 1\n",
+		"shard 7/0":   "searchers = s1\n",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return index
+}
+
 // Guards against connections beyond this node's share, also after the share changed while requests were in flight.
 func TestShareOfConnections(t *testing.T) {
 	w := newWorld(t, func(s fakes.SearcherSettings) fakes.SearcherSettings {
--- a/internal/owner/search.go
+++ b/internal/owner/search.go
@@ -151,7 +151,16 @@
 func (s *station) cancel(now time.Time, attempt uint64) {
 	message := wire.SearcherCancel_builder{AttemptId: attempt}.Build()
 	// A lost cancellation costs the searcher some time and nothing else.
-	_ = call(s.link.Load().client, cancelPath, message, nil, now.Add(endpointTimeout))
+	_ = s.link.Load().tell(cancelPath, message, nil, now.Add(endpointTimeout))
+}
+
+// tell calls an endpoint other than search. It takes the probe's connection when running work holds all of this node's share.
+func (l *link) tell(path string, message, reply proto.Message, deadline time.Time) error {
+	err := call(l.client, path, message, reply, deadline)
+	if errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return call(l.probe, path, message, reply, deadline)
+	}
+	return err
 }
 
 // report logs what an outcome says about the searcher.
@@ -174,7 +183,7 @@
 func (o *Owner) pollHealth(s *station) {
 	health := &wire.SearcherHealth{}
 	now := o.clock()
-	if err := call(s.link.Load().client, healthPath, nil, health, now.Add(endpointTimeout)); err != nil {
+	if err := s.link.Load().tell(healthPath, nil, health, now.Add(endpointTimeout)); err != nil {
 		return
 	}
 	if health.GetLeaving() && s.noteLeaving(now) {
--- a/internal/owner/station.go
+++ b/internal/owner/station.go
@@ -79,12 +79,15 @@
 	group := stall.NewGroup(policies.Stall)
 	policies.Limit.Slots = searcher.Slots()
 	policies.Limit.Connections = share
+	probe := newClient(searcher.Address(), 1, group, clock)
+	// Several endpoint calls may need the one connection at once.
+	probe.MaxConnWaitTimeout = endpointTimeout
 	return &link{
 		searcher: searcher,
 		share:    share,
 		limit:    limit.New(policies.Limit),
 		client:   newClient(searcher.Address(), share, group, clock),
-		probe:    newClient(searcher.Address(), 1, group, clock),
+		probe:    probe,
 		group:    group,
 	}
 }
