--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,6 +78,9 @@
 	avoided  *avoidance
 	tasks    conc.WaitGroup
 	inFlight atomic.Int64
+	// closing ends when Close is called.
+	closing context.Context
+	end     context.CancelFunc
 	// lastID precedes the ids of queries and attempts. It starts at a random number, so that a restarted process does not reuse ids
 	// that searchers may still hold.
 	lastID atomic.Uint64
@@ -105,6 +108,7 @@
 		subqueries: metrics.NewRegisteredCounter("entry.subqueries", registry),
 		late:       metrics.NewRegisteredCounter("entry.late_replies", registry),
 	}
+	e.closing, e.end = context.WithCancel(context.Background())
 	e.lastID.Store(rand.Uint64())
 	for _, rank := range plans.Ranks() {
 		sample := metrics.NewExpDecaySample(1028, 0.015)
@@ -119,8 +123,18 @@
 // InFlight returns the number of requests that wait for their answer.
 func (e *Entry) InFlight() int { return int(e.inFlight.Load()) }
 
-// Wait returns when no exchange with an owner is open.
-func (e *Entry) Wait() { e.tasks.Wait() }
+// closePoll is how often Close looks for requests in flight.
+const closePoll = 5 * time.Millisecond
+
+// Close ends the requests in flight, which are answered with what they have, and returns when no exchange with an owner is open. The gate must refuse
+// new requests before.
+func (e *Entry) Close() {
+	e.end()
+	for e.inFlight.Load() > 0 {
+		time.Sleep(closePoll)
+	}
+	e.tasks.Wait()
+}
 
 // Ask answers a caller's query. The answer carries the run state and the reason when the query was refused or is incomplete.
 func (e *Entry) Ask(ctx context.Context, now time.Time, query *wire.Query) *wire.Answer {
@@ -135,6 +149,9 @@
 func (e *Entry) serve(ctx context.Context, now time.Time, query *wire.Query, forwarded bool) *wire.Answer {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(e.closing, cancel)()
 	if refusal := e.check(query); refusal != nil {
 		return e.refuse(refusal)
 	}
--- a/internal/entry/fanout.go
+++ b/internal/entry/fanout.go
@@ -188,6 +188,8 @@
 		f.parts[i] = part{shard: shard, due: now}
 	}
 	f.open = len(f.parts)
+	// A canary of an earlier snapshot is no longer among the parts.
+	f.canary = nil
 	quarantine := f.entry.policies.Quarantine
 	_, f.exclusive = quarantine.Check(now, f.fingerprint).(quar.Suspect)
 	if f.exclusive || quarantine.NeedsCanary(now, f.fingerprint) {
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -114,15 +114,20 @@
 	}
 }
 
-// close closes listeners and connections.
-func (n *Node) close() {
+// closeListeners ends the requests that are left and closes the listeners and the connections to peers.
+func (n *Node) closeListeners() {
+	n.phase.set(phaseRefusing)
+	n.entry.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	_ = n.front.Shutdown(ctx)
 	_ = n.status.Shutdown(ctx)
 	_ = n.transport.Close()
 	_ = n.listeners.Peers.Close()
-	n.entry.Wait()
+}
+
+// closeRoles closes what the loops and the listeners used. They must have ended before, since they start tasks of the owner.
+func (n *Node) closeRoles() {
 	n.owner.Close()
 	n.source.Close()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -281,10 +281,11 @@
 	}
 	cut := n.shutdown(kill)
 	cancel()
-	n.close()
+	n.closeListeners()
 	tasks.Wait()
 	n.tasks.Wait()
 	listeners.Wait()
+	n.closeRoles()
 	n.logger.Log(wire.Event_EVENT_STOP_DONE, zap.Int("cut", cut))
 	return cut
 }
