Close the entry in the tests of callers that leave

Change: the tests call Close, which ends what is in flight and waits as before. Measured: tests of entry, owner, peer, node, demo and proof pass under -race.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -276,7 +276,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
 		defer cancel()
 		answer := w.entry.Ask(ctx, time.Now(), query)
-		w.entry.Wait()
+		w.entry.Close()
 		if took := time.Since(w.start); took != 5*time.Millisecond || answer.GetRun() != wire.RunState_RUN_STATE_UNKNOWN {
 			t.Errorf("got %v after %v, want unknown after 5ms", answer.GetRun(), took)
 		}
@@ -393,7 +393,7 @@
 				query.SetKey("order")
 				query.SetToken(test.token(w))
 				answer := w.entry.serve(t.Context(), time.Now(), query, test.forwarded)
-				w.entry.Wait()
+				w.entry.Close()
 				if answer.GetRun() != test.wantRun || answer.GetReason() != test.wantReason {
 					t.Errorf("got %v with %v, want %v with %v", answer.GetRun(), answer.GetReason(), test.wantRun, test.wantReason)
 				}
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -305,7 +305,7 @@
 	began := time.Now()
 	answer := w.entry.Ask(t.Context(), began, query)
 	took := time.Since(began)
-	w.entry.Wait()
+	w.entry.Close()
 	synctest.Wait()
 	w.checkAnswer(t, query, answer)
 	return answer, took
