Learn admission from the mean pressure of a query and from queries after the last decrease

Cause: the greatest pressure over all stations of a query rises with the number of shards, so a rank with a small floor seemed overloaded when a few of its items waited anywhere; and the replies of queries from before a decrease decreased the rate again and again.

--- a/internal/admit/admission.go
+++ b/internal/admit/admission.go
@@ -132,6 +132,19 @@
 	a.gate(now, pair{collection: collection, plan: plan}).feedback(now, pressure, refused)
 }
 
+// FeedbackSince is Feedback about a query that was admitted at a time. A query from before the last decrease says nothing about the decreased rate; when
+// the replies of a queue that drains counted again and again, one overload pushed the rate far below the capacity.
+func (a *Admission) FeedbackSince(now, admitted time.Time, collection, plan string, pressure float64, refused bool) {
+	if _, ok := a.rates.(Listed); ok {
+		return
+	}
+	g := a.gate(now, pair{collection: collection, plan: plan})
+	if g.decreasedSince(admitted) {
+		return
+	}
+	g.feedback(now, pressure, refused)
+}
+
 // Rate returns the learned rate in queries/s, or false while there is no limit.
 func (a *Admission) Rate(collection, plan string) (float64, bool) {
 	a.mu.RLock()
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -60,6 +60,8 @@
 	current float64
 	// base is the rate at the last decrease; it follows when the rate has doubled since.
 	base float64
+	// decreasedAt is the time of the last decrease.
+	decreasedAt time.Time
 	// roundTrip is the learned duration of a query in seconds.
 	roundTrip float64
 
@@ -173,7 +175,15 @@
 	g.pressure = 0
 }
 
+// decreasedSince reports whether the rate was decreased after a time.
+func (g *gate) decreasedSince(at time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return at.Before(g.decreasedAt)
+}
+
 func (g *gate) decrease(now time.Time, refused float64) {
+	g.decreasedAt = now
 	from := g.current
 	if math.IsInf(from, 1) {
 		from = g.demand
--- /dev/null
+++ b/internal/admit/stale_test.go
@@ -0,0 +1,43 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fireflylanding/fireflylanding/internal/plans"
+)
+
+// TestFeedbackOfEarlierQueriesDecreasesOnce guards against a rate that falls again and again while the replies of queries from before the first decrease arrive.
+func TestFeedbackOfEarlierQueriesDecreasesOnce(t *testing.T) {
+	const queries = 1000
+	began := time.Unix(1000, 0)
+	a := New(Settings{})
+	use := plans.NewUse("p", "c", 1e6, queries)
+	for i := range queries {
+		if _, r := a.Admit(began.Add(time.Duration(i)*time.Millisecond), "c", "p", use); r != nil {
+			t.Fatal(r)
+		}
+	}
+	replied := began.Add(time.Second)
+	decreases := 0
+	last, _ := a.Rate("c", "p")
+	for i := range queries {
+		admitted := began.Add(time.Duration(i) * time.Millisecond)
+		a.FeedbackSince(replied.Add(time.Duration(i)*time.Millisecond), admitted, "c", "p", 2, true)
+		if rate, ok := a.Rate("c", "p"); ok && rate != last {
+			decreases++
+			last = rate
+		}
+	}
+	if decreases != 1 {
+		t.Errorf("got %d decreases, want 1", decreases)
+	}
+	a.FeedbackSince(replied.Add(2*time.Second), replied.Add(2*time.Second), "c", "p", 2, true)
+	for i := range leastReplies {
+		at := replied.Add(3*time.Second + time.Duration(i)*time.Second)
+		a.FeedbackSince(at, at, "c", "p", 2, true)
+	}
+	if rate, _ := a.Rate("c", "p"); rate >= last {
+		t.Errorf("got rate %v after overloaded replies of later queries, want below %v", rate, last)
+	}
+}
--- a/internal/entry/fanout.go
+++ b/internal/entry/fanout.go
@@ -54,8 +54,11 @@
 	exclusive bool
 	sent      bool
 	hedged    time.Time
-	pressure  float64
-	refused   bool
+	// pressure is the greatest pressure of any frame; meanPressure is over the frames.
+	pressure     float64
+	meanPressure float64
+	frames       int
+	refused      bool
 	// uncertain is set once a searcher may have run a part whose result is not used; the answer then never says "not run".
 	uncertain bool
 	// lostAt is when an attempt last lost its searcher abruptly.
@@ -329,7 +332,7 @@
 func (f *fanout) finish(now time.Time) {
 	f.cancelAttempts(now, func(*attempt) bool { return true })
 	policies := f.entry.policies
-	policies.Admission.Feedback(now, f.query.GetCollection(), f.plan.Name(), f.pressure, f.refused)
+	policies.Admission.FeedbackSince(now, f.started, f.query.GetCollection(), f.plan.Name(), f.meanPressure, f.refused)
 	if f.reflected() == len(f.parts) {
 		policies.Quarantine.Completed(now, f.fingerprint, f.exclusive)
 	}
--- a/internal/entry/receive.go
+++ b/internal/entry/receive.go
@@ -27,6 +27,8 @@
 		return
 	}
 	f.pressure = max(f.pressure, reply.GetPressure())
+	f.frames++
+	f.meanPressure += (reply.GetPressure() - f.meanPressure) / float64(f.frames)
 	for _, sub := range reply.GetReplies() {
 		f.handleReply(now, sub)
 	}
--- a/internal/owner/batch.go
+++ b/internal/owner/batch.go
@@ -116,13 +116,15 @@
 	return true
 }
 
-// pressure returns the greatest pressure of the plan's work over the stations of the batch.
+// pressure returns the mean pressure of the plan's work over the stations of the batch. The greatest one would rise with the number of shards: a rank with a
+// small floor then seems overloaded whenever a few of its items wait anywhere.
 func (b *batch) pressure(now time.Time) float64 {
 	b.mu.Lock()
 	tasks := b.tasks
 	b.mu.Unlock()
 	rank := plans.FromWire(b.message.GetRank())
-	worst := 0.0
+	sum := 0.0
+	count := 0
 	var asked *station
 	for _, t := range tasks {
 		// Neighbouring items often share a searcher.
@@ -130,9 +132,10 @@
 			continue
 		}
 		asked = t.station
-		worst = max(worst, asked.queue.Pressure(now, rank, b.message.GetPlan()))
+		sum += asked.queue.Pressure(now, rank, b.message.GetPlan())
+		count++
 	}
-	return worst
+	return sum / float64(max(count, 1))
 }
 
 // withdraw calls remove for each task that may still wait.
