Report ready only when the indexes of the uses in force are named

Seen: one request to a node that had just reported ready was refused with COLLECTION_UNKNOWN for a listed collection (TestPlannedStopCutsOffNothing/non-idempotent). Cause: the store shows a document before it calls its subscribers, so Ready could see the list of uses before its indexes were named, and the node could become ready before its view was rebuilt. Ruled out: a late index; the stand-in published it before the node started.

--- a/internal/spread/engine.go
+++ b/internal/spread/engine.go
@@ -12,6 +12,7 @@
 
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/member"
+	"github.com/fireflylanding/fireflylanding/internal/plans"
 	"github.com/fireflylanding/fireflylanding/internal/plat"
 	"github.com/fireflylanding/fireflylanding/internal/shards"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
@@ -178,7 +179,7 @@
 // Ready reports whether peers were asked at start and each document named now is in force or unknown to the configuration service.
 // An index that never had a valid revision does not keep the node from serving other collections.
 func (e *Engine) Ready() bool {
-	if !e.recovered.Load() {
+	if !e.recovered.Load() || !e.usesNamed() {
 		return false
 	}
 	for _, key := range e.keys.missing(e.store) {
@@ -190,6 +191,21 @@
 	return true
 }
 
+// usesNamed reports whether the indexes of the list of uses in force are named. The store shows a document before its subscribers are called.
+func (e *Engine) usesNamed() bool {
+	uses := e.store.Get(plans.UsesKey)
+	if uses == nil {
+		return true
+	}
+	keys, _ := indexKeys(uses)
+	for _, key := range keys {
+		if !e.keys.wants(key) {
+			return false
+		}
+	}
+	return true
+}
+
 // Run keeps the documents up to date until ctx ends, and returns when all its goroutines ended.
 func (e *Engine) Run(ctx context.Context) {
 	e.contact(e.clock())
