Keep one entry in the order of nodes after a restart

Seen: TestConfigurationInForceEverywhere counted 9 and 11 nodes where 8 run. Cause: Fleet.Start added an id to the order again after Kill. Ruled out: leaked nodes; the ids were the same. Before: 9 and 11. After: 8 in all cases. Conclusion: Nodes returns each node once.

--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -133,7 +134,7 @@
 	running.running.Go(func() { running.cut = running.node.Run(stop, kill) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, ok := f.nodes[id]; !ok {
+	if !slices.Contains(f.order, id) {
 		f.order = append(f.order, id)
 	}
 	f.nodes[id] = running
