--- /dev/null
+++ b/internal/proof/config_test.go
@@ -0,0 +1,185 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflylanding/fireflylanding/internal/fakes"
+	"github.com/fireflylanding/fireflylanding/internal/local"
+	"github.com/fireflylanding/fireflylanding/internal/plans"
+)
+
+// forceBound is the promise for an accepted configuration.
+const forceBound = 13 * time.Second
+
+// history checks that the revisions in force at nodes never fall.
+type history map[string]uint64
+
+func (h history) observe(node string, revision uint64) error {
+	if revision < h[node] {
+		return errors.Newf("%s went back from revision %d to %d", node, h[node], revision)
+	}
+	h[node] = revision
+	return nil
+}
+
+// Guards against a checker that passes a configuration that reverts (P8).
+func TestHistoryFindsReversal(t *testing.T) {
+	tests := map[string]struct {
+		revisions []uint64
+		valid     bool
+	}{
+		"grows":       {revisions: []uint64{1, 2, 2, 5}, valid: true},
+		"goes back":   {revisions: []uint64{1, 5, 2}},
+		"disappears":  {revisions: []uint64{3, 0}},
+		"starts late": {revisions: []uint64{0, 3}, valid: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := make(history)
+			var err error
+			for _, revision := range test.revisions {
+				err = errors.CombineErrors(err, h.observe("node", revision))
+			}
+			if got := err == nil; got != test.valid {
+				t.Errorf("got error %v, want a valid history: %v", err, test.valid)
+			}
+		})
+	}
+}
+
+// plansWith returns a list of plans with one more plan.
+func plansWith(t *testing.T, name string) []byte {
+	t.Helper()
+	body, err := fakes.PlansDocument([]plans.Plan{
+		plans.NewPlan(urgentPlan, "proof", plans.Urgent, 1, plans.Coverage{}),
+		plans.NewPlan(bulkPlan, "proof", plans.Bulk, 1, plans.Tail{}),
+		plans.NewPlan(name, "proof", plans.Routine, 1, plans.Coverage{}),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
+func inForce(f *local.Fleet, plan string) bool {
+	for _, n := range f.Nodes() {
+		if _, ok := n.Node().View().Lists().Plan(plan); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a configuration that does not reach all nodes within the bound, or that reverts, while the service or the network fails (P8).
+func TestConfigurationInForceEverywhere(t *testing.T) {
+	tests := map[string]struct {
+		// before happens before the edit, after follows it.
+		before, after func(t *testing.T, f *local.Fleet)
+	}{
+		"no failure": {},
+		"service down and up again": {before: func(_ *testing.T, f *local.Fleet) {
+			f.Searchers().Platform().SetDown(true)
+		}, after: func(_ *testing.T, f *local.Fleet) {
+			f.Searchers().Platform().SetDown(false)
+		}},
+		"service answers stale values after the edit": {after: func(t *testing.T, f *local.Fleet) {
+			await(t, forceBound, "the edit at all nodes", func() bool { return inForce(f, "edited") })
+			f.Searchers().Platform().SetStale(f.Searchers().Platform().Revision() - 1)
+		}},
+		"node restarted while the service is stale": {after: func(t *testing.T, f *local.Fleet) {
+			await(t, forceBound, "the edit at all nodes", func() bool { return inForce(f, "edited") })
+			f.Searchers().Platform().SetStale(f.Searchers().Platform().Revision() - 1)
+			f.Kill("south-1")
+			must(t, f.Start("south-1", "south", "south-a"))
+		}},
+		"rolling restart during the edit": {after: func(t *testing.T, f *local.Fleet) {
+			for _, id := range []string{"north-1", "south-2", "west-1"} {
+				f.Kill(id)
+				must(t, f.Start(id, strings.Split(id, "-")[0], strings.Split(id, "-")[0]+"-a"))
+			}
+		}},
+		"partition that heals": {before: func(_ *testing.T, f *local.Fleet) {
+			f.Network().Cut(region(f, "north"), append(region(f, "south"), region(f, "west")...))
+		}, after: func(_ *testing.T, f *local.Fleet) {
+			f.Network().Heal(region(f, "north"), append(region(f, "south"), region(f, "west")...))
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, fleetOptions{nodesPerRegion: 3})
+			// 8 nodes remain.
+			f.Kill("west-3")
+			if err := f.Searchers().RemoveNode("west-3"); err != nil {
+				t.Fatal(err)
+			}
+			if test.before != nil {
+				test.before(t, f)
+			}
+			f.Searchers().Platform().Set(plans.PlansKey, plansWith(t, "edited"))
+			if test.after != nil {
+				test.after(t, f)
+			}
+			begun := time.Now()
+			h := make(history)
+			observe := func() bool {
+				for _, n := range f.Nodes() {
+					// A restarted node must have the newer revision before it serves.
+					if !n.Node().Ready() {
+						continue
+					}
+					must(t, h.observe(n.VM().ID(), n.Node().View().Lists().PlansRevision()))
+				}
+				return inForce(f, "edited")
+			}
+			await(t, forceBound, "the edit at all nodes", observe)
+			t.Logf("in force at %d nodes after %v", len(f.Nodes()), time.Since(begun))
+			// Several digest exchanges and a repeated read follow without a reversal.
+			until := time.Now().Add(time.Second)
+			await(t, 5*time.Second, "no reversal", func() bool {
+				if !observe() {
+					t.Fatal("got a node without the edit after all had it")
+				}
+				return time.Now().After(until)
+			})
+		})
+	}
+}
+
+// Guards against an invalid edit that takes effect or that operators can't locate (P8): the last good list stays, and the status page names list, section and key.
+func TestInvalidEditKeepsLastGood(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleetOptions{})
+	f.Searchers().Platform().Set(plans.PlansKey, []byte("[urgent]\ncustomer = proof\nrank = highest\n"))
+	c := newCaller(5 * time.Second)
+	for _, n := range f.Nodes() {
+		found := ""
+		await(t, forceBound, "the rejection on the status page of "+n.VM().ID(), func() bool {
+			report, err := c.report(context.Background(), n.Admin())
+			if err != nil {
+				return false
+			}
+			for _, document := range report.Documents {
+				if document.Rejected == nil {
+					continue
+				}
+				for _, fault := range document.Rejected.Faults {
+					found = fmt.Sprintf("%s/%s/%s", fault.List, fault.Section, fault.Key)
+				}
+			}
+			return found != ""
+		})
+		if want := "plans/urgent/rank"; found != want {
+			t.Errorf("%s: got fault %s, want %s", n.VM().ID(), found, want)
+		}
+		if !inForce(f, bulkPlan) {
+			t.Error("got the invalid list in force, want the last good one")
+		}
+	}
+}
