Prove P7 and single-use tokens with signals to processes

SIGTERM under load: each accepted request is answered and the exit code is 0; a second signal exits with 7 and reports the number. An issuer killed, or paused for 3 s and woken, ran no request twice, and the woken node said that it resumes. A refused TCP connection counts as not accepted.

--- /dev/null
+++ b/internal/proof/process_test.go
@@ -0,0 +1,301 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/fireflylanding/fireflylanding/internal/fakes"
+	"github.com/fireflylanding/fireflylanding/internal/shards"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// exitCut is the exit code of a shutdown that cut off requests.
+const exitCut = 7
+
+// process is a node in a process of its own.
+type process struct {
+	command *exec.Cmd
+	vm      shards.VM
+	ended   chan struct{}
+
+	mu     sync.Mutex
+	output bytes.Buffer
+}
+
+// Write collects the standard error of the process.
+func (p *process) Write(text []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.output.Write(text)
+}
+
+func (p *process) text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.output.String()
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	must(t, p.command.Process.Signal(s))
+}
+
+// exit waits for the end of the process and returns its exit code.
+func (p *process) exit(t *testing.T, within time.Duration) int {
+	t.Helper()
+	select {
+	case <-p.ended:
+	case <-time.After(within):
+		t.Fatalf("got no exit of %s within %v:\n%s", p.vm.ID(), within, p.text())
+	}
+	return p.command.ProcessState.ExitCode()
+}
+
+// build builds the binary into a directory of the test.
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "fireflylanding")
+	command := exec.Command("go", "build", "-o", binary, "github.com/fireflylanding/fireflylanding")
+	if output, err := command.CombinedOutput(); err != nil {
+		t.Fatalf("%v:\n%s", err, output)
+	}
+	return binary
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(t *testing.T, network string) string {
+	t.Helper()
+	if network == "udp" {
+		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer socket.Close()
+		return socket.LocalAddr().String()
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// startProcess starts a node and waits until its directory answers.
+func startProcess(t *testing.T, binary string, searchers *fakes.Fleet, id, region string) *process {
+	t.Helper()
+	p := &process{ended: make(chan struct{})}
+	p.vm = shards.NewVM(id, region, region+"-a", freeAddress(t, "tcp"), freeAddress(t, "udp"))
+	settings := fmt.Sprintf(`[node]
+id = %s
+region = %s
+availability_zone = %s-a
+regions = north, south, west
+caller_address = %s
+peer_address = %s
+admin_address = %s
+[platform]
+address = %s
+[directory]
+valid = 300ms
+[peers]
+development_keys = true
+digest_interval = 100ms
+`, id, region, region, p.vm.Address(), p.vm.PeerAddress(), freeAddress(t, "tcp"), searchers.Platform().Address())
+	file := filepath.Join(t.TempDir(), id+".ini")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := searchers.AddNode(p.vm); err != nil {
+		t.Fatal(err)
+	}
+	p.command = exec.Command(binary, "serve", "--config", file)
+	p.command.Stderr = p
+	if err := p.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { defer close(p.ended); _ = p.command.Wait() }()
+	t.Cleanup(func() {
+		_ = p.command.Process.Kill()
+		<-p.ended
+	})
+	c := newCaller(time.Second)
+	await(t, patience, "the directory of "+id, func() bool {
+		_, err := c.entries(context.Background(), p.vm.Address())
+		return err == nil
+	})
+	return p
+}
+
+// startProcesses starts stand-ins and a node in each region.
+func startProcesses(t *testing.T, serviceTime time.Duration) (*fakes.Fleet, []*process) {
+	t.Helper()
+	searchers, err := fakes.StartFleet(fleetSettings(fleetOptions{serviceTime: serviceTime}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(searchers.Close)
+	binary := build(t)
+	var all []*process
+	for _, region := range []string{"north", "south", "west"} {
+		all = append(all, startProcess(t, binary, searchers, region+"-1", region))
+	}
+	c := newCaller(time.Second)
+	await(t, patience, "all nodes to know all nodes", func() bool {
+		for _, p := range all {
+			entries, err := c.entries(context.Background(), p.vm.Address())
+			if err != nil || len(entries.GetEntries()) != len(all) || entries.GetAlone() {
+				return false
+			}
+		}
+		return true
+	})
+	return searchers, all
+}
+
+// Guards against a planned stop of a process that cuts off a request or exits with a failure, and against a second signal that does not end it or hides what was cut off (P7).
+func TestSignalsEndProcess(t *testing.T) {
+	tests := map[string]struct {
+		signals int
+		code    int
+		text    string
+	}{
+		"one signal":  {signals: 1, code: 0},
+		"two signals": {signals: 2, code: exitCut, text: "requests were cut off"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, all := startProcesses(t, 200*time.Millisecond)
+			first := all[0]
+			var counts stopCounts
+			ctx, cancel := context.WithCancel(context.Background())
+			var load conc.WaitGroup
+			defer load.Wait()
+			defer cancel()
+			for range 4 {
+				load.Go(func() {
+					if test.signals == 1 {
+						ask(ctx, t, first.vm, &counts, false)
+						return
+					}
+					_, _ = newCaller(5*time.Second).ask(ctx, first.vm.Address(), search("cut", 2*time.Second))
+				})
+			}
+			time.Sleep(100 * time.Millisecond)
+			for range test.signals {
+				first.signal(t, syscall.SIGTERM)
+				time.Sleep(50 * time.Millisecond)
+			}
+			within := 15 * time.Second
+			if test.signals > 1 {
+				within = 2500 * time.Millisecond
+			}
+			if got := first.exit(t, within); got != test.code {
+				t.Errorf("got exit code %d, want %d:\n%s", got, test.code, first.text())
+			}
+			if !strings.Contains(first.text(), test.text) {
+				t.Errorf("got output without %q:\n%s", test.text, first.text())
+			}
+			cancel()
+			load.Wait()
+			t.Logf("served %d, refused %d, cut %d", counts.served.Load(), counts.refused.Load(), counts.cut.Load())
+			if got := counts.served.Load(); test.signals == 1 && got == 0 {
+				t.Error("got no request served, want some")
+			}
+			if got := counts.cut.Load(); got != 0 {
+				t.Errorf("got %d requests cut off, want 0", got)
+			}
+		})
+	}
+}
+
+// Guards against a second run of a request whose issuer was killed, or was paused and woke up (P5), against "not run" for one that ran (P4), and against a woken node that does not
+// say that it is resuming.
+func TestIssuerPausedOrKilled(t *testing.T) {
+	tests := map[string]struct {
+		signal syscall.Signal
+		wake   bool
+	}{
+		"killed":           {signal: syscall.SIGKILL},
+		"paused and woken": {signal: syscall.SIGSTOP, wake: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			searchers, all := startProcesses(t, 100*time.Millisecond)
+			c := newCaller(4 * time.Second)
+			entries, err := c.entries(context.Background(), all[0].vm.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			requests := make([]ordered, len(entries.GetTokens()))
+			var presenting sync.WaitGroup
+			for i, token := range entries.GetTokens() {
+				requests[i].text = fmt.Sprintf("paused %d", i)
+				presenting.Go(func() {
+					requests[i].present(newCaller(time.Second), token, 700*time.Millisecond, all[i%3].vm.Address(), all[(i+1)%3].vm.Address())
+				})
+			}
+			time.Sleep(30 * time.Millisecond)
+			all[0].signal(t, test.signal)
+			presenting.Wait()
+			if test.wake {
+				time.Sleep(3 * time.Second)
+				all[0].signal(t, syscall.SIGCONT)
+				resuming := false
+				await(t, 2*time.Second, "the woken node to say that it is resuming", func() bool {
+					got, err := c.entries(context.Background(), all[0].vm.Address())
+					resuming = resuming || err == nil && got.GetResuming()
+					return resuming || strings.Contains(all[0].text(), "pause")
+				})
+				t.Logf("resuming seen by a caller: %v", resuming)
+			}
+			for i, token := range entries.GetTokens() {
+				requests[i].present(c, token, 700*time.Millisecond, all[1].vm.Address(), all[2].vm.Address())
+			}
+			time.Sleep(300 * time.Millisecond)
+			runs := make(map[string]int)
+			for _, searcher := range searchers.Searchers(orders) {
+				for _, run := range searcher.Runs() {
+					runs[run.Query()]++
+				}
+			}
+			for _, request := range requests {
+				if err := checkOnce(request.told, runs[request.text]); err != nil {
+					t.Errorf("%s: %v; presentations %v", request.text, err, request.told)
+				}
+				for _, told := range request.told {
+					if told.run == wire.RunState_RUN_STATE_UNSPECIFIED && told.reason != wire.Reason_REASON_UNSPECIFIED {
+						t.Errorf("%s: got reason %v without a run state", request.text, told.reason)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against searchers whose normal service time is taken for a silent connection: before any reply was seen there is no learned time to compare with.
+func TestSlowServiceIsNotSilent(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleetOptions{serviceTime: 800 * time.Millisecond})
+	got, err := newCaller(10*time.Second).ask(context.Background(), f.Addresses()[0], search("slow", 5*time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if missing := got.answer.GetCoverage().GetMissing(); len(missing) > 0 {
+		t.Errorf("got missing shards %v, want none", missing)
+	}
+}
