End the signal goroutine with serve

Cause: the goroutine that waits for signals had no other end. Before: TestServeEndsItsGoroutines found it in chan receive after serve returned. Conclusion: serve leaves no goroutine of the project behind.

--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
 
 	"github.com/fireflylanding/fireflylanding/internal/events"
@@ -55,13 +56,18 @@
 	defer killed()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	var tasks conc.WaitGroup
+	tasks.Go(func() {
+		for _, end := range []context.CancelFunc{stopped, killed} {
+			if _, ok := <-signals; !ok {
+				return
+			}
+			end()
+		}
+	})
+	defer tasks.Wait()
+	defer close(signals)
 	defer signal.Stop(signals)
-	go func() {
-		<-signals
-		stopped()
-		<-signals
-		killed()
-	}()
 	if cut := n.Run(stop, kill); cut > 0 {
 		return withCode(exitCut, errors.Newf("%d requests were cut off", cut))
 	}
