--- a/internal/cmd/check.go
+++ b/internal/cmd/check.go
@@ -30,6 +30,11 @@
 			if command.Args().Len() == 0 {
 				return withCode(exitUsage, errors.New("check needs at least one file"))
 			}
+			switch command.String("list") {
+			case "", plans.PlansKey, plans.UsesKey:
+			default:
+				return withCode(exitUsage, errors.Newf("--list must be %s or %s", plans.PlansKey, plans.UsesKey))
+			}
 			var faults conf.Faults
 			for _, file := range command.Args().Slice() {
 				if err := checkFile(command.String("list"), file); err != nil {
@@ -62,8 +67,6 @@
 		_, err = plans.ParsePlans(0, sections)
 	case plans.UsesKey:
 		_, err = plans.ParseUses(0, sections)
-	default:
-		err = errors.Newf("--list must be %s or %s", plans.PlansKey, plans.UsesKey)
 	}
 	return err
 }
--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -64,7 +64,7 @@
 }
 
 func root(stdout, stderr io.Writer) *cli.Command {
-	return &cli.Command{
+	command := &cli.Command{
 		Name:      "fireflylanding",
 		Usage:     "query tier over many shards",
 		Version:   version(),
@@ -87,10 +87,23 @@
 		},
 		// Errors are reported by Main, which knows the exit codes.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return withCode(exitUsage, err)
+		Action: func(_ context.Context, command *cli.Command) error {
+			if command.Args().Present() {
+				return withCode(exitUsage, errors.Newf("unknown command %q", command.Args().First()))
+			}
+			return cli.ShowRootCommandHelp(command)
 		},
+		OnUsageError: usageError,
 	}
+	// The library asks only the command whose flags are wrong.
+	for _, sub := range command.Commands {
+		sub.OnUsageError = usageError
+	}
+	return command
+}
+
+func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return withCode(exitUsage, err)
 }
 
 // version returns the module version, or the revision of a build from a checkout.
