--- /dev/null
+++ b/internal/node/phase_test.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/fireflylanding/fireflylanding/internal/status"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// Guards against a node that takes work it cannot serve, refuses work it promised to serve, or shows another state than it has.
+func TestPhases(t *testing.T) {
+	tests := map[string]struct {
+		phase        int32
+		wantRefusal  wire.Reason
+		wantState    status.State
+		wantStopping bool
+	}{
+		"starting": {phaseStarting, wire.Reason_REASON_NOT_READY, status.Starting, false},
+		"ready":    {phaseReady, wire.Reason_REASON_UNSPECIFIED, status.Ready, false},
+		"resuming": {phaseResuming, wire.Reason_REASON_NOT_READY, status.Resuming, false},
+		"leaving":  {phaseLeaving, wire.Reason_REASON_UNSPECIFIED, status.Stopping, true},
+		"refusing": {phaseRefusing, wire.Reason_REASON_STOPPING, status.Stopping, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var p phase
+			p.set(test.phase)
+			got := wire.Reason_REASON_UNSPECIFIED
+			if refusal := p.refusal(); refusal != nil {
+				got = refusal.Reason()
+			}
+			if got != test.wantRefusal || p.state() != test.wantState || p.stopping() != test.wantStopping {
+				t.Errorf("got %v, %v, stopping %v; want %v, %v, %v", got, p.state(), p.stopping(), test.wantRefusal, test.wantState, test.wantStopping)
+			}
+			// A pause must not take a stopping node back to service.
+			p.move(phaseReady, phaseResuming)
+			p.move(phaseResuming, phaseReady)
+			if p.stopping() != test.wantStopping {
+				t.Errorf("after a pause: got stopping %v, want %v", p.stopping(), test.wantStopping)
+			}
+		})
+	}
+}
+
+// Guards against documents that come into force although a role cannot use them.
+func TestValidate(t *testing.T) {
+	tests := map[string]struct {
+		key      string
+		sections map[string]string
+		want     bool
+	}{
+		"plan":             {"plans", map[string]string{"p": "customer = c\nrank = urgent\nweight = 1\n"}, true},
+		"plan, bad rank":   {"plans", map[string]string{"p": "customer = c\nrank = highest\n"}, false},
+		"use, bad name":    {"uses", map[string]string{"p": "queries_per_second = 1\nconcurrent = 1\n"}, false},
+		"VM, other region": {"vms/r", map[string]string{"s": "kind = searcher\naddress = 127.0.0.1:1\nregion = q\navailability_zone = a\n"}, false},
+		"VM":               {"vms/r", map[string]string{"s": "kind = searcher\naddress = 127.0.0.1:1\nregion = r\navailability_zone = a\n"}, true},
+		"index, empty":     {"index/c", map[string]string{}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if err := validate(test.key, 1, test.sections); (err == nil) != test.want {
+				t.Errorf("got %v, want valid %v", err, test.want)
+			}
+		})
+	}
+}
