--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -325,3 +325,56 @@
 		t.Errorf("got %v and %d runs at the new address, want 1", got, moved.Started())
 	}
 }
+
+// Guards against work whose deadline passed while it waited and that still takes a slot at the searcher.
+func TestExpiredWork(t *testing.T) {
+	tests := map[string]func(*world){
+		"by the tick":   func(*world) {},
+		"after a pause": func(w *world) { w.Paused(time.Now().Add(time.Minute)) },
+	}
+	for name, drop := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, func(s fakes.SearcherSettings) fakes.SearcherSettings {
+				return s.WithSlots(1).WithServiceTime(fakes.Fixed{Time: 600 * time.Millisecond}, 1)
+			})
+			w.policies.Stall.Minimum = time.Minute
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				w.run(t, testBatch("q", 1))
+			}()
+			eventually(t, "one running", func() bool { return w.searcher.Started() == 1 })
+			batch := testBatch("q", 2)
+			batch.SetRemaining(durationpb.New(300 * time.Millisecond))
+			replied := make(chan wire.Reason, 1)
+			go func() { replied <- w.run(t, batch)[2].GetReason() }()
+			eventually(t, "waiting", func() bool { return w.Stations(time.Now())[0].Waiting() == 1 })
+			drop(w)
+			if got := <-replied; got != wire.Reason_REASON_EXPIRED {
+				t.Errorf("got %v, want expired", got)
+			}
+			<-done
+			if got := w.searcher.Started(); got != 1 {
+				t.Errorf("got %d runs at the searcher, want 1", got)
+			}
+		})
+	}
+}
+
+// Guards against a share of the connections that lets owners together exceed a searcher's cap.
+func TestShares(t *testing.T) {
+	w := newWorld(t, func(s fakes.SearcherSettings) fakes.SearcherSettings { return s.WithConnections(25, 0) })
+	w.list(t, w.searcher.Address(), false, "e1", "e2", "e3")
+	key := stationKey{collection: "archive", searcher: "s1"}
+	searcher, _ := lookup(w.view, key)
+	sum := 0
+	var got []int
+	for _, vm := range w.view.Owners("archive", "s1") {
+		o := &Owner{self: vm.ID()}
+		got = append(got, o.share(w.view, key, searcher))
+		sum += got[len(got)-1]
+	}
+	if want := []int{15, 7, 2}; !slices.Equal(got, want) || sum > 25 {
+		t.Errorf("got shares %v, want %v and at most 25 together", got, want)
+	}
+}
