Close connections of endpoint calls that exceed the share

Cause: the probe's connection stayed open for 10 s after an endpoint call or a probe, and a health poll or cancellation that was under way while the link was replaced put its connection back into the replaced client's pool. Before: TestShareOfConnections failed once in a run of 13 packages at a time (more than 1 connection for 5 s after the share fell to 1). Conclusion: such connections close with their call.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -159,10 +159,7 @@
 	began := o.clock()
 	link := s.link.Load()
 	result := s.search(began, link, t)
-	if link != s.link.Load() {
-		// The connection went back to a client that no longer counts against the share.
-		link.close()
-	}
+	s.release(link)
 	now := o.clock()
 	s.inFlight.Add(-1)
 	s.queue.Done(now, item, now.Sub(began))
--- a/internal/owner/search.go
+++ b/internal/owner/search.go
@@ -151,18 +151,29 @@
 func (s *station) cancel(now time.Time, attempt uint64) {
 	message := wire.SearcherCancel_builder{AttemptId: attempt}.Build()
 	// A lost cancellation costs the searcher some time and nothing else.
-	_ = s.link.Load().tell(cancelPath, message, nil, now.Add(endpointTimeout))
+	_ = s.tell(cancelPath, message, nil, now.Add(endpointTimeout))
 }
 
 // tell calls an endpoint other than search. It takes the probe's connection when running work holds all of this node's share.
-func (l *link) tell(path string, message, reply proto.Message, deadline time.Time) error {
+func (s *station) tell(path string, message, reply proto.Message, deadline time.Time) error {
+	l := s.link.Load()
+	defer s.release(l)
 	err := call(l.client, path, message, reply, deadline)
 	if errors.Is(err, fasthttp.ErrNoFreeConns) {
+		// The connection is beyond the share, so it does not stay open.
+		defer l.probe.CloseIdleConnections()
 		return call(l.probe, path, message, reply, deadline)
 	}
 	return err
 }
 
+// release closes the idle connections of a link that was replaced meanwhile. They went back to clients that no longer count against the share.
+func (s *station) release(l *link) {
+	if l != s.link.Load() {
+		l.close()
+	}
+}
+
 // report logs what an outcome says about the searcher.
 func (o *Owner) report(now time.Time, s *station, result outcome) {
 	fields := []zap.Field{zap.String("collection", s.key.collection), zap.String("searcher", s.key.searcher)}
@@ -183,7 +194,7 @@
 func (o *Owner) pollHealth(s *station) {
 	health := &wire.SearcherHealth{}
 	now := o.clock()
-	if err := s.link.Load().tell(healthPath, nil, health, now.Add(endpointTimeout)); err != nil {
+	if err := s.tell(healthPath, nil, health, now.Add(endpointTimeout)); err != nil {
 		return
 	}
 	if health.GetLeaving() && s.noteLeaving(now) {
@@ -213,5 +224,6 @@
 		l.probe.CloseIdleConnections()
 		// The probe's reply is a witness; its content does not matter.
 		_ = call(l.probe, healthPath, nil, nil, o.clock().Add(endpointTimeout))
+		l.probe.CloseIdleConnections()
 	})
 }
