--- a/internal/cmd/ask.go
+++ b/internal/cmd/ask.go
@@ -41,12 +41,14 @@
 }
 
 func ask(ctx context.Context, command *cli.Command, stdout io.Writer) error {
-	c, err := client.New(client.Settings{
+	settings := client.Settings{
 		Addresses:        command.StringSlice("entry"),
 		Caller:           command.String("caller"),
 		AvailabilityZone: command.String("zone"),
-	})
-	if err != nil {
+	}
+	var c *client.Client
+	var err error
+	if c, err = client.New(settings); err != nil {
 		return withCode(exitUsage, err)
 	}
 	defer c.Close()
--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -51,8 +51,8 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	err := root(stdout, stderr).Run(context.Background(), args)
-	if err == nil {
+	var err error
+	if err = root(stdout, stderr).Run(context.Background(), args); err == nil {
 		return exitOK
 	}
 	fmt.Fprintln(stderr, "fireflylanding:", err)
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -27,8 +27,9 @@
 			&cli.StringFlag{Name: "config", Usage: "settings `FILE`", Required: true},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
-			settings, err := loadSettings(command.String("config"))
-			if err != nil {
+			var settings *wire.Settings
+			var err error
+			if settings, err = loadSettings(command.String("config")); err != nil {
 				return err
 			}
 			return serve(ctx, settings, stderr)
@@ -38,8 +39,9 @@
 
 // serve runs a node. The first signal begins the graceful shutdown, the second ends it.
 func serve(ctx context.Context, settings *wire.Settings, stderr io.Writer) error {
-	logger, err := events.New(stderr, settings.GetLog().GetLevel())
-	if err != nil {
+	var logger *events.Logger
+	var err error
+	if logger, err = events.New(stderr, settings.GetLog().GetLevel()); err != nil {
 		return withCode(exitSettings, err)
 	}
 	var listeners node.Listeners
--- a/internal/cmd/status.go
+++ b/internal/cmd/status.go
@@ -34,8 +34,10 @@
 }
 
 func printStatus(w io.Writer, uri string) error {
-	code, body, err := fasthttp.GetTimeout(nil, uri, statusTimeout)
-	if err != nil {
+	var code int
+	var body []byte
+	var err error
+	if code, body, err = fasthttp.GetTimeout(nil, uri, statusTimeout); err != nil {
 		return errors.Wrap(err, "read status")
 	}
 	if code != fasthttp.StatusOK {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -44,8 +44,9 @@
 
 // Run runs the demo and writes its report to w. It returns an error when the fleet does not start or a promise is broken.
 func Run(ctx context.Context, w io.Writer, settings Settings) error {
-	s, err := start(ctx)
-	if err != nil {
+	var s *session
+	var err error
+	if s, err = start(ctx); err != nil {
 		return err
 	}
 	defer s.close()
@@ -100,12 +101,12 @@
 		s.close()
 		return nil, err
 	}
-	s.client, err = client.New(client.Settings{
+	settings := client.Settings{
 		Addresses:        s.nodes.Addresses(),
 		Caller:           "demo",
 		AvailabilityZone: "attica-a",
-	})
-	if err != nil {
+	}
+	if s.client, err = client.New(settings); err != nil {
 		s.close()
 		return nil, err
 	}
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -24,8 +24,10 @@
 // showDirectory prints which entries a caller in attica-a is told to use.
 func (s *session) showDirectory(_ context.Context, w io.Writer) error {
 	uri := "http://" + s.nodes.Addresses()[0] + "/v1/entries?caller=demo&zone=attica-a"
-	code, body, err := fasthttp.GetTimeout(nil, uri, directoryTimeout)
-	if err != nil {
+	var code int
+	var body []byte
+	var err error
+	if code, body, err = fasthttp.GetTimeout(nil, uri, directoryTimeout); err != nil {
 		return errors.Wrap(err, "ask the directory")
 	}
 	if code != fasthttp.StatusOK {
@@ -45,8 +47,9 @@
 // showAnswer prints one whole answer.
 func (s *session) showAnswer(ctx context.Context, w io.Writer) error {
 	question := client.NewQuestion(planOf(plans.Urgent), collection, "lamp 4711", client.WithLimit(firstHits), client.WithDeadline(deadline))
-	answer, err := s.client.Ask(ctx, question)
-	if err != nil {
+	var answer client.Answer
+	var err error
+	if answer, err = s.client.Ask(ctx, question); err != nil {
 		return err
 	}
 	coverage := answer.Coverage()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -101,8 +101,9 @@
 }
 
 func (s *Server) reply(c fiber.Ctx, code int, message proto.Message) error {
-	body, err := protojson.Marshal(message)
-	if err != nil {
+	var body []byte
+	var err error
+	if body, err = protojson.Marshal(message); err != nil {
 		return err
 	}
 	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -109,8 +109,9 @@
 
 // Start starts a node and publishes it in the VM list.
 func (f *Fleet) Start(id, region, zone string) error {
-	listeners, err := listen()
-	if err != nil {
+	var listeners node.Listeners
+	var err error
+	if listeners, err = listen(); err != nil {
 		return err
 	}
 	vm := shards.NewVM(id, region, zone, listeners.Callers.Addr().String(), listeners.Peers.LocalAddr().String())
@@ -201,8 +202,9 @@
 [peers]
 development_keys = true
 `, vm.ID(), vm.Region(), vm.AvailabilityZone(), regions, vm.Address(), vm.PeerAddress(), admin, f.searchers.Platform().Address())
-	settings, err := conf.Load(vm.ID(), []byte(text))
-	if err != nil {
+	var settings *wire.Settings
+	var err error
+	if settings, err = conf.Load(vm.ID(), []byte(text)); err != nil {
 		return nil, err
 	}
 	if f.options.Settings != nil {
--- a/internal/node/neighbours.go
+++ b/internal/node/neighbours.go
@@ -21,8 +21,9 @@
 
 // Digest is part of spread.Peers.
 func (n *neighbours) Digest(ctx context.Context, to shards.VM, digest *wire.Digest) (*wire.Digest, error) {
-	reply, err := n.Transport.Digest(ctx, to, digest)
-	if err != nil {
+	var reply *wire.Digest
+	var err error
+	if reply, err = n.Transport.Digest(ctx, to, digest); err != nil {
 		n.Transport.Forget(to.PeerAddress())
 		return nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,21 +154,23 @@
 }
 
 func (n *Node) buildTransport() error {
-	p := n.settings.GetPeers()
 	var keys *certs.Keys
 	var err error
-	if p.GetDevelopmentKeys() {
-		keys, err = certs.Development(n.logger, n.clock)
-	} else {
-		keys, err = certs.Load(p.GetCertFile(), p.GetKeyFile(), p.GetCaFile(), n.logger, n.clock)
-	}
-	if err != nil {
+	if keys, err = n.keys(); err != nil {
 		return err
 	}
 	n.transport, err = peer.New(n.listeners.Peers, keys.Server(), keys.Client(), n.logger, n.registry)
 	return err
 }
 
+func (n *Node) keys() (*certs.Keys, error) {
+	p := n.settings.GetPeers()
+	if p.GetDevelopmentKeys() {
+		return certs.Development(n.logger, n.clock)
+	}
+	return certs.Load(p.GetCertFile(), p.GetKeyFile(), p.GetCaFile(), n.logger, n.clock)
+}
+
 // buildSpread makes the store of documents and the engine that keeps it up to date.
 func (n *Node) buildSpread(quarantine *quar.Table) {
 	s := n.settings
--- a/internal/owner/search.go
+++ b/internal/owner/search.go
@@ -98,8 +98,9 @@
 
 // refusesConnections tells a searcher that crashed from one that closed a connection, such as an idle one.
 func refusesConnections(address string) bool {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
-	if err != nil {
+	var conn net.Conn
+	var err error
+	if conn, err = net.DialTimeout("tcp", address, dialTimeout); err != nil {
 		return true
 	}
 	_ = conn.Close()
@@ -126,8 +127,9 @@
 	request.URI().SetPath(path)
 	if message != nil {
 		request.Header.SetMethod(fasthttp.MethodPost)
-		body, err := proto.MarshalOptions{}.MarshalAppend(request.Body()[:0], message)
-		if err != nil {
+		var body []byte
+		var err error
+		if body, err = (proto.MarshalOptions{}).MarshalAppend(request.Body()[:0], message); err != nil {
 			return errors.Wrap(err, "encode request")
 		}
 		request.SetBodyRaw(body)
@@ -158,8 +160,8 @@
 func (s *station) tell(path string, message, reply proto.Message, deadline time.Time) error {
 	l := s.link.Load()
 	defer s.release(l)
-	err := call(l.client, path, message, reply, deadline)
-	if errors.Is(err, fasthttp.ErrNoFreeConns) {
+	var err error
+	if err = call(l.client, path, message, reply, deadline); errors.Is(err, fasthttp.ErrNoFreeConns) {
 		// The connection is beyond the share, so it does not stay open.
 		defer l.probe.CloseIdleConnections()
 		return call(l.probe, path, message, reply, deadline)
--- a/internal/owner/station.go
+++ b/internal/owner/station.go
@@ -104,8 +104,9 @@
 		DisableHeaderNamesNormalizing: true,
 		DisablePathNormalizing:        true,
 		Dial: func(address string) (net.Conn, error) {
-			conn, err := net.DialTimeout("tcp", address, dialTimeout)
-			if err != nil {
+			var conn net.Conn
+			var err error
+			if conn, err = net.DialTimeout("tcp", address, dialTimeout); err != nil {
 				return nil, errors.Mark(err, errDial)
 			}
 			return group.Wrap(conn, clock), nil
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -43,8 +43,9 @@
 // Forward sends a non-idempotent request to the issuer of its token.
 func (t *Transport) Forward(ctx context.Context, address string, query *wire.Query) (*wire.Answer, error) {
 	request := wire.PeerRequest_builder{Forward: wire.Forward_builder{Query: query}.Build()}.Build()
-	reply, err := t.ask(ctx, shards.NewVM("", "", "", "", address), request)
-	if err != nil {
+	var reply *wire.PeerReply
+	var err error
+	if reply, err = t.ask(ctx, shards.NewVM("", "", "", "", address), request); err != nil {
 		return nil, err
 	}
 	if !reply.HasAnswer() {
@@ -55,8 +56,9 @@
 
 // Digest exchanges digests with a neighbour.
 func (t *Transport) Digest(ctx context.Context, to shards.VM, digest *wire.Digest) (*wire.Digest, error) {
-	reply, err := t.ask(ctx, to, wire.PeerRequest_builder{Digest: digest}.Build())
-	if err != nil {
+	var reply *wire.PeerReply
+	var err error
+	if reply, err = t.ask(ctx, to, wire.PeerRequest_builder{Digest: digest}.Build()); err != nil {
 		return nil, err
 	}
 	if !reply.HasDigest() {
@@ -72,8 +74,9 @@
 
 // Pull asks a neighbour for what is newer.
 func (t *Transport) Pull(ctx context.Context, to shards.VM, pull *wire.Pull) (*wire.Push, error) {
-	reply, err := t.ask(ctx, to, wire.PeerRequest_builder{Pull: pull}.Build())
-	if err != nil {
+	var reply *wire.PeerReply
+	var err error
+	if reply, err = t.ask(ctx, to, wire.PeerRequest_builder{Pull: pull}.Build()); err != nil {
 		return nil, err
 	}
 	if !reply.HasPush() {
@@ -85,10 +88,8 @@
 // ask sends a request and returns its only reply.
 func (t *Transport) ask(ctx context.Context, to shards.VM, request *wire.PeerRequest) (*wire.PeerReply, error) {
 	reply := &wire.PeerReply{}
-	err := t.exchange(ctx, to, request, func(reader *bufio.Reader) error {
-		return t.receive(reader, reply)
-	})
-	if err != nil {
+	read := func(reader *bufio.Reader) error { return t.receive(reader, reply) }
+	if err := t.exchange(ctx, to, request, read); err != nil {
 		return nil, err
 	}
 	return reply, nil
@@ -96,8 +97,9 @@
 
 // exchange opens a stream, sends the request and reads the answer when read is not nil.
 func (t *Transport) exchange(ctx context.Context, to shards.VM, request *wire.PeerRequest, read func(*bufio.Reader) error) error {
-	stream, err := t.open(ctx, to.PeerAddress())
-	if err != nil {
+	var stream *quic.Stream
+	var err error
+	if stream, err = t.open(ctx, to.PeerAddress()); err != nil {
 		return err
 	}
 	stop := context.AfterFunc(ctx, func() { interrupt(stream) })
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -113,8 +113,9 @@
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	for {
-		conn, err := t.listener.Accept(ctx)
-		if err != nil {
+		var conn *quic.Conn
+		var err error
+		if conn, err = t.listener.Accept(ctx); err != nil {
 			return
 		}
 		tasks.Go(func() { t.serveConn(ctx, conn, handler) })
@@ -125,8 +126,9 @@
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	for {
-		stream, err := conn.AcceptStream(ctx)
-		if err != nil {
+		var stream *quic.Stream
+		var err error
+		if stream, err = conn.AcceptStream(ctx); err != nil {
 			return
 		}
 		tasks.Go(func() { t.serveStream(ctx, stream, handler) })
@@ -229,8 +231,9 @@
 
 // open returns a stream to a peer. Its errors are marked with ErrNotSent.
 func (t *Transport) open(ctx context.Context, address string) (*quic.Stream, error) {
-	conn, err := t.connect(ctx, address)
-	if err != nil {
+	var conn *quic.Conn
+	var err error
+	if conn, err = t.connect(ctx, address); err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	var stream *quic.Stream
