--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
 
 	"github.com/fireflylanding/fireflylanding/internal/events"
@@ -26,8 +27,9 @@
 			&cli.StringFlag{Name: "config", Usage: "settings `FILE`", Required: true},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
-			settings, err := loadSettings(command.String("config"))
-			if err != nil {
+			var settings *wire.Settings
+			var err error
+			if settings, err = loadSettings(command.String("config")); err != nil {
 				return err
 			}
 			return serve(ctx, settings, stderr)
@@ -37,8 +39,9 @@
 
 // serve runs a node. The first signal begins the graceful shutdown, the second ends it.
 func serve(ctx context.Context, settings *wire.Settings, stderr io.Writer) error {
-	logger, err := events.New(stderr, settings.GetLog().GetLevel())
-	if err != nil {
+	var logger *events.Logger
+	var err error
+	if logger, err = events.New(stderr, settings.GetLog().GetLevel()); err != nil {
 		return withCode(exitSettings, err)
 	}
 	var listeners node.Listeners
@@ -55,13 +58,18 @@
 	defer killed()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	var tasks conc.WaitGroup
+	tasks.Go(func() {
+		for _, end := range []context.CancelFunc{stopped, killed} {
+			if _, ok := <-signals; !ok {
+				return
+			}
+			end()
+		}
+	})
+	defer tasks.Wait()
+	defer close(signals)
 	defer signal.Stop(signals)
-	go func() {
-		<-signals
-		stopped()
-		<-signals
-		killed()
-	}()
 	if cut := n.Run(stop, kill); cut > 0 {
 		return withCode(exitCut, errors.Newf("%d requests were cut off", cut))
 	}
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -65,8 +65,9 @@
 // Forward sends a non-idempotent request to the issuer of its token.
 func (t *Transport) Forward(ctx context.Context, address string, query *wire.Query) (*wire.Answer, error) {
 	request := wire.PeerRequest_builder{Forward: wire.Forward_builder{Query: query}.Build()}.Build()
-	reply, err := t.ask(ctx, shards.NewVM("", "", "", "", address), request)
-	if err != nil {
+	var reply *wire.PeerReply
+	var err error
+	if reply, err = t.ask(ctx, shards.NewVM("", "", "", "", address), request); err != nil {
 		return nil, err
 	}
 	if !reply.HasAnswer() {
@@ -77,8 +78,9 @@
 
 // Digest exchanges digests with a neighbour.
 func (t *Transport) Digest(ctx context.Context, to shards.VM, digest *wire.Digest) (*wire.Digest, error) {
-	reply, err := t.ask(ctx, to, wire.PeerRequest_builder{Digest: digest}.Build())
-	if err != nil {
+	var reply *wire.PeerReply
+	var err error
+	if reply, err = t.ask(ctx, to, wire.PeerRequest_builder{Digest: digest}.Build()); err != nil {
 		return nil, err
 	}
 	if !reply.HasDigest() {
@@ -94,8 +96,9 @@
 
 // Pull asks a neighbour for what is newer.
 func (t *Transport) Pull(ctx context.Context, to shards.VM, pull *wire.Pull) (*wire.Push, error) {
-	reply, err := t.ask(ctx, to, wire.PeerRequest_builder{Pull: pull}.Build())
-	if err != nil {
+	var reply *wire.PeerReply
+	var err error
+	if reply, err = t.ask(ctx, to, wire.PeerRequest_builder{Pull: pull}.Build()); err != nil {
 		return nil, err
 	}
 	if !reply.HasPush() {
@@ -107,10 +110,8 @@
 // ask sends a request and returns its only reply.
 func (t *Transport) ask(ctx context.Context, to shards.VM, request *wire.PeerRequest) (*wire.PeerReply, error) {
 	reply := &wire.PeerReply{}
-	err := t.exchange(ctx, to, request, func(stream *quic.Stream) error {
-		return t.receive(bufio.NewReader(stream), reply)
-	})
-	if err != nil {
+	read := func(stream *quic.Stream) error { return t.receive(bufio.NewReader(stream), reply) }
+	if err := t.exchange(ctx, to, request, read); err != nil {
 		return nil, err
 	}
 	return reply, nil
@@ -119,8 +120,10 @@
 // exchange opens a stream, sends the request and reads the answer when read is not nil. When it fails and no packet came from the peer, the
 // connection is replaced.
 func (t *Transport) exchange(ctx context.Context, to shards.VM, request *wire.PeerRequest, read func(*quic.Stream) error) error {
-	c, stream, err := t.open(ctx, to.PeerAddress())
-	if err != nil {
+	var c *connection
+	var stream *quic.Stream
+	var err error
+	if c, stream, err = t.open(ctx, to.PeerAddress()); err != nil {
 		return err
 	}
 	began, received := time.Now(), c.conn.ConnectionStats().PacketsReceived
