--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -105,7 +105,9 @@
 		HandshakeIdleTimeout: dialTimeout,
 		MaxIdleTimeout:       idleTimeout,
 		MaxIncomingStreams:   maxStreams,
-		Allow0RTT:            false,
+		// The search sends some packets of the greatest size on each connection, most of what a new connection and an idle node send.
+		DisablePathMTUDiscovery: true,
+		Allow0RTT:               false,
 	}
 }
 
