--- a/internal/owner/search.go
+++ b/internal/owner/search.go
@@ -204,8 +204,20 @@
 	}
 }
 
-// latencyQuantile is the quantile of the reply time that a silent connection is judged by.
-const latencyQuantile = 0.99
+const (
+	// latencyQuantile is the quantile of the reply time that a silent connection is judged by.
+	latencyQuantile = 0.99
+	// unlearnedReply stands for it until the first reply, so that a slow searcher is not taken for a silent one.
+	unlearnedReply = 2 * time.Second
+)
+
+// expectedReply returns the reply time that silent connections are judged by.
+func (s *station) expectedReply() time.Duration {
+	if s.latency.Count() == 0 {
+		return unlearnedReply
+	}
+	return time.Duration(s.latency.Percentile(latencyQuantile))
+}
 
 // checkConnections closes silent connections, and sends a probe on a new connection when only that can tell.
 func (o *Owner) checkConnections(now time.Time, s *station) {
@@ -213,7 +225,7 @@
 		return
 	}
 	l := s.link.Load()
-	expected := time.Duration(s.latency.Percentile(latencyQuantile))
+	expected := s.expectedReply()
 	for range l.group.Check(now, expected) {
 		o.silent.Inc(1)
 		o.logger.Log(wire.Event_EVENT_CONNECTION_SILENT, zap.String("collection", s.key.collection), zap.String("searcher", s.key.searcher))
--- a/internal/owner/station.go
+++ b/internal/owner/station.go
@@ -153,6 +153,9 @@
 	case wire.Reason_REASON_UNSPECIFIED:
 		l.limit.Observe(now, limit.Completed{Latency: took, Service: result.service})
 		s.latency.Update(took.Nanoseconds())
+	case wire.Reason_REASON_CONNECTION_SILENT:
+		// A judgement raises the time of the next one. Otherwise a searcher that became slow would be judged silent for ever.
+		s.latency.Update(took.Nanoseconds())
 	case wire.Reason_REASON_SEARCHER_SHED:
 		l.limit.Observe(now, limit.Shed{})
 	case wire.Reason_REASON_CONNECTION_LOST, wire.Reason_REASON_CONNECT_FAILED, wire.Reason_REASON_DEADLINE:
