Count refusals against admission only from a quarter of a query's shards

Cause: one refused shard of 16 marked its query as refused, so a single lost or slow searcher throttled its collection.

--- a/internal/entry/fanout.go
+++ b/internal/entry/fanout.go
@@ -20,6 +20,9 @@
 	earlyShare = 0.95
 	// maxSnapshotChanges bounds how often one query starts anew on another snapshot.
 	maxSnapshotChanges = 1
+	// refusedShare is the share of a query's shards that owners must refuse before the refusal counts against the plan's admission. The queues of a query's shards
+	// drop the same queries when the collection is short of capacity; a single lost or slow searcher must not throttle its whole collection.
+	refusedShare = 0.25
 	// eventBuffer holds the frames that arrive while the query's goroutine works.
 	eventBuffer = 64
 )
@@ -58,7 +61,8 @@
 	pressure     float64
 	meanPressure float64
 	frames       int
-	refused      bool
+	// refused counts the attempts that owners refused for lack of capacity.
+	refused int
 	// uncertain is set once a searcher may have run a part whose result is not used; the answer then never says "not run".
 	uncertain bool
 	// lostAt is when an attempt last lost its searcher abruptly.
@@ -332,12 +336,17 @@
 func (f *fanout) finish(now time.Time) {
 	f.cancelAttempts(now, func(*attempt) bool { return true })
 	policies := f.entry.policies
-	policies.Admission.FeedbackSince(now, f.started, f.query.GetCollection(), f.plan.Name(), f.meanPressure, f.refused)
+	policies.Admission.FeedbackSince(now, f.started, f.query.GetCollection(), f.plan.Name(), f.meanPressure, f.overloaded())
 	if f.reflected() == len(f.parts) {
 		policies.Quarantine.Completed(now, f.fingerprint, f.exclusive)
 	}
 }
 
+// overloaded reports whether owners refused so many of the query's shards that the collection, and not a single searcher, is short of capacity.
+func (f *fanout) overloaded() bool {
+	return f.refused > 0 && float64(f.refused) >= refusedShare*float64(len(f.parts))
+}
+
 // refusedByOwner reports whether a reason says that the owner's queue is too full.
 func refusedByOwner(r wire.Reason) bool {
 	switch r {
--- a/internal/entry/receive.go
+++ b/internal/entry/receive.go
@@ -115,7 +115,9 @@
 	f.pass(now, a, r)
 	f.entry.counters.Add(r)
 	f.uncertain = f.uncertain || !surelyNotRun(r)
-	f.refused = f.refused || refusedByOwner(r)
+	if refusedByOwner(r) {
+		f.refused++
+	}
 	f.entry.avoided.note(now, a.searcher, f.snapshot.Version(), r)
 	if abrupt && f.noteLoss(now, a.searcher) {
 		return
