Stop hedging by the load of searchers, not only by the plan's own pressure

Cause: an urgent plan feels no pressure while bulk work saturates its searchers, so it went on hedging. Change: owners report in each frame how many sub-requests wait for each one that may run; the entry hedges by the greater of pressure and load.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -267,6 +267,34 @@
 	})
 }
 
+// Guards against hedges that add load to searchers which other plans saturate.
+func TestHedgeNeedsSpareCapacity(t *testing.T) {
+	tests := map[string]struct {
+		load float64
+		want int64
+	}{
+		"spare":     {load: 0, want: 1},
+		"saturated": {load: 1, want: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, map[uint64][][]string{1: replicas(2)})
+				w.actions = map[string][]action{"s0a": {{load: test.load}}, "s1a": {{after: 3 * testDelay}}}
+				w.policies.Hedger = hedge.New(hedge.Settings{InitialDelay: testDelay})
+				w.entry.policies = w.policies
+				w.policies.Hedger.Sent(100)
+				query := testQuery()
+				w.complete(query)
+				w.ask(t, query)
+				if got := w.counters.Count(wire.Reason_REASON_HEDGE); got != test.want {
+					t.Errorf("got %d hedges, want %d", got, test.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against work that goes on after the caller left.
 func TestCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/fanout.go
+++ b/internal/entry/fanout.go
@@ -58,7 +58,9 @@
 	sent      bool
 	hedged    time.Time
 	// pressure is the greatest pressure of any frame; meanPressure is over the frames.
-	pressure     float64
+	pressure float64
+	// load is the greatest load of any frame. A plan of an urgent rank feels no pressure while its searchers are saturated by others.
+	load         float64
 	meanPressure float64
 	frames       int
 	// refused counts the attempts that owners refused for lack of capacity.
--- a/internal/entry/receive.go
+++ b/internal/entry/receive.go
@@ -27,6 +27,7 @@
 		return
 	}
 	f.pressure = max(f.pressure, reply.GetPressure())
+	f.load = max(f.load, reply.GetLoad())
 	f.frames++
 	f.meanPressure += (reply.GetPressure() - f.meanPressure) / float64(f.frames)
 	for _, sub := range reply.GetReplies() {
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -62,7 +62,7 @@
 		p.hedgeAt = time.Time{}
 		return batch
 	}
-	if !f.entry.policies.Hedger.Allow(f.pressure) {
+	if !f.entry.policies.Hedger.Allow(max(f.pressure, f.load)) {
 		f.entry.counters.Add(wire.Reason_REASON_HEDGE_BUDGET)
 		p.hedgeAt = now.Add(f.hedgeDelay)
 		return batch
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -55,6 +55,8 @@
 	query uint64
 	// drop ends the stream without the reply.
 	drop bool
+	// load is what the frame says of the owner's searchers.
+	load float64
 }
 
 // ownerFault is what an owner does with a batch instead of serving it.
@@ -279,7 +281,7 @@
 	if todo.query != 0 {
 		query = todo.query
 	}
-	return wire.BatchReply_builder{QueryId: query, Replies: []*wire.SubReply{reply}}.Build()
+	return wire.BatchReply_builder{QueryId: query, Replies: []*wire.SubReply{reply}, Load: todo.load}.Build()
 }
 
 func hitID(snapshot uint64, shard int) string {
--- a/internal/owner/batch.go
+++ b/internal/owner/batch.go
@@ -83,10 +83,12 @@
 			return
 		}
 		replies, last := b.take()
+		pressure, load := b.measure(clock())
 		frame := wire.BatchReply_builder{
 			QueryId:  b.message.GetQueryId(),
 			Replies:  replies,
-			Pressure: b.pressure(clock()),
+			Pressure: pressure,
+			Load:     load,
 			Last:     last,
 		}.Build()
 		if err := send(frame); err != nil || last {
@@ -116,14 +118,13 @@
 	return true
 }
 
-// pressure returns the mean pressure of the plan's work over the stations of the batch. The greatest one would rise with the number of shards: a rank with a
-// small floor then seems overloaded whenever a few of its items wait anywhere.
-func (b *batch) pressure(now time.Time) float64 {
+// measure returns the mean pressure of the plan's work and the mean load over the stations of the batch. The greatest pressure would rise with the number of shards: a
+// rank with a small floor then seems overloaded whenever a few of its items wait anywhere.
+func (b *batch) measure(now time.Time) (pressure, load float64) {
 	b.mu.Lock()
 	tasks := b.tasks
 	b.mu.Unlock()
 	rank := plans.FromWire(b.message.GetRank())
-	sum := 0.0
 	count := 0
 	var asked *station
 	for _, t := range tasks {
@@ -132,10 +133,12 @@
 			continue
 		}
 		asked = t.station
-		sum += asked.queue.Pressure(now, rank, b.message.GetPlan())
+		pressure += asked.queue.Pressure(now, rank, b.message.GetPlan())
+		load += asked.load(now)
 		count++
 	}
-	return sum / float64(max(count, 1))
+	stations := float64(max(count, 1))
+	return pressure / stations, load / stations
 }
 
 // withdraw calls remove for each task that may still wait.
--- a/internal/owner/pressure_test.go
+++ b/internal/owner/pressure_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/fireflylanding/fireflylanding/internal/plans"
 	"github.com/fireflylanding/fireflylanding/internal/queue"
+	"github.com/fireflylanding/fireflylanding/internal/shards"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
@@ -13,7 +14,11 @@
 // overloaded whenever a few of its items wait at any station.
 func TestPressureIsTheMeanOverStations(t *testing.T) {
 	now := time.Unix(1000, 0)
-	busy := &station{queue: queue.New[*task](queue.Settings{})}
+	searcher := shards.NewSearcher("s", "127.0.0.1:1", "r", "a", 2, 25)
+	newTestStation := func() *station {
+		return newStation(now, stationKey{collection: "c", searcher: "s"}, searcher, 10, Policies{}, time.Now)
+	}
+	busy := newTestStation()
 	item := func(attempt uint64) queue.Item[*task] {
 		return queue.NewItem[*task](attempt, "p", plans.Bulk, 1, now.Add(time.Second), false, attempt, nil)
 	}
@@ -31,12 +36,16 @@
 	if alone <= 0 {
 		t.Fatalf("got pressure %v of the busy station, want more than 0", alone)
 	}
-	idle := &station{queue: queue.New[*task](queue.Settings{})}
+	idle := newTestStation()
 	b := newBatch(wire.Batch_builder{Plan: "p", Rank: plans.Bulk.Wire()}.Build(), now.Add(time.Second))
 	for _, s := range []*station{busy, idle} {
 		b.add(&task{batch: b, station: s})
 	}
-	if got := b.pressure(now); got != alone/2 {
-		t.Errorf("got %v, want %v", got, alone/2)
+	pressure, load := b.measure(now)
+	if pressure != alone/2 {
+		t.Errorf("pressure: got %v, want %v", pressure, alone/2)
+	}
+	if load != 0.5 {
+		t.Errorf("load of one saturated and one idle station: got %v, want 0.5", load)
 	}
 }
--- a/internal/owner/station.go
+++ b/internal/owner/station.go
@@ -171,6 +171,11 @@
 	return s.nextHealth.CompareAndSwap(next, now.Add(healthInterval).UnixNano())
 }
 
+// load returns how many sub-requests wait for each one that may run, at most 1.
+func (s *station) load(now time.Time) float64 {
+	return min(1, float64(s.queue.Waiting())/float64(max(1, s.link.Load().limit.Allowed(now))))
+}
+
 // StationState is what the status page shows of one searcher.
 type StationState struct {
 	collection  string
