Measure the customers' fleets at their stated size

Cause: the load tool measured one collection with plans of its own; neither customer's fleet, lists nor weighting could be measured.

The caller emulates the one-way latency to clients. The report has a table by rank for each phase and the customer's weighting as one line.

--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -24,6 +24,8 @@
 type caller struct {
 	entries []*fasthttp.HostClient
 	next    atomic.Uint64
+	// delay is the emulated one-way latency between the caller and the entries.
+	delay time.Duration
 }
 
 func newCaller(addresses []string) *caller {
@@ -76,6 +78,8 @@
 	request.SetRequestURI("http://" + entry.Addr + queryPath)
 	request.Header.SetContentType("application/json")
 	request.SetBodyRaw(body)
+	time.Sleep(c.delay)
+	defer time.Sleep(c.delay)
 	if err := entry.DoTimeout(request, reply, query.GetDeadline().AsDuration()+callerPatience); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/bench/customer.go
@@ -0,0 +1,313 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflylanding/fireflylanding/internal/conf"
+	"github.com/fireflylanding/fireflylanding/internal/fakes"
+	"github.com/fireflylanding/fireflylanding/internal/plans"
+)
+
+const (
+	// customerService is the mean service time of a sub-request, for which the rates of the example lists are sized.
+	customerService = 10 * time.Millisecond
+	// customerRunLog exceeds the sub-requests that one searcher can run within a trial.
+	customerRunLog = 1 << 15
+	// listedShare is the part of the listed rates that is offered outside a flood.
+	listedShare = 0.15
+	// floodFactor is the offered bulk load in the flood as a multiple of a collection's capacity.
+	floodFactor = 5
+	// orderRate is the rate of non-idempotent queries, in queries/s.
+	orderRate = 5
+	// slowFactor multiplies the service time of the slow searchers.
+	slowFactor = 10
+)
+
+// phase is a step of a customer's trial.
+type phase string
+
+// The phases, in order.
+const (
+	phaseSteady phase = "steady"
+	phaseSlow   phase = "slow-searcher"
+	phaseLost   phase = "lost-replica"
+	phaseFlood  phase = "bulk-flood"
+)
+
+const (
+	// phaseLength is the measured time of a phase, which begins with its fault or flood.
+	phaseLength = 4 * time.Second
+	// phaseGap lets the fleet recover after a phase, without being measured.
+	phaseGap = time.Second
+)
+
+func phases() []phase { return []phase{phaseSteady, phaseSlow, phaseLost, phaseFlood} }
+
+// CustomerSettings configure a run of a customer's fleet.
+type CustomerSettings struct {
+	// Name is the customer in lower case.
+	Name string
+	// Examples is the directory that holds the lists as NAME/plans.ini and NAME/uses.ini.
+	Examples string
+	// Seed is the seed of arrivals, texts and service times.
+	Seed uint64
+	// Scale multiplies the length of the phases; 0 means 1.
+	Scale float64
+}
+
+// customerProfile is the stated size of a customer.
+type customerProfile struct {
+	name        string
+	fleet       fakes.FleetSettings
+	zoneDelay   time.Duration
+	regionDelay time.Duration
+	clientDelay time.Duration
+	deadline    time.Duration
+	// orderPlan sends non-idempotent queries to orderCollection.
+	orderPlan       string
+	orderCollection string
+	// weighted are the plans that the customer weighs most.
+	weighted []string
+	weighing weighing
+}
+
+func customerProfiles() []customerProfile {
+	return []customerProfile{
+		{
+			name: "nykterida", fleet: fakes.Nykterida(),
+			zoneDelay: 500 * time.Microsecond, regionDelay: 12 * time.Millisecond, clientDelay: 3 * time.Millisecond,
+			deadline: defaultDeadline, orderPlan: "dispatch", orderCollection: "dispatch-tool",
+			weighted: []string{"dispatch", "care"}, weighing: tailWeighing{},
+		},
+		{
+			name: "swanline", fleet: fakes.Swanline(),
+			zoneDelay: time.Millisecond, regionDelay: 20 * time.Millisecond, clientDelay: time.Millisecond,
+			deadline: 800 * time.Millisecond, orderPlan: "rush", orderCollection: "dispatch-board",
+			weighted: []string{"archive", "rush"}, weighing: coverageWeighing{},
+		},
+	}
+}
+
+func findCustomer(name string) (customerProfile, error) {
+	for _, p := range customerProfiles() {
+		if p.name == name {
+			return p, nil
+		}
+	}
+	return customerProfile{}, errors.Mark(errors.Newf("unknown customer %q", name), ErrUnknownName)
+}
+
+// customerLists holds a customer's plans and uses.
+type customerLists struct {
+	plans []plans.Plan
+	uses  []plans.Use
+}
+
+// readLists reads the lists of a customer as a node would.
+func readLists(directory string) (customerLists, error) {
+	planSections, err := readSections(directory, plans.PlansKey)
+	if err != nil {
+		return customerLists{}, err
+	}
+	useSections, err := readSections(directory, plans.UsesKey)
+	if err != nil {
+		return customerLists{}, err
+	}
+	p, err := plans.ParsePlans(1, planSections)
+	if err != nil {
+		return customerLists{}, err
+	}
+	u, err := plans.ParseUses(1, useSections)
+	if err != nil {
+		return customerLists{}, err
+	}
+	joined := plans.NewLists(p, u)
+	var lists customerLists
+	for _, name := range joined.PlanNames() {
+		plan, _ := joined.Plan(name)
+		lists.plans = append(lists.plans, plan)
+		for _, collection := range joined.Collections() {
+			if use, ok := joined.Use(name, collection); ok {
+				lists.uses = append(lists.uses, use)
+			}
+		}
+	}
+	return lists, nil
+}
+
+func readSections(directory, key string) (map[string]string, error) {
+	file := filepath.Join(directory, key+".ini")
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return conf.Split(file, data)
+}
+
+// rank returns the rank of a plan of the lists.
+func (l customerLists) rank(name string) plans.Rank {
+	i := slices.IndexFunc(l.plans, func(p plans.Plan) bool { return p.Name() == name })
+	return l.plans[i].Rank()
+}
+
+// flooded reports whether bulk work of the use floods: its collection serves an urgent plan too.
+func (l customerLists) flooded(use plans.Use) bool {
+	if l.rank(use.Plan()) != plans.Bulk {
+		return false
+	}
+	return slices.ContainsFunc(l.uses, func(other plans.Use) bool {
+		return other.Collection() == use.Collection() && l.rank(other.Plan()) == plans.Urgent
+	})
+}
+
+// validate returns an error when the lists name a collection that the customer does not have, or lack a plan that the trial needs.
+func (p customerProfile) validate(lists customerLists) error {
+	for _, use := range lists.uses {
+		if customerCapacity(p.fleet, use.Collection()) == 0 {
+			return errors.Newf("use %s/%s: %s has no such collection", use.Plan(), use.Collection(), p.name)
+		}
+	}
+	for _, name := range append([]string{p.orderPlan}, p.weighted...) {
+		if !slices.ContainsFunc(lists.plans, func(plan plans.Plan) bool { return plan.Name() == name }) {
+			return errors.Newf("the list of plans lacks %s", name)
+		}
+	}
+	return nil
+}
+
+// customerLoad is the load of one use in one phase.
+type customerLoad struct {
+	Load
+	collection string
+	phase      phase
+}
+
+// windowOf returns the time of a phase.
+func windowOf(p phase, scale float64) Window {
+	length := time.Duration(float64(phaseLength) * scale)
+	from := time.Duration(slices.Index(phases(), p)) * (length + phaseGap)
+	return Window{name: string(p), From: from, To: from + length}
+}
+
+// customerLoads returns the loads of all phases.
+func customerLoads(profile customerProfile, lists customerLists, scale float64) []customerLoad {
+	regions := float64(len(profile.fleet.Regions()))
+	var loads []customerLoad
+	for _, p := range phases() {
+		w := windowOf(p, scale)
+		base := Load{Arrivals: arrivalsPoisson, From: w.From, To: w.To, Deadline: profile.deadline}
+		for _, use := range lists.uses {
+			l := base
+			l.name = fmt.Sprintf("%s %s/%s", p, use.Plan(), use.Collection())
+			l.Plan = use.Plan()
+			l.PerSecond = use.QueriesPerSecond() * regions * listedShare
+			if p == phaseFlood && lists.flooded(use) {
+				l.PerSecond = floodFactor * customerCapacity(profile.fleet, use.Collection())
+			}
+			loads = append(loads, customerLoad{Load: l, collection: use.Collection(), phase: p})
+		}
+		l := base
+		l.name = fmt.Sprintf("%s orders", p)
+		l.Plan = profile.orderPlan
+		l.PerSecond = orderRate
+		l.Once = true
+		loads = append(loads, customerLoad{Load: l, collection: profile.orderCollection, phase: p})
+	}
+	return loads
+}
+
+// customerCapacity returns the queries/s that the slots of a collection can serve.
+func customerCapacity(fleet fakes.FleetSettings, name string) float64 {
+	for _, c := range fleet.Collections() {
+		if c.Name() == name {
+			return float64(c.Replicas()*c.Slots()) / customerService.Seconds()
+		}
+	}
+	return 0
+}
+
+// customerFleet returns the stand-ins of a customer with the lists.
+func customerFleet(profile customerProfile, lists customerLists, seed uint64) fakes.FleetSettings {
+	median := time.Duration(float64(customerService) / math.Exp(serviceSigma*serviceSigma/2))
+	service := fakes.LogNormal{Median: median, Sigma: serviceSigma}
+	var collections []fakes.CollectionSettings
+	for _, c := range profile.fleet.Collections() {
+		collections = append(collections, c.WithServiceTime(service).WithRunLog(customerRunLog))
+	}
+	return profile.fleet.WithCollections(collections...).WithPlans(lists.plans...).WithUses(lists.uses...).WithSeed(seed)
+}
+
+// RunCustomer runs the phases against the fleet of a customer at its stated size.
+func RunCustomer(ctx context.Context, settings CustomerSettings) (*CustomerReport, error) {
+	profile, err := findCustomer(settings.Name)
+	if err != nil {
+		return nil, err
+	}
+	lists, err := readLists(filepath.Join(settings.Examples, profile.name))
+	if err != nil {
+		return nil, err
+	}
+	if err := profile.validate(lists); err != nil {
+		return nil, err
+	}
+	if settings.Scale <= 0 {
+		settings.Scale = 1
+	}
+	t := newCustomerTrial(profile, lists, settings)
+	defer t.close()
+	if err := t.start(ctx); err != nil {
+		return nil, err
+	}
+	if err := t.run(ctx); err != nil {
+		return nil, err
+	}
+	return t.report(), nil
+}
+
+// customerText returns the text of a query; half of the idempotent texts repeat. Texts of different loads differ, so that run logs tell phases apart.
+func customerText(l *customerLoad, i int, random *rand.Rand) string {
+	if !l.Once && i%2 == 0 {
+		return fmt.Sprintf("%s popular %d", l.name, random.IntN(popularTexts))
+	}
+	return fmt.Sprintf("%s %d", l.name, i)
+}
+
+// weighing is what a customer gives the most weight to: tailWeighing or coverageWeighing.
+type weighing interface{ weighing() }
+
+// tailWeighing compares the p99 with the steady p99.
+type tailWeighing struct{}
+
+// coverageWeighing compares coverage.
+type coverageWeighing struct{}
+
+func (tailWeighing) weighing()     {}
+func (coverageWeighing) weighing() {}
+
+// weigh returns the customer's weighting as one line.
+func weigh(profile customerProfile, results []PhaseResult) string {
+	var parts []string
+	for _, r := range results {
+		switch profile.weighing.(type) {
+		case tailWeighing:
+			parts = append(parts, fmt.Sprintf("%s %.1f ms (%.2f)", r.Name, r.Weighted.P99, ratio(r.Weighted.P99, results[0].Weighted.P99)))
+		case coverageWeighing:
+			parts = append(parts, fmt.Sprintf("%s %.2f%% (answered %.2f%%)", r.Name, 100*r.Weighted.Coverage, 100*(1-r.Weighted.Refused-r.Weighted.Failed)))
+		}
+	}
+	what := "coverage"
+	if _, ok := profile.weighing.(tailWeighing); ok {
+		what = "p99 (relative to steady)"
+	}
+	return fmt.Sprintf("%s: urgent %s of %s: %s", profile.name, what, strings.Join(profile.weighted, " and "), strings.Join(parts, ", "))
+}
--- /dev/null
+++ b/internal/bench/customertrial.go
@@ -0,0 +1,302 @@
+package bench
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/fireflylanding/fireflylanding/internal/fakes"
+	"github.com/fireflylanding/fireflylanding/internal/local"
+	"github.com/fireflylanding/fireflylanding/internal/plans"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// customerTrial is a run of all phases against one customer's fleet.
+type customerTrial struct {
+	profile   customerProfile
+	lists     customerLists
+	settings  CustomerSettings
+	loads     []customerLoad
+	searchers *fakes.Fleet
+	nodes     *local.Fleet
+	caller    *caller
+	begun     time.Time
+	growth    map[phase]customerMark
+
+	mu sync.Mutex
+	// records holds the records of each load by its number.
+	records map[int][]record
+}
+
+func newCustomerTrial(profile customerProfile, lists customerLists, settings CustomerSettings) *customerTrial {
+	return &customerTrial{
+		profile:  profile,
+		lists:    lists,
+		settings: settings,
+		loads:    customerLoads(profile, lists, settings.Scale),
+		growth:   make(map[phase]customerMark),
+		records:  make(map[int][]record),
+	}
+}
+
+func (t *customerTrial) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	var err error
+	if t.searchers, err = fakes.StartFleet(customerFleet(t.profile, t.lists, t.settings.Seed)); err != nil {
+		return err
+	}
+	t.nodes = local.New(t.searchers, local.Options{
+		ZoneDelay:   t.profile.zoneDelay,
+		RegionDelay: t.profile.regionDelay,
+		Settings:    func(s *wire.Settings) { s.GetLimits().SetMaxInFlight(maxInFlight) },
+	})
+	if err = t.nodes.StartPerRegion(ctx, nodesPerRegion); err != nil {
+		return err
+	}
+	t.caller = newCaller(t.nodes.Addresses())
+	t.caller.delay = t.profile.clientDelay
+	time.Sleep(settle)
+	return nil
+}
+
+func (t *customerTrial) close() {
+	if t.caller != nil {
+		t.caller.close()
+	}
+	if t.nodes != nil {
+		t.nodes.Close()
+	}
+	if t.searchers != nil {
+		t.searchers.Close()
+	}
+}
+
+// run sends all queries at their times, makes the faults happen, and waits for the last answer.
+func (t *customerTrial) run(ctx context.Context) error {
+	var tasks conc.WaitGroup
+	t.begun = time.Now()
+	for number := range t.loads {
+		tasks.Go(func() { t.generate(ctx, number) })
+	}
+	var failed error
+	tasks.Go(func() { failed = t.steps(ctx) })
+	tasks.Wait()
+	if failed != nil {
+		return errors.Wrap(failed, "fault")
+	}
+	return ctx.Err()
+}
+
+// steps starts and ends the fault of each phase and reads the counters.
+func (t *customerTrial) steps(ctx context.Context) error {
+	for _, p := range phases() {
+		w := windowOf(p, t.settings.Scale)
+		if !t.sleepUntil(ctx, w.From) {
+			return nil
+		}
+		before := t.mark()
+		t.begin(p)
+		if !t.sleepUntil(ctx, w.To) {
+			return nil
+		}
+		after := t.mark()
+		t.growth[p] = after.since(before)
+		if err := t.end(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// begin makes the fault of a phase happen: the first searcher of each collection slows down, or the last one is lost.
+func (t *customerTrial) begin(p phase) {
+	for _, c := range t.profile.fleet.Collections() {
+		all := t.searchers.Searchers(c.Name())
+		switch p {
+		case phaseSlow:
+			all[0].SetSlow(slowFactor)
+		case phaseLost:
+			all[len(all)-1].Crash()
+		}
+	}
+}
+
+// end ends the fault of a phase.
+func (t *customerTrial) end(p phase) error {
+	for _, c := range t.profile.fleet.Collections() {
+		all := t.searchers.Searchers(c.Name())
+		switch p {
+		case phaseSlow:
+			all[0].SetSlow(1)
+		case phaseLost:
+			if err := all[len(all)-1].Restart(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// customerMark holds the counters of all nodes at one moment, or their growth.
+type customerMark struct {
+	sent   int64
+	needed int64
+	// reasons counts refusals and further attempts by reason.
+	reasons map[string]int
+}
+
+func (m customerMark) since(before customerMark) customerMark {
+	growth := customerMark{sent: m.sent - before.sent, needed: m.needed - before.needed, reasons: make(map[string]int)}
+	for name, count := range m.reasons {
+		if more := count - before.reasons[name]; more > 0 {
+			growth.reasons[name] = more
+		}
+	}
+	return growth
+}
+
+func (t *customerTrial) mark() customerMark {
+	m := customerMark{reasons: make(map[string]int)}
+	for _, n := range t.nodes.Nodes() {
+		attempts := n.Node().Attempts()
+		m.sent += attempts.Sent()
+		m.needed += attempts.Needed()
+		for name, count := range n.Node().Counters().NonZero() {
+			m.reasons[name] += int(count)
+		}
+	}
+	return m
+}
+
+// sleepUntil returns at an offset from the start of the trial, and false when ctx ended before.
+func (t *customerTrial) sleepUntil(ctx context.Context, at time.Duration) bool {
+	timer := time.NewTimer(time.Until(t.begun.Add(at)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// generate sends the queries of a load at their intended times, however late the answers are.
+func (t *customerTrial) generate(ctx context.Context, number int) {
+	l := &t.loads[number]
+	random := rand.New(rand.NewPCG(t.settings.Seed, uint64(number)+1))
+	var calls conc.WaitGroup
+	defer calls.Wait()
+	for i, at := range arrivals(l.Load, l.PerSecond, random) {
+		query := newQuery(&l.Load, customerText(l, i, random))
+		query.SetCollection(l.collection)
+		if !t.sleepUntil(ctx, at) {
+			return
+		}
+		calls.Go(func() { t.call(number, i, at, query) })
+	}
+}
+
+func (t *customerTrial) call(number, i int, at time.Duration, query *wire.Query) {
+	r := record{load: &t.loads[number].Load, intended: at, lag: time.Since(t.begun) - at, query: query}
+	if query.GetNonIdempotent() {
+		t.keep(number, t.caller.sendOnce(r, t.begun, i%resendEvery == 0)...)
+		return
+	}
+	r.body, r.err = t.caller.send(query)
+	r.took = time.Since(t.begun) - at
+	t.keep(number, r)
+}
+
+func (t *customerTrial) keep(number int, records ...record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.records[number] = append(t.records[number], records...)
+}
+
+// violations judges the answers of one phase against the run logs.
+func (t *customerTrial) violations(p phase) []Violation {
+	var found []Violation
+	for _, c := range t.profile.fleet.Collections() {
+		e := &evidence{collection: c.Name(), partitions: map[uint64]int{1: c.Shards()}}
+		for number, l := range t.loads {
+			if l.phase == p && l.collection == c.Name() {
+				e.records = append(e.records, t.records[number]...)
+			}
+		}
+		for _, s := range t.searchers.Searchers(c.Name()) {
+			e.witnesses = append(e.witnesses, witness{id: s.ID(), runs: s.Runs(), dropped: s.RunsDropped(), refused: s.LastRefused()})
+		}
+		found = append(found, e.violations()...)
+	}
+	return found
+}
+
+// report sums the records by phase.
+func (t *customerTrial) report() *CustomerReport {
+	report := &CustomerReport{Customer: t.profile.name, Seed: t.settings.Seed}
+	for _, records := range t.records {
+		for i := range records {
+			records[i].decode()
+			if records[i].answer != nil {
+				report.Checked++
+			}
+		}
+	}
+	for _, p := range phases() {
+		report.Phases = append(report.Phases, t.phase(p))
+	}
+	report.Weighting = weigh(t.profile, report.Phases)
+	return report
+}
+
+// phase sums the records of a phase.
+func (t *customerTrial) phase(p phase) PhaseResult {
+	seconds := windowOf(p, t.settings.Scale).seconds()
+	growth := t.growth[p]
+	result := PhaseResult{Name: string(p), Needed: growth.needed, Sent: growth.sent, Reasons: growth.reasons, Violations: t.violations(p)}
+	rows := make(map[string]*customerTally)
+	weighted := newCustomerTally()
+	lag := newHistogram()
+	for number := range t.loads {
+		l := &t.loads[number]
+		if l.phase != p {
+			continue
+		}
+		for i := range t.records[number] {
+			_ = lag.RecordValue(max(1, t.records[number][i].lag.Microseconds()))
+		}
+		name := t.lists.rank(l.Plan).String()
+		if l.Once {
+			name = rowOrders
+		}
+		if _, ok := rows[name]; !ok {
+			rows[name] = newCustomerTally()
+		}
+		rows[name].addAll(t.records[number])
+		if !l.Once && t.isWeighted(l.Plan) {
+			weighted.addAll(t.records[number])
+		}
+	}
+	for _, name := range rowNames() {
+		if row, ok := rows[name]; ok {
+			result.Rows = append(result.Rows, row.row(name, seconds))
+		}
+	}
+	result.LagP99 = milliseconds(lag, 99)
+	result.Weighted = weighted.row("weighted", seconds).RankResult
+	return result
+}
+
+func (t *customerTrial) isWeighted(plan string) bool {
+	for _, name := range t.profile.weighted {
+		if name == plan && t.lists.rank(plan) == plans.Urgent {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/cmd/bench.go
+++ b/internal/cmd/bench.go
@@ -19,7 +19,8 @@
 		Description: `Examples:
    fireflylanding bench
    fireflylanding bench --scenario bulk-flood --ablate --json result.json --plot result.svg
-   fireflylanding bench --scenario throughput --profile cpu.out`,
+   fireflylanding bench --scenario throughput --profile cpu.out
+   fireflylanding bench --customer nykterida`,
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "scenario", Usage: "`NAME` of a scenario; all by default"},
 			&cli.StringSliceFlag{Name: "variant", Usage: "`NAME` of a variant to measure instead of those of the scenario"},
@@ -28,6 +29,8 @@
 			&cli.FloatFlag{Name: "scale", Usage: "factor on all times of the scenarios", Value: 1},
 			&cli.StringFlag{Name: "json", Usage: "write the results to `FILE` as JSON"},
 			&cli.StringFlag{Name: "plot", Usage: "write a plot to `FILE`, .svg or .png"},
+			&cli.StringFlag{Name: "customer", Usage: "measure the fleet of customer `NAME` at its stated size instead of scenarios: nykterida or swanline"},
+			&cli.StringFlag{Name: "examples", Usage: "`DIRECTORY` of the customers' lists of plans and uses", Value: "examples"},
 			&cli.StringFlag{Name: "profile", Usage: "write a CPU profile to `FILE`"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
@@ -48,6 +51,9 @@
 		}
 		defer pprof.StopCPUProfile()
 	}
+	if command.IsSet("customer") {
+		return runCustomer(ctx, command, stdout)
+	}
 	report, err := bench.Run(ctx, bench.Settings{
 		Scenarios: command.StringSlice("scenario"),
 		Variants:  command.StringSlice("variant"),
--- a/internal/fakes/fleetsettings.go
+++ b/internal/fakes/fleetsettings.go
@@ -43,6 +43,18 @@
 // Shards returns the number of shards of the first index snapshot.
 func (c CollectionSettings) Shards() int { return c.shards }
 
+// Replicas returns the number of replicas of a shard, in each region with WithReplicasPerRegion and in all regions together without.
+func (c CollectionSettings) Replicas() int { return c.replicas }
+
+// Slots returns the slots of each searcher.
+func (c CollectionSettings) Slots() int { return c.searcher.slots }
+
+// WithRunLog returns the settings with the number of idempotent and of non-idempotent runs that each searcher's run log keeps.
+func (c CollectionSettings) WithRunLog(limit int) CollectionSettings {
+	c.searcher = c.searcher.WithRunLog(limit)
+	return c
+}
+
 // WithReplicasPerRegion returns the settings with a number of replicas in each region instead of in all regions together.
 func (c CollectionSettings) WithReplicasPerRegion(replicas int) CollectionSettings {
 	c.replicas = replicas
