--- a/internal/admit/admission.go
+++ b/internal/admit/admission.go
@@ -132,8 +132,9 @@
 	a.gate(now, pair{collection: collection, plan: plan}).feedback(now, pressure, refused)
 }
 
-// FeedbackSince is Feedback about a query that was admitted at a time. A query from before the last decrease says nothing about the decreased rate; when
-// the replies of a queue that drains counted again and again, one overload pushed the rate far below the capacity.
+// FeedbackSince is Feedback about a query that was admitted at a time. A query from before the last decrease says
+// nothing about the decreased rate; when the replies of a queue that drains counted again and again, one overload
+// pushed the rate far below the capacity.
 func (a *Admission) FeedbackSince(now, admitted time.Time, collection, plan string, pressure float64, refused bool) {
 	if _, ok := a.rates.(Listed); ok {
 		return
--- a/internal/admit/admission_test.go
+++ b/internal/admit/admission_test.go
@@ -132,8 +132,9 @@
 	}
 }
 
-// TestQueuesDropTheSameQueries guards against queues that shed different queries while the entries have not adapted yet: with independent drops at 5
-// times overload 0.2^4 of the queries would be whole, 0.8% of the capacity. Half of it leaves room for the difference between the searchers.
+// TestQueuesDropTheSameQueries guards against queues that shed different queries while the entries have not adapted
+// yet: with independent drops at 5 times overload 0.2^4 of the queries would be whole, 0.8% of the capacity. Half of
+// it leaves room for the difference between the searchers.
 func TestQueuesDropTheSameQueries(t *testing.T) {
 	const length = 20 * time.Second
 	for _, load := range []float64{1.1, 2, 5} {
@@ -163,7 +164,8 @@
 	}
 }
 
-// TestWeightedShares guards against admission that hides a plan's demand from the fair queues of the owners, or refuses a plan below its share.
+// TestWeightedShares guards against admission that hides a plan's demand from the fair queues of the owners, or
+// refuses a plan below its share.
 func TestWeightedShares(t *testing.T) {
 	f := newFleet(5, 8,
 		simPlan{name: "light", weight: 1, offered: 0.1 * simCapacity},
@@ -182,7 +184,8 @@
 	}
 }
 
-// TestStragglerDoesNotThrottle guards against a whole collection limited to the capacity of one bad searcher, and against overload that is overlooked.
+// TestStragglerDoesNotThrottle guards against a whole collection limited to the capacity of one bad searcher, and
+// against overload that is overlooked.
 func TestStragglerDoesNotThrottle(t *testing.T) {
 	tests := map[string]struct {
 		bad  int
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -21,9 +21,10 @@
 	// gentleDecrease applies when no owner refused; each refused reply adds up to refusedDecrease.
 	gentleDecrease  = 0.05
 	refusedDecrease = 0.6
-	// increase is the additive step of one round as a share of the geometric mean of the rate at the last decrease and the demand. Such a step is
-	// in proportion to the entry's traffic, so that the sum over all entries moves alike whatever their number, and
-	// entries that fell behind catch up. A step in proportion to the rate alone left single entries near the least rate.
+	// increase is the additive step of one round as a share of the geometric mean of the rate at the last decrease and
+	// the demand. Such a step is in proportion to the entry's traffic, so that the sum over all entries moves alike
+	// whatever their number, and entries that fell behind catch up. A step in proportion to the rate alone left single
+	// entries near the least rate.
 	increase = 0.01
 	// mostTrips bounds the round trips that one increase makes up for when replies are too rare for a round each.
 	mostTrips = 8
@@ -148,7 +149,8 @@
 	g.endRound(now)
 }
 
-// round returns the time between two changes of the rate. It covers a round trip, so that each change shows in the replies before the next.
+// round returns the time between two changes of the rate. It covers a round trip, so that each change shows in the
+// replies before the next.
 func (g *gate) round() time.Duration {
 	round := time.Duration(g.roundTrip * float64(time.Second))
 	return min(max(round, leastRound), greatestRound)
--- a/internal/admit/stale_test.go
+++ b/internal/admit/stale_test.go
@@ -7,7 +7,8 @@
 	"github.com/fireflylanding/fireflylanding/internal/plans"
 )
 
-// TestFeedbackOfEarlierQueriesDecreasesOnce guards against a rate that falls again and again while the replies of queries from before the first decrease arrive.
+// TestFeedbackOfEarlierQueriesDecreasesOnce guards against a rate that falls again and again while the replies of
+// queries from before the first decrease arrive.
 func TestFeedbackOfEarlierQueriesDecreasesOnce(t *testing.T) {
 	const queries = 1000
 	began := time.Unix(1000, 0)
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -1,5 +1,6 @@
-// Package bench is the load and experiment tool. It runs scenarios against stand-in searchers and real nodes in this process, compares the full policy
-// with FIFO queues and with single mechanisms switched off, and checks the promises over all answers and run logs.
+// Package bench is the load and experiment tool. It runs scenarios against stand-in searchers and real nodes in this
+// process, compares the full policy with FIFO queues and with single mechanisms switched off, and checks the promises
+// over all answers and run logs.
 package bench
 
 import (
--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -60,7 +60,8 @@
 	err   error
 	// again marks a further presentation, which is checked but not measured.
 	again bool
-	// answer is decoded from body after the trial, so that decoding takes no time from the system under test. It is nil when there was none.
+	// answer is decoded from body after the trial, so that decoding takes no time from the system under test. It is
+	// nil when there was none.
 	answer *wire.Answer
 }
 
@@ -86,8 +87,8 @@
 	return append([]byte(nil), reply.Body()...), nil
 }
 
-// sendOnce presents a non-idempotent query without a token, then with the token that it is given, and again with the same token when the outcome
-// is unknown or resend is set. It returns one record for each presentation but the first.
+// sendOnce presents a non-idempotent query without a token, then with the token that it is given, and again with the
+// same token when the outcome is unknown or resend is set. It returns one record for each presentation but the first.
 func (c *caller) sendOnce(first record, begun time.Time, resend bool) []record {
 	answer := c.present(&first, begun)
 	if answer.GetFreshToken() == "" {
--- a/internal/bench/check.go
+++ b/internal/bench/check.go
@@ -40,7 +40,8 @@
 	id      string
 	runs    []fakes.Run
 	dropped int
-	// left is when it was first signalled to be leaving; zero means never. refused is when it last refused a sub-request because of that.
+	// left is when it was first signalled to be leaving; zero means never. refused is when it last refused a
+	// sub-request because of that.
 	left    time.Time
 	refused time.Time
 }
--- a/internal/bench/check_test.go
+++ b/internal/bench/check_test.go
@@ -33,7 +33,8 @@
 	}.Build()
 }
 
-// TestCheckAnswerFindsPlantedViolations guards against a checker that passes answers of two snapshots, with untrue coverage or of another request.
+// TestCheckAnswerFindsPlantedViolations guards against a checker that passes answers of two snapshots, with untrue
+// coverage or of another request.
 func TestCheckAnswerFindsPlantedViolations(t *testing.T) {
 	query := newQuery(&Load{Plan: "urgent-1", Deadline: time.Second}, testText)
 	other := newQuery(&Load{Plan: "urgent-1", Deadline: time.Second}, "another")
@@ -81,8 +82,8 @@
 	return all
 }
 
-// TestCheckFindsPlantedRuns guards against a checker that misses a run of a refused request, a second run of a non-idempotent one, work of a leaving
-// searcher, and a run log with gaps. The runs are real ones of a stand-in.
+// TestCheckFindsPlantedRuns guards against a checker that misses a run of a refused request, a second run of a
+// non-idempotent one, work of a leaving searcher, and a run log with gaps. The runs are real ones of a stand-in.
 func TestCheckFindsPlantedRuns(t *testing.T) {
 	runs := plantedRuns(t)
 	once := newQuery(&Load{Plan: "urgent-1", Deadline: time.Second, Once: true}, testText)
--- a/internal/bench/customer.go
+++ b/internal/bench/customer.go
@@ -274,7 +274,8 @@
 	return t.report(), nil
 }
 
-// customerText returns the text of a query; half of the idempotent texts repeat. Texts of different loads differ, so that run logs tell phases apart.
+// customerText returns the text of a query; half of the idempotent texts repeat. Texts of different loads differ, so
+// that run logs tell phases apart.
 func customerText(l *customerLoad, i int, random *rand.Rand) string {
 	if !l.Once && i%2 == 0 {
 		return fmt.Sprintf("%s popular %d", l.name, random.IntN(popularTexts))
--- a/internal/bench/customer_test.go
+++ b/internal/bench/customer_test.go
@@ -190,7 +190,8 @@
 	}
 }
 
-// TestCustomerTrial guards against a trial whose checker misses a planted violation or counts it in another phase, and against a report without a phase or row.
+// TestCustomerTrial guards against a trial whose checker misses a planted violation or counts it in another phase, and
+// against a report without a phase or row.
 func TestCustomerTrial(t *testing.T) {
 	profile, lists := testCustomer(t, "nykterida")
 	trial := newCustomerTrial(profile, lists, CustomerSettings{Name: "nykterida", Seed: DefaultSeed, Scale: 0.1})
--- a/internal/bench/due.go
+++ b/internal/bench/due.go
@@ -11,8 +11,8 @@
 	offers float64
 }
 
-// dueShares returns the queries/s that each plan is due of a capacity: each rank up to its floor, the rest by priority, and within a rank by weight. No plan is due more
-// than it offers.
+// dueShares returns the queries/s that each plan is due of a capacity: each rank up to its floor, the rest by
+// priority, and within a rank by weight. No plan is due more than it offers.
 func dueShares(capacity float64, demands []demand) map[string]float64 {
 	var offers, granted [plans.NumRanks]float64
 	for _, d := range demands {
--- a/internal/bench/fault.go
+++ b/internal/bench/fault.go
@@ -20,7 +20,8 @@
 // Crash stops one replica of every second shard.
 type Crash struct{}
 
-// Leave drains one replica of each shard, a third of the searchers. Half of them say so themselves, the other half are marked in the VM list.
+// Leave drains one replica of each shard, a third of the searchers. Half of them say so themselves, the other half are
+// marked in the VM list.
 type Leave struct{}
 
 // Silence makes a number of connections to each replica of the first shard silent.
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -36,12 +36,14 @@
 	Sent   int64 `json:"sent"`
 	Hedges int64 `json:"hedges"`
 	Runs   int64 `json:"runs"`
-	// CPUPerSub and ObjectsPerSub are the microseconds of CPU and the heap objects of the whole process, stand-ins and caller included, for each attempt.
+	// CPUPerSub and ObjectsPerSub are the microseconds of CPU and the heap objects of the whole process, stand-ins and
+	// caller included, for each attempt.
 	CPUPerSub     float64 `json:"cpu_us_per_sub_query"`
 	ObjectsPerSub float64 `json:"objects_per_sub_query"`
 }
 
-// RankResult is what the callers of one rank saw. Rates are in queries/s, latencies in milliseconds from the intended send time of all queries that were not refused.
+// RankResult is what the callers of one rank saw. Rates are in queries/s, latencies in milliseconds from the intended
+// send time of all queries that were not refused.
 type RankResult struct {
 	Rank    string  `json:"rank"`
 	Offered float64 `json:"offered"`
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -93,7 +93,8 @@
 	return all, nil
 }
 
-// ParseScenario reads a scenario from INI. Its name is the file's base name without a leading number. Unknown sections and keys are errors.
+// ParseScenario reads a scenario from INI. Its name is the file's base name without a leading number. Unknown sections
+// and keys are errors.
 func ParseScenario(file string, data []byte) (*Scenario, error) {
 	parsed, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: false}, data)
 	if err != nil {
--- a/internal/bench/throughput.go
+++ b/internal/bench/throughput.go
@@ -28,8 +28,8 @@
 	throughputDeadline = 5 * time.Second
 )
 
-// Throughput compares sub-requests/s through the tier with those of a bare client of the same stand-ins, without service time. CPU and objects are of the whole process,
-// stand-ins and callers included, for each sub-request.
+// Throughput compares sub-requests/s through the tier with those of a bare client of the same stand-ins, without
+// service time. CPU and objects are of the whole process, stand-ins and callers included, for each sub-request.
 type Throughput struct {
 	Bare        float64 `json:"bare_per_second"`
 	Tier        float64 `json:"tier_per_second"`
--- a/internal/certs/keys_test.go
+++ b/internal/certs/keys_test.go
@@ -157,7 +157,8 @@
 	return serverState, clientState, serverErr, clientErr
 }
 
-// Guards against peers that are accepted without a certificate of the same authority, and against development keys outside development.
+// Guards against peers that are accepted without a certificate of the same authority, and against development keys
+// outside development.
 func TestWhoIsAccepted(t *testing.T) {
 	ours := newAuthority(t)
 	theirs := newAuthority(t)
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -8,8 +8,8 @@
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
-// answer merges the parts. Its run state is "run" when any shard is reflected, "not run" only when no searcher can have run any part, and "unknown"
-// otherwise.
+// answer merges the parts. Its run state is "run" when any shard is reflected, "not run" only when no searcher can
+// have run any part, and "unknown" otherwise.
 func (f *fanout) answer() *wire.Answer {
 	coverage := f.coverage()
 	run, why := f.outcome(coverage)
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -50,8 +50,9 @@
 	return ok
 }
 
-// changeSnapshot starts the query anew on a better snapshot when searchers no longer have the present one, and reports whether it did. Results of the old
-// snapshot are dropped, since an answer never mixes snapshots. A non-idempotent query may do so only because nothing of it ran.
+// changeSnapshot starts the query anew on a better snapshot when searchers no longer have the present one, and reports
+// whether it did. Results of the old snapshot are dropped, since an answer never mixes snapshots. A non-idempotent
+// query may do so only because nothing of it ran.
 func (f *fanout) changeSnapshot(now time.Time) bool {
 	if f.changes >= maxSnapshotChanges || len(f.attempts) > 0 && f.query.GetNonIdempotent() {
 		return false
@@ -83,8 +84,8 @@
 	costAvoided = time.Minute
 )
 
-// replica returns the searcher to try next for a part and the owner that reaches it. Leaving searchers are never chosen, and searchers that this query tried are
-// not tried again.
+// replica returns the searcher to try next for a part and the owner that reaches it. Leaving searchers are never
+// chosen, and searchers that this query tried are not tried again.
 func (f *fanout) replica(now time.Time, p *part) (string, shards.VM, bool) {
 	replicas := f.snapshot.Replicas(p.shard)
 	var best replicaCost
@@ -119,7 +120,8 @@
 	return replicaCost{id: id, owner: owner, cost: cost}, true
 }
 
-// owner returns the first owner of a searcher that this node can reach. An owner that is stopping comes after all others, so that its work ends.
+// owner returns the first owner of a searcher that this node can reach. An owner that is stopping comes after all
+// others, so that its work ends.
 func (f *fanout) owner(searcher string) (shards.VM, bool) {
 	var stopping shards.VM
 	found := false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -126,8 +126,8 @@
 // closePoll is how often Close looks for requests in flight.
 const closePoll = 5 * time.Millisecond
 
-// Close ends the requests in flight, which are answered with what they have, and returns when no exchange with an owner is open. The gate must refuse
-// new requests before.
+// Close ends the requests in flight, which are answered with what they have, and returns when no exchange with an
+// owner is open. The gate must refuse new requests before.
 func (e *Entry) Close() {
 	e.end()
 	for e.inFlight.Load() > 0 {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -33,8 +33,8 @@
 	abrupt = []action{{reason: wire.Reason_REASON_CONNECTION_LOST, abrupt: true}}
 )
 
-// Guards against answers with wrong coverage, run state, snapshot or time for each kind of loss, and against hedges and retries that are not allowed. The
-// query has 3 shards of 2 replicas unless the row says otherwise.
+// Guards against answers with wrong coverage, run state, snapshot or time for each kind of loss, and against hedges
+// and retries that are not allowed. The query has 3 shards of 2 replicas unless the row says otherwise.
 func TestAsk(t *testing.T) {
 	const (
 		run     = wire.RunState_RUN_STATE_RUN
@@ -211,8 +211,8 @@
 	return map[uint32]wire.Reason{0: r, 1: r, 2: r}
 }
 
-// Guards against a crashing request that reaches more than two searchers when it is sent again, and against an answer that leaves before the other entries
-// know of the loss.
+// Guards against a crashing request that reaches more than two searchers when it is sent again, and against an answer
+// that leaves before the other entries know of the loss.
 func TestQuarantine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, map[uint64][][]string{1: replicas(3)})
--- a/internal/entry/fanout.go
+++ b/internal/entry/fanout.go
@@ -20,8 +20,9 @@
 	earlyShare = 0.95
 	// maxSnapshotChanges bounds how often one query starts anew on another snapshot.
 	maxSnapshotChanges = 1
-	// refusedShare is the share of a query's shards that owners must refuse before the refusal counts against the plan's admission. The queues of a query's shards
-	// drop the same queries when the collection is short of capacity; a single lost or slow searcher must not throttle its whole collection.
+	// refusedShare is the share of a query's shards that owners must refuse before the refusal counts against the
+	// plan's admission. The queues of a query's shards drop the same queries when the collection is short of capacity;
+	// a single lost or slow searcher must not throttle its whole collection.
 	refusedShare = 0.25
 	// eventBuffer holds the frames that arrive while the query's goroutine works.
 	eventBuffer = 64
@@ -163,8 +164,8 @@
 	return f.answer()
 }
 
-// holdBack delays an incomplete answer after an abrupt loss until the other entries know of it. Otherwise a caller that sends a crashing request again at once
-// could reach an entry that does not know it yet.
+// holdBack delays an incomplete answer after an abrupt loss until the other entries know of it. Otherwise a caller
+// that sends a crashing request again at once could reach an entry that does not know it yet.
 func (f *fanout) holdBack(ctx context.Context, now time.Time) {
 	if f.lostAt.IsZero() || f.reflected() == len(f.parts) {
 		return
@@ -282,8 +283,8 @@
 	return count
 }
 
-// wakeAt returns the earliest time at which step has something to do. A time in the past that step cannot act on must not be among them, or the query's
-// goroutine would spin until the next event.
+// wakeAt returns the earliest time at which step has something to do. A time in the past that step cannot act on must
+// not be among them, or the query's goroutine would spin until the next event.
 func (f *fanout) wakeAt(now time.Time) time.Time {
 	if f.canary != nil && f.canary.settled {
 		// The canary had no replica, so no reply will release the other parts.
@@ -351,7 +352,8 @@
 	}
 }
 
-// overloaded reports whether owners refused so many of the query's shards that the collection, and not a single searcher, is short of capacity.
+// overloaded reports whether owners refused so many of the query's shards that the collection, and not a single
+// searcher, is short of capacity.
 func (f *fanout) overloaded() bool {
 	return f.refused > 0 && float64(f.refused) >= refusedShare*float64(len(f.parts))
 }
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -61,8 +61,8 @@
 	}
 }
 
-// forward hands a query to the issuer of its token. It does not forward twice, nor to addresses outside the VM list, so that a forged token
-// cannot make nodes contact arbitrary hosts.
+// forward hands a query to the issuer of its token. It does not forward twice, nor to addresses outside the VM list,
+// so that a forged token cannot make nodes contact arbitrary hosts.
 func (e *Entry) forward(ctx context.Context, now time.Time, query *wire.Query, to token.Elsewhere, forwarded bool) *wire.Answer {
 	if forwarded || to.Address() == e.self.PeerAddress() || !e.listed(to.Address()) {
 		return e.refuse(reason.New(wire.Reason_REASON_TOKEN_ISSUER_GONE, ""))
--- a/internal/entry/overloaded_test.go
+++ b/internal/entry/overloaded_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// TestOverloaded guards against one lost or slow searcher that throttles its whole collection: after two crashes of 48 searchers, entries refused a third of the
-// bulk queries at half load.
+// TestOverloaded guards against one lost or slow searcher that throttles its whole collection: after two crashes of 48
+// searchers, entries refused a third of the bulk queries at half load.
 func TestOverloaded(t *testing.T) {
 	for name, test := range map[string]struct {
 		shards, refused int
--- a/internal/entry/receive.go
+++ b/internal/entry/receive.go
@@ -57,7 +57,8 @@
 	f.succeed(now, a, sub.GetHits())
 }
 
-// passOwner goes to the next owner after one refused an attempt because it is stopping. The attempt was not run, so this costs no retry budget.
+// passOwner goes to the next owner after one refused an attempt because it is stopping. The attempt was not run, so
+// this costs no retry budget.
 func (f *fanout) passOwner(now time.Time, a *attempt) {
 	f.entry.counters.Add(wire.Reason_REASON_STOPPING)
 	if !slices.Contains(f.downOwners, a.owner.ID()) {
@@ -98,7 +99,8 @@
 	a.part.inFlight--
 }
 
-// pass tells the picker about an attempt without a result. An owner that refused for lack of capacity says that the remaining time would not do.
+// pass tells the picker about an attempt without a result. An owner that refused for lack of capacity says that the
+// remaining time would not do.
 func (f *fanout) pass(now time.Time, a *attempt, r wire.Reason) {
 	waited := now.Sub(a.sentAt)
 	if refusedByOwner(r) {
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -313,8 +313,8 @@
 	return answer, took
 }
 
-// checkAnswer checks what holds for every answer: its hits are those of the reflected shards in its one snapshot, the coverage adds up, it is "not run" only
-// when no attempt may have run, and a non-idempotent query ran at most once.
+// checkAnswer checks what holds for every answer: its hits are those of the reflected shards in its one snapshot, the
+// coverage adds up, it is "not run" only when no attempt may have run, and a non-idempotent query ran at most once.
 func (w *world) checkAnswer(t *testing.T, query *wire.Query, answer *wire.Answer) {
 	t.Helper()
 	coverage := answer.GetCoverage()
--- a/internal/hedge/hedger.go
+++ b/internal/hedge/hedger.go
@@ -143,8 +143,9 @@
 	return min(max(delay, h.settings.MinDelay), h.settings.MaxDelay)
 }
 
-// Observe learns the latency of a first attempt at a shard, from its sending to its reply. For an attempt that lost against its hedge it is the
-// time until it was cancelled; leaving those out would shorten the delay further and further.
+// Observe learns the latency of a first attempt at a shard, from its sending to its reply. For an attempt that lost
+// against its hedge it is the time until it was cancelled; leaving those out would shorten the delay further and
+// further.
 func (h *Hedger) Observe(collection string, latency time.Duration) {
 	l := h.lookup(collection)
 	if l == nil {
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -19,8 +19,8 @@
 	leastGradient = 0.5
 	shedFactor    = 0.75
 	lostFactor    = 0.5
-	// minimumWindow is the time after which a minimum is forgotten, at most twice that. A searcher whose work became slower for good would
-	// otherwise stay at a limit of 1.
+	// minimumWindow is the time after which a minimum is forgotten, at most twice that. A searcher whose work became
+	// slower for good would otherwise stay at a limit of 1.
 	minimumWindow = 10 * time.Second
 	// leastRound is the least time between two decreases.
 	leastRound = time.Millisecond
--- a/internal/lookup/directory.go
+++ b/internal/lookup/directory.go
@@ -37,8 +37,9 @@
 	Resuming bool
 }
 
-// Answer returns the entries for a caller: reachable nodes first, those in the caller's availability zone before others, spread by the caller's id. Leaving
-// nodes are left out; nodes that do not answer come last, since only this node may be cut off from them.
+// Answer returns the entries for a caller: reachable nodes first, those in the caller's availability zone before
+// others, spread by the caller's id. Leaving nodes are left out; nodes that do not answer come last, since only this
+// node may be cut off from them.
 func (d *Directory) Answer(caller, zone string, entries []shards.VM, members *member.Members, condition Condition) *wire.Entries {
 	if zone == "" {
 		zone = d.self.AvailabilityZone()
--- a/internal/lookup/directory_test.go
+++ b/internal/lookup/directory_test.go
@@ -21,7 +21,8 @@
 	return make([]string, n)
 }
 
-// Guards against callers that are sent to a stopping, leaving or unreachable node, away from their availability zone, or that keep an answer from stale views.
+// Guards against callers that are sent to a stopping, leaving or unreachable node, away from their availability zone,
+// or that keep an answer from stale views.
 func TestAnswer(t *testing.T) {
 	var vms []shards.VM
 	for i := range 6 {
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -132,11 +132,12 @@
 	return vm, ok
 }
 
-// Live returns the listed entry VMs that are neither leaving nor suspect, this node among them, in the order of the list. The caller must
-// not change the result.
+// Live returns the listed entry VMs that are neither leaving nor suspect, this node among them, in the order of the
+// list. The caller must not change the result.
 func (m *Members) Live() []shards.VM { return m.live }
 
-// Reachable reports whether own evidence allows to send to a node: it is listed or was heard, and it is not suspect. A leaving node may be reachable.
+// Reachable reports whether own evidence allows to send to a node: it is listed or was heard, and it is not suspect. A
+// leaving node may be reachable.
 func (m *Members) Reachable(id string) bool {
 	if id == m.self {
 		return true
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -74,8 +74,8 @@
 	})
 }
 
-// shutdown leaves the directory, serves for as long as callers may keep its answers, refuses new work, and waits for what is in flight. It returns
-// the number of requests that were in flight when kill ended or the limit passed.
+// shutdown leaves the directory, serves for as long as callers may keep its answers, refuses new work, and waits for
+// what is in flight. It returns the number of requests that were in flight when kill ended or the limit passed.
 func (n *Node) shutdown(kill context.Context) int {
 	n.phase.set(phaseLeaving)
 	n.logger.Log(wire.Event_EVENT_STOP_BEGUN)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -271,7 +271,8 @@
 	return Attempts{sent: sent, needed: needed}
 }
 
-// Run serves until stop ends, then shuts down gracefully, or at once when kill ends. It returns the number of requests that were cut off.
+// Run serves until stop ends, then shuts down gracefully, or at once when kill ends. It returns the number of requests
+// that were cut off.
 func (n *Node) Run(stop, kill context.Context) int {
 	n.logger.Log(wire.Event_EVENT_NODE_STARTED, zap.Uint64("incarnation", n.incarnation))
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
--- a/internal/owner/batch.go
+++ b/internal/owner/batch.go
@@ -118,8 +118,9 @@
 	return true
 }
 
-// measure returns the mean pressure of the plan's work and the mean load over the stations of the batch. The greatest pressure would rise with the number of shards: a
-// rank with a small floor then seems overloaded whenever a few of its items wait anywhere.
+// measure returns the mean pressure of the plan's work and the mean load over the stations of the batch. The greatest
+// pressure would rise with the number of shards: a rank with a small floor then seems overloaded whenever a few of its
+// items wait anywhere.
 func (b *batch) measure(now time.Time) (pressure, load float64) {
 	b.mu.Lock()
 	tasks := b.tasks
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -29,7 +29,8 @@
 const (
 	// tickInterval is how often queues and connections are checked.
 	tickInterval = 20 * time.Millisecond
-	// healthInterval is how often a searcher's health endpoint is asked. Two lost polls still leave the bound of 3 s for leaving searchers.
+	// healthInterval is how often a searcher's health endpoint is asked. Two lost polls still leave the bound of 3 s
+	// for leaving searchers.
 	healthInterval = time.Second
 )
 
@@ -133,8 +134,8 @@
 	o.pump(now, s)
 }
 
-// pump starts waiting sub-requests while the limit allows it. It is serialized per station, so that a push cannot be missed between a failed pop and the
-// release of its slot.
+// pump starts waiting sub-requests while the limit allows it. It is serialized per station, so that a push cannot be
+// missed between a failed pop and the release of its slot.
 func (o *Owner) pump(now time.Time, s *station) {
 	s.pumping.Lock()
 	defer s.pumping.Unlock()
--- a/internal/owner/pressure_test.go
+++ b/internal/owner/pressure_test.go
@@ -10,8 +10,8 @@
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
-// TestPressureIsTheMeanOverStations guards against a pressure that rises with the number of shards: a rank with a small floor then seems
-// overloaded whenever a few of its items wait at any station.
+// TestPressureIsTheMeanOverStations guards against a pressure that rises with the number of shards: a rank with a
+// small floor then seems overloaded whenever a few of its items wait at any station.
 func TestPressureIsTheMeanOverStations(t *testing.T) {
 	now := time.Unix(1000, 0)
 	searcher := shards.NewSearcher("s", "127.0.0.1:1", "r", "a", 2, 25)
--- a/internal/owner/search.go
+++ b/internal/owner/search.go
@@ -169,7 +169,8 @@
 	return err
 }
 
-// release closes the idle connections of a link that was replaced meanwhile. They went back to clients that no longer count against the share.
+// release closes the idle connections of a link that was replaced meanwhile. They went back to clients that no longer
+// count against the share.
 func (s *station) release(l *link) {
 	if l != s.link.Load() {
 		l.close()
--- a/internal/owner/station.go
+++ b/internal/owner/station.go
@@ -114,7 +114,8 @@
 	}
 }
 
-// relink replaces the link when the searcher's address, its size or this node's share changed. Requests in flight finish on the old one.
+// relink replaces the link when the searcher's address, its size or this node's share changed. Requests in flight
+// finish on the old one.
 func (s *station) relink(searcher shards.Searcher, share int) {
 	old := s.link.Load()
 	if old.searcher == searcher && old.share == share {
--- a/internal/peer/close_test.go
+++ b/internal/peer/close_test.go
@@ -9,8 +9,8 @@
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
-// Guards against a stop that hangs: Close waited for connections that had been replaced or whose handshake ended after Close looked, which keep-alives hold
-// open without end, and a dial after Close reused its wait group.
+// Guards against a stop that hangs: Close waited for connections that had been replaced or whose handshake ended after
+// Close looked, which keep-alives hold open without end, and a dial after Close reused its wait group.
 func TestCloseEndsEveryConnection(t *testing.T) {
 	tests := map[string]struct {
 		before, after func(t *Transport, to shards.VM)
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -15,8 +15,9 @@
 // errUnexpected is the error of an answer of another kind than was asked for.
 var errUnexpected = errors.New("peer sent an unexpected message")
 
-// Batch sends sub-requests to an owner and calls receive for each frame of the answer, the last one included. An error marked with ErrNotSent means that the owner
-// got nothing; after any other error the fate of the unanswered sub-requests is unknown.
+// Batch sends sub-requests to an owner and calls receive for each frame of the answer, the last one included. An error
+// marked with ErrNotSent means that the owner got nothing; after any other error the fate of the unanswered
+// sub-requests is unknown.
 func (t *Transport) Batch(ctx context.Context, to shards.VM, batch *wire.Batch, receive func(*wire.BatchReply)) error {
 	return t.exchange(ctx, to, wire.PeerRequest_builder{Batch: batch}.Build(), func(stream *quic.Stream) error {
 		reader := bufio.NewReader(progressReader{stream: stream})
@@ -117,8 +118,8 @@
 	return reply, nil
 }
 
-// exchange opens a stream, sends the request and reads the answer when read is not nil. When it fails and no packet came from the peer, the
-// connection is replaced.
+// exchange opens a stream, sends the request and reads the answer when read is not nil. When it fails and no packet
+// came from the peer, the connection is replaced.
 func (t *Transport) exchange(ctx context.Context, to shards.VM, request *wire.PeerRequest, read func(*quic.Stream) error) error {
 	var c *connection
 	var stream *quic.Stream
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -25,14 +25,16 @@
 const (
 	// maxMessageBytes admits a push of 1 MiB and one more full document of 1 MB with their framing.
 	maxMessageBytes = 4 << 20
-	// idleTimeout ends a connection without any exchange. It exceeds the time between two digests to one of some 17 neighbours. There is no
-	// keep-alive: a node at full size has thousands of connections, and a keep-alive a second on each takes a core and 170 KB/s.
+	// idleTimeout ends a connection without any exchange. It exceeds the time between two digests to one of some 17
+	// neighbours. There is no keep-alive: a node at full size has thousands of connections, and a keep-alive a second
+	// on each takes a core and 170 KB/s.
 	idleTimeout = 30 * time.Second
-	// progressInterval is how often an owner says that it still works on a batch, and progressTimeout is how long an entry waits for that.
+	// progressInterval is how often an owner says that it still works on a batch, and progressTimeout is how long an
+	// entry waits for that.
 	progressInterval = time.Second
 	progressTimeout  = 5 * time.Second
-	// silentAfter is the time without any packet, also without an acknowledgement, after which a failed exchange replaces its connection. It
-	// exceeds the greatest round trip of 40 ms and the delay of acknowledgements of 25 ms.
+	// silentAfter is the time without any packet, also without an acknowledgement, after which a failed exchange
+	// replaces its connection. It exceeds the greatest round trip of 40 ms and the delay of acknowledgements of 25 ms.
 	silentAfter = 250 * time.Millisecond
 	// dialTimeout bounds a handshake; two nodes are at most 20 ms apart.
 	dialTimeout = time.Second
@@ -147,7 +149,8 @@
 	}
 }
 
-// watchHandshake counts connections that end because of their certificate. The listener never hands out those whose handshake failed, so only their context tells.
+// watchHandshake counts connections that end because of their certificate. The listener never hands out those whose
+// handshake failed, so only their context tells.
 func (t *Transport) watchHandshake(ctx context.Context, client *quic.ClientInfo) (context.Context, error) {
 	context.AfterFunc(ctx, func() {
 		var transportErr *quic.TransportError
@@ -216,8 +219,8 @@
 	return err
 }
 
-// Forget makes the next exchange with a peer open a new connection. The old one may have gone silent, or only be slow, so it stays open for a while for the exchanges
-// on it.
+// Forget makes the next exchange with a peer open a new connection. The old one may have gone silent, or only be slow,
+// so it stays open for a while for the exchanges on it.
 func (t *Transport) Forget(address string) {
 	t.mu.Lock()
 	c, ok := t.conns[address]
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -188,8 +188,8 @@
 	}
 }
 
-// Guards against "not sent" for a request that a peer may have acted on, which would let a non-idempotent request run twice, and against a request that was not
-// sent and counts as lost.
+// Guards against "not sent" for a request that a peer may have acted on, which would let a non-idempotent request run
+// twice, and against a request that was not sent and counts as lost.
 func TestNotSent(t *testing.T) {
 	tests := map[string]struct {
 		prepare func(t *testing.T, a, b *endpoint)
@@ -232,7 +232,8 @@
 	}
 }
 
-// Guards against a peer that stays unreachable after its connection went silent, and against Close that waits for a replaced connection.
+// Guards against a peer that stays unreachable after its connection went silent, and against Close that waits for a
+// replaced connection.
 func TestForget(t *testing.T) {
 	a, b := start(t), start(t)
 	a.warm(t, b)
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -110,8 +110,8 @@
 	return t.present(now) * time.Duration(1+max(0, t.inFlight.Load()))
 }
 
-// observe moves the average: by count to a higher value, by time to a lower one, so that a searcher that became slow is noticed within a few
-// replies at any rate.
+// observe moves the average: by count to a higher value, by time to a lower one, so that a searcher that became slow
+// is noticed within a few replies at any rate.
 func (t *track) observe(now time.Time, latency time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/place/owners.go
+++ b/internal/place/owners.go
@@ -68,8 +68,9 @@
 	return false
 }
 
-// Order returns the live entry VMs in the order of a directory answer: those in the caller's availability zone first, then those in its
-// region, each part by rendezvous hash of the caller's id. The region is that of the listed VMs in the zone.
+// Order returns the live entry VMs in the order of a directory answer: those in the caller's availability zone first,
+// then those in its region, each part by rendezvous hash of the caller's id. The region is that of the listed VMs in
+// the zone.
 func Order(caller, zone string, vms []shards.VM) []shards.VM {
 	ranked := score(vms, seed("caller", caller), serving)
 	slices.SortFunc(ranked, compare)
--- a/internal/plans/lists.go
+++ b/internal/plans/lists.go
@@ -134,8 +134,8 @@
 	byName   map[useName]Use
 }
 
-// ParseUses reads the sections of the list. It returns conf.Faults when any section is invalid. A use of a plan that does not exist is valid and has
-// no effect, since the two lists are edited independently.
+// ParseUses reads the sections of the list. It returns conf.Faults when any section is invalid. A use of a plan that
+// does not exist is valid and has no effect, since the two lists are edited independently.
 func ParseUses(revision uint64, sections map[string]string) (*Uses, error) {
 	byName := make(map[useName]Use, len(sections))
 	var faults conf.Faults
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -88,8 +88,8 @@
 	return value, err
 }
 
-// Watch waits for a revision of a key other than after, and returns false when there was none within the wait, which is rounded up to whole
-// seconds. Its errors are those of Read.
+// Watch waits for a revision of a key other than after, and returns false when there was none within the wait, which
+// is rounded up to whole seconds. Its errors are those of Read.
 func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Value, bool, error) {
 	seconds := int64((wait + time.Second - 1) / time.Second)
 	query := "?after=" + strconv.FormatUint(after, 10) + "&wait=" + strconv.FormatInt(seconds, 10)
--- a/internal/plat/client_test.go
+++ b/internal/plat/client_test.go
@@ -128,7 +128,8 @@
 	}
 }
 
-// Guards against a watch that outlives its context, which would delay a graceful shutdown by the watch time, and against leaked goroutines.
+// Guards against a watch that outlives its context, which would delay a graceful shutdown by the watch time, and
+// against leaked goroutines.
 func TestWatchEndsWithContext(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	entered := make(chan struct{})
--- a/internal/proof/answers_test.go
+++ b/internal/proof/answers_test.go
@@ -24,8 +24,8 @@
 // published maps the index snapshots that were ever published to their number of shards.
 type published map[uint64]int
 
-// checkAnswer recomputes an answer from the shards that it says it reflects. It returns nil when the answer is from one published snapshot, its coverage
-// adds up, and its hits are exactly the merge of the reflected shards.
+// checkAnswer recomputes an answer from the shards that it says it reflects. It returns nil when the answer is from
+// one published snapshot, its coverage adds up, and its hits are exactly the merge of the reflected shards.
 func checkAnswer(query *wire.Query, answer *wire.Answer, snapshots published) error {
 	total, ok := snapshots[answer.GetSnapshot()]
 	if !ok {
@@ -177,7 +177,8 @@
 	lost     atomic.Int64
 }
 
-// askAll sends numbered queries from several callers to all nodes in turn and checks every answer. A query to a node that was killed may get no answer.
+// askAll sends numbered queries from several callers to all nodes in turn and checks every answer. A query to a node
+// that was killed may get no answer.
 func askAll(t *testing.T, f *local.Fleet, name string, count int, deadline time.Duration, snapshots published) *asked {
 	t.Helper()
 	result := &asked{}
@@ -255,8 +256,8 @@
 	return ids
 }
 
-// Guards against answers that mix snapshots (P1), misstate their coverage (P2), or contain late, crossed, truncated or foreign replies (P3), while the failures of
-// design 1.6 happen during the queries.
+// Guards against answers that mix snapshots (P1), misstate their coverage (P2), or contain late, crossed, truncated or
+// foreign replies (P3), while the failures of design 1.6 happen during the queries.
 func TestAnswersUnderFailure(t *testing.T) {
 	const count = 240
 	snapshots := published{1: 4, 2: 6, 3: 4}
--- a/internal/proof/config_test.go
+++ b/internal/proof/config_test.go
@@ -76,7 +76,8 @@
 	return true
 }
 
-// Guards against a configuration that does not reach all nodes within the bound, or that reverts, while the service or the network fails (P8).
+// Guards against a configuration that does not reach all nodes within the bound, or that reverts, while the service or
+// the network fails (P8).
 func TestConfigurationInForceEverywhere(t *testing.T) {
 	tests := map[string]struct {
 		// before happens before the edit, after follows it.
@@ -152,7 +153,8 @@
 	}
 }
 
-// Guards against an invalid edit that takes effect or that operators can't locate (P8): the last good list stays, and the status page names list, section and key.
+// Guards against an invalid edit that takes effect or that operators can't locate (P8): the last good list stays, and
+// the status page names list, section and key.
 func TestInvalidEditKeepsLastGood(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, fleetOptions{})
--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -48,7 +48,8 @@
 	settings       func(*wire.Settings)
 }
 
-// fleetSettings describes three regions with a collection for searches, with a replica in each region, and one for non-idempotent requests.
+// fleetSettings describes three regions with a collection for searches, with a replica in each region, and one for
+// non-idempotent requests.
 func fleetSettings(options fleetOptions) fakes.FleetSettings {
 	service := options.serviceTime
 	if service == 0 {
--- a/internal/proof/golden_test.go
+++ b/internal/proof/golden_test.go
@@ -119,7 +119,8 @@
 	}
 }
 
-// Guards against a node that does not say that it hears nobody, and against a call rate above the service's limit when all nodes restart together.
+// Guards against a node that does not say that it hears nobody, and against a call rate above the service's limit when
+// all nodes restart together.
 func TestAloneAndCallRate(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, fleetOptions{nodesPerRegion: 2})
--- a/internal/proof/once_test.go
+++ b/internal/proof/once_test.go
@@ -104,8 +104,8 @@
 	return runs
 }
 
-// Guards against non-idempotent requests that run twice (P5), and against "not run" for a request that ran (P4), when replies are lost and requests are sent
-// again with the same token at other entries.
+// Guards against non-idempotent requests that run twice (P5), and against "not run" for a request that ran (P4), when
+// replies are lost and requests are sent again with the same token at other entries.
 func TestAtMostOnceUnderFailure(t *testing.T) {
 	const count = 120
 	tests := map[string]struct {
--- a/internal/proof/process_test.go
+++ b/internal/proof/process_test.go
@@ -165,7 +165,8 @@
 	return searchers, all
 }
 
-// Guards against a planned stop of a process that cuts off a request or exits with a failure, and against a second signal that does not end it or hides what was cut off (P7).
+// Guards against a planned stop of a process that cuts off a request or exits with a failure, and against a second
+// signal that does not end it or hides what was cut off (P7).
 func TestSignalsEndProcess(t *testing.T) {
 	tests := map[string]struct {
 		signals int
@@ -222,8 +223,8 @@
 	}
 }
 
-// Guards against a second run of a request whose issuer was killed, or was paused and woke up (P5), against "not run" for one that ran (P4), and against a woken node that does not
-// say that it is resuming.
+// Guards against a second run of a request whose issuer was killed, or was paused and woke up (P5), against "not run"
+// for one that ran (P4), and against a woken node that does not say that it is resuming.
 func TestIssuerPausedOrKilled(t *testing.T) {
 	tests := map[string]struct {
 		signal syscall.Signal
@@ -287,7 +288,8 @@
 	}
 }
 
-// Guards against searchers whose normal service time is taken for a silent connection: before any reply was seen there is no learned time to compare with.
+// Guards against searchers whose normal service time is taken for a silent connection: before any reply was seen there
+// is no learned time to compare with.
 func TestSlowServiceIsNotSilent(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, fleetOptions{serviceTime: 800 * time.Millisecond})
--- a/internal/proof/searchers_test.go
+++ b/internal/proof/searchers_test.go
@@ -38,8 +38,9 @@
 	}
 }
 
-// Guards against new work for a leaving searcher more than 3 s after the first signal (P6), when only one signal says so and the others say the contrary. The
-// searcher in each case still serves, so that its run log shows every request. The signal by reply is not covered: a stand-in that gives it refuses, so its log shows no request.
+// Guards against new work for a leaving searcher more than 3 s after the first signal (P6), when only one signal says
+// so and the others say the contrary. The searcher in each case still serves, so that its run log shows every request.
+// The signal by reply is not covered: a stand-in that gives it refuses, so its log shows no request.
 func TestLeavingSearcherGetsNoNewWork(t *testing.T) {
 	tests := map[string]struct {
 		signal func(t *testing.T, f *local.Fleet, s *fakes.Searcher)
@@ -114,8 +115,9 @@
 	}
 }
 
-// Guards against a crashing request that takes down searcher after searcher while its caller sends it again everywhere, and against innocent requests that are refused as
-// quarantined because unrelated searchers crash at the same time.
+// Guards against a crashing request that takes down searcher after searcher while its caller sends it again
+// everywhere, and against innocent requests that are refused as quarantined because unrelated searchers crash at the
+// same time.
 func TestCrashingRequestTouchesTwoSearchers(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, fleetOptions{})
--- a/internal/proof/stop_test.go
+++ b/internal/proof/stop_test.go
@@ -20,8 +20,8 @@
 	served, refused, cut atomic.Int64
 }
 
-// count classes one outcome: an accepted request must get its whole answer, and a request that is not accepted must be refused as not run, or find
-// the listener closed before it was written.
+// count classes one outcome: an accepted request must get its whole answer, and a request that is not accepted must be
+// refused as not run, or find the listener closed before it was written.
 func (s *stopCounts) count(got reply, err error) string {
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -69,7 +69,8 @@
 	}
 }
 
-// Guards against a planned stop that cuts off requests in flight (P7): callers' requests at the stopping node, and sub-requests of other entries whose owner it is.
+// Guards against a planned stop that cuts off requests in flight (P7): callers' requests at the stopping node, and
+// sub-requests of other entries whose owner it is.
 func TestPlannedStopCutsOffNothing(t *testing.T) {
 	tests := map[string]struct {
 		nonIdempotent bool
--- a/internal/quar/rates_test.go
+++ b/internal/quar/rates_test.go
@@ -376,8 +376,8 @@
 	}
 }
 
-// TestResentAfterAnswer guards the promised bound for a caller that sends a crashing request again, to another entry, as soon as it has its
-// answer, which the entry holds back for HoldBack after the loss.
+// TestResentAfterAnswer guards the promised bound for a caller that sends a crashing request again, to another entry,
+// as soon as it has its answer, which the entry holds back for HoldBack after the loss.
 func TestResentAfterAnswer(t *testing.T) {
 	if testing.Short() {
 		t.Skip("a long simulation of one goroutine; the pass without -short runs it")
--- a/internal/quar/table.go
+++ b/internal/quar/table.go
@@ -122,9 +122,9 @@
 	t.resize()
 }
 
-// LostExclusive records that an attempt lost its searcher abruptly while it ran alone there, as a suspect request does. Such a loss
-// counts also in a burst, and makes the request's losses in bursts count: otherwise several crashing requests at once would look like a
-// burst and never be quarantined. It is no evidence of a burst either.
+// LostExclusive records that an attempt lost its searcher abruptly while it ran alone there, as a suspect request
+// does. Such a loss counts also in a burst, and makes the request's losses in bursts count: otherwise several crashing
+// requests at once would look like a burst and never be quarantined. It is no evidence of a burst either.
 func (t *Table) LostExclusive(now time.Time, fingerprint uint64, searcher string) {
 	if t.ignores() {
 		return
--- a/internal/queue/discipline.go
+++ b/internal/queue/discipline.go
@@ -3,7 +3,8 @@
 // Discipline is the order in which a queue serves its items: Fair or FIFO.
 type Discipline interface{ discipline() }
 
-// Fair serves by rank with floors, shares a rank among its plans by weight, and refuses work that cannot meet its deadline. It is the default.
+// Fair serves by rank with floors, shares a rank among its plans by weight, and refuses work that cannot meet its
+// deadline. It is the default.
 type Fair struct{}
 
 // FIFO serves in order of arrival whatever the rank and plan, and drops expired items only. The load tool compares with it.
--- a/internal/queue/item.go
+++ b/internal/queue/item.go
@@ -24,8 +24,8 @@
 	epoch uint64
 }
 
-// NewItem returns an item. Weight is the plan's share within its rank, at least 1. Order is a hash of the query id, which is the same at all
-// shards of a query, so that all queues drop the same queries.
+// NewItem returns an item. Weight is the plan's share within its rank, at least 1. Order is a hash of the query id,
+// which is the same at all shards of a query, so that all queues drop the same queries.
 func NewItem[T any](attempt uint64, plan string, rank plans.Rank, weight int, deadline time.Time, exclusive bool, order uint64, payload T) Item[T] {
 	if rank < 0 || rank >= plans.NumRanks {
 		rank = plans.Bulk
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -35,9 +35,9 @@
 	// marginDeviations and marginShare set the margin of Push: deviations of the service time, at most a share of the time to spare.
 	marginDeviations = 2
 	marginShare      = 0.25
-	// replaceShare is the share of the expected wait that an item must be able to wait to replace another one. The expected wait varies with the
-	// learned service time; when each rise refused all new items, the queues of a query's shards no longer dropped the same
-	// queries: at 5 times overload 2% of the capacity went to whole queries.
+	// replaceShare is the share of the expected wait that an item must be able to wait to replace another one. The
+	// expected wait varies with the learned service time; when each rise refused all new items, the queues of a
+	// query's shards no longer dropped the same queries: at 5 times overload 2% of the capacity went to whole queries.
 	replaceShare = 0.75
 	// maxVictims is the number of items that one item may replace, so that a queue that is too long shrinks.
 	maxVictims = 2
@@ -53,7 +53,8 @@
 	MaxWaiting int
 	// MaxIdle is the number of plans without waiting items whose tags and patience are kept, by rank.
 	MaxIdle int
-	// Window is the time over which the use of the searcher by rank is measured; floors are measured over ten times as much service time.
+	// Window is the time over which the use of the searcher by rank is measured; floors are measured over ten times as
+	// much service time.
 	Window time.Duration
 	// Discipline is the order of service; nil means Fair.
 	Discipline Discipline
@@ -127,9 +128,10 @@
 	return q
 }
 
-// Push enters an item. It refuses with EXPIRED, with CANNOT_MEET_DEADLINE when the expected wait at the plan's position and the
-// service time exceed the remaining time, and with QUEUE_FULL when the plan has too many waiting items. In the last two
-// cases the item replaces one or two waiting items of its plan with a higher order hash, if there are any; Dropped reports them with that reason.
+// Push enters an item. It refuses with EXPIRED, with CANNOT_MEET_DEADLINE when the expected wait at the plan's
+// position and the service time exceed the remaining time, and with QUEUE_FULL when the plan has too many waiting
+// items. In the last two cases the item replaces one or two waiting items of its plan with a higher order hash, if
+// there are any; Dropped reports them with that reason.
 func (q *Queue[T]) Push(now time.Time, it Item[T]) (Ticket, *reason.Refusal) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -200,8 +202,8 @@
 	return wait+q.margin(slack) <= slack
 }
 
-// margin returns the seconds by which an item should start early. An overloaded queue settles where items start as late as Push allows;
-// without a margin about half of them would run past their deadline.
+// margin returns the seconds by which an item should start early. An overloaded queue settles where items start as
+// late as Push allows; without a margin about half of them would run past their deadline.
 func (q *Queue[T]) margin(slack float64) float64 {
 	return min(marginDeviations*q.service.deviation, marginShare*max(slack, 0))
 }
@@ -363,8 +365,9 @@
 			b.due += b.floor * seconds
 		}
 	}
-	// What a rank received beyond its floor while the others needed less is forgiven, but for what one short window makes up for. Otherwise a rank that used spare
-	// capacity gets nothing for seconds when a more urgent one floods in.
+	// What a rank received beyond its floor while the others needed less is forgiven, but for what one short window
+	// makes up for. Otherwise a rank that used spare capacity gets nothing for seconds when a more urgent one floods
+	// in.
 	forgiven := served.floor * max(q.settings.Window.Seconds(), overdraftServices*q.service.seconds)
 	served.due = max(served.due-seconds, -forgiven)
 	served.used = max(0, served.used+seconds)
@@ -395,8 +398,8 @@
 	}
 }
 
-// Done reports that a popped item ended after a service time. Zero or less means that the service time is unknown or that the searcher did not
-// run the item: nothing is learned then and the charge is returned.
+// Done reports that a popped item ended after a service time. Zero or less means that the service time is unknown or
+// that the searcher did not run the item: nothing is learned then and the charge is returned.
 func (q *Queue[T]) Done(now time.Time, it Item[T], service time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -497,8 +500,8 @@
 	return each * min(byPriority, byFloor)
 }
 
-// above returns the waiting items that go before a rank, and the share of service that the rank does not receive: what more urgent ranks
-// used over the window and the floors of less urgent ones with waiting work.
+// above returns the waiting items that go before a rank, and the share of service that the rank does not receive: what
+// more urgent ranks used over the window and the floors of less urgent ones with waiting work.
 func (q *Queue[T]) above(r plans.Rank) (waiting, share float64) {
 	capacity := q.settings.Window.Seconds() * max(1, q.parallel)
 	for rank, b := range q.bands {
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -274,8 +274,8 @@
 	})
 }
 
-// TestSpareCapacityIsForgiven guards against a rank that gets nothing at the onset of an urgent flood because it used spare capacity before: routine work
-// had 0.4 of its floor in the bench's urgent flood.
+// TestSpareCapacityIsForgiven guards against a rank that gets nothing at the onset of an urgent flood because it used
+// spare capacity before: routine work had 0.4 of its floor in the bench's urgent flood.
 func TestSpareCapacityIsForgiven(t *testing.T) {
 	const service = 10 * time.Millisecond
 	now := start
@@ -338,9 +338,10 @@
 	}
 }
 
-// TestUrgentTailDuringBulkFlood guards against a flood of bulk work at 5 times capacity that lengthens the tail of urgent work. The bound is the target of
-// the design: a p99 of at most 1.3 times the steady one. Service times vary as those of searches do; with constant service times even
-// one bulk item in the slot of an urgent one exceeds the bound, since a running item is not interrupted.
+// TestUrgentTailDuringBulkFlood guards against a flood of bulk work at 5 times capacity that lengthens the tail of
+// urgent work. The bound is the target of the design: a p99 of at most 1.3 times the steady one. Service times vary as
+// those of searches do; with constant service times even one bulk item in the slot of an urgent one exceeds the bound,
+// since a running item is not interrupted.
 func TestUrgentTailDuringBulkFlood(t *testing.T) {
 	if testing.Short() {
 		t.Skip("a long simulation of one goroutine; the pass without -short runs it")
@@ -441,8 +442,8 @@
 	}
 }
 
-// TestItemsLeaveOnce drives a queue at random. It guards against an item that is popped after it was dropped or removed, is lost, expires before
-// it is popped, or runs next to an exclusive item.
+// TestItemsLeaveOnce drives a queue at random. It guards against an item that is popped after it was dropped or
+// removed, is lost, expires before it is popped, or runs next to an exclusive item.
 func TestItemsLeaveOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const bound = 8
--- a/internal/retry/retrier.go
+++ b/internal/retry/retrier.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// retryCost is the budget units of one retry; each first attempt earns one unit, so that retries are at most 10% of first attempts.
+	// retryCost is the budget units of one retry; each first attempt earns one unit, so that retries are at most 10%
+	// of first attempts.
 	retryCost          = 10
 	defaultMaxSaved    = 1000
 	defaultMaxAttempts = 3
@@ -231,8 +232,8 @@
 	}
 }
 
-// definite reports whether a refusal says that the searcher or owner will not serve the shard, so that another attempt goes elsewhere and
-// need not wait for this one to recover.
+// definite reports whether a refusal says that the searcher or owner will not serve the shard, so that another attempt
+// goes elsewhere and need not wait for this one to recover.
 func definite(r wire.Reason) bool {
 	switch r {
 	case wire.Reason_REASON_SEARCHER_LEAVING,
--- a/internal/retry/retrier_test.go
+++ b/internal/retry/retrier_test.go
@@ -104,8 +104,8 @@
 	}
 }
 
-// TestRetriesAreSafeAndWithinBudget guards against any sequence of calls that retries an unsafe attempt, after the last attempt, too late, or
-// beyond 10% of first attempts and the reserve.
+// TestRetriesAreSafeAndWithinBudget guards against any sequence of calls that retries an unsafe attempt, after the
+// last attempt, too late, or beyond 10% of first attempts and the reserve.
 func TestRetriesAreSafeAndWithinBudget(t *testing.T) {
 	all := reasons()
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/shards/vms.go
+++ b/internal/shards/vms.go
@@ -56,8 +56,8 @@
 	return v
 }
 
-// ParseVMs reads the sections of one region's VM list, sorted by id. It returns conf.Faults when any section is invalid, when an entry VM has no
-// peer address, or when a VM is of another region than the key names.
+// ParseVMs reads the sections of one region's VM list, sorted by id. It returns conf.Faults when any section is
+// invalid, when an entry VM has no peer address, or when a VM is of another region than the key names.
 func ParseVMs(key string, sections map[string]string) ([]VM, error) {
 	list, err := ParseVMList(key, sections, nil)
 	if err != nil {
@@ -89,8 +89,8 @@
 	return l.vms[i], ok
 }
 
-// ParseVMList reads a list and takes the VMs of unchanged sections from the one before, which may be nil. It keeps the map of sections, which
-// nobody may change. It returns conf.Faults when any section is invalid.
+// ParseVMList reads a list and takes the VMs of unchanged sections from the one before, which may be nil. It keeps the
+// map of sections, which nobody may change. It returns conf.Faults when any section is invalid.
 func ParseVMList(key string, sections map[string]string, before *VMList) (*VMList, error) {
 	vms := make([]VM, 0, len(sections))
 	var faults conf.Faults
--- a/internal/sizing/fleet.go
+++ b/internal/sizing/fleet.go
@@ -22,8 +22,8 @@
 	fleetShards = 48
 	// fleetSettle lets a node meet each of its neighbours, one a second, so that the idle window has no handshakes.
 	fleetSettle = 20 * time.Second
-	// fleetWindow covers each neighbour's turn in the exchange of digests at least once. Together with fleetSettle it exceeds the 30 s of
-	// a watch, after which only the readers of the whole list wait.
+	// fleetWindow covers each neighbour's turn in the exchange of digests at least once. Together with fleetSettle it
+	// exceeds the 30 s of a watch, after which only the readers of the whole list wait.
 	fleetWindow = 20 * time.Second
 	// loadSettle lets handshakes end before queries are measured.
 	loadSettle = 6 * time.Second
@@ -190,7 +190,8 @@
 	return f, err
 }
 
-// mark asks a query that crashes the two searchers of its only shard, one after the other, and returns the pushes that this causes per node.
+// mark asks a query that crashes the two searchers of its only shard, one after the other, and returns the pushes that
+// this causes per node.
 func (r *running) mark(ctx context.Context, nodes float64) (float64, error) {
 	c, err := client.New(client.Settings{Addresses: r.nodes.Addresses()[:1], Caller: "capacity", AvailabilityZone: zoneName(0)})
 	if err != nil {
--- a/internal/sizing/measure.go
+++ b/internal/sizing/measure.go
@@ -13,8 +13,8 @@
 // measureCommand reruns all measurements.
 const measureCommand = "fireflylanding capacity --measure"
 
-// Measure runs the measurements of one part, or of all parts with an empty name, and returns their slopes. It writes a line to progress for
-// each part.
+// Measure runs the measurements of one part, or of all parts with an empty name, and returns their slopes. It writes a
+// line to progress for each part.
 func Measure(ctx context.Context, only string, progress io.Writer) (*Slopes, error) {
 	var slopes []Slope
 	for _, part := range parts() {
--- a/internal/sizing/queries.go
+++ b/internal/sizing/queries.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// queriesMeasured is the number of queries for each fan-out. Some callers ask them at once, since waking up an idle process for each
-	// reply would cost more than the reply.
+	// queriesMeasured is the number of queries for each fan-out. Some callers ask them at once, since waking up an
+	// idle process for each reply would cost more than the reply.
 	queriesMeasured = 1500
 	queriesWarmUp   = 200
 	queryCallers    = 16
--- a/internal/sizing/tables.go
+++ b/internal/sizing/tables.go
@@ -130,7 +130,8 @@
 	return t
 }
 
-// markTable compares the measured pushes of a quarantined request with the rule: two merges, each sent to all neighbours but the sender.
+// markTable compares the measured pushes of a quarantined request with the rule: two merges, each sent to all
+// neighbours but the sender.
 func (m *Model) markTable() Table {
 	t := Table{name: "marks", header: []string{"quarantine of one request", "pushes of each node", "pushes of all nodes"}}
 	measured, rule := max(0, m.line("mark_pushes").At(m.neighbours())), 2*m.neighbours()
--- a/internal/spread/engine.go
+++ b/internal/spread/engine.go
@@ -191,7 +191,8 @@
 	return true
 }
 
-// usesNamed reports whether the indexes of the list of uses in force are named. The store shows a document before its subscribers are called.
+// usesNamed reports whether the indexes of the list of uses in force are named. The store shows a document before its
+// subscribers are called.
 func (e *Engine) usesNamed() bool {
 	uses := e.store.Get(plans.UsesKey)
 	if uses == nil {
--- a/internal/spread/engine_test.go
+++ b/internal/spread/engine_test.go
@@ -221,8 +221,8 @@
 	})
 }
 
-// Guards against a node that keeps old documents because no peer hears it although it reaches the service. The aim counts from the loss
-// of its peers, when a change is published at once.
+// Guards against a node that keeps old documents because no peer hears it although it reaches the service. The aim
+// counts from the loss of its peers, when a change is published at once.
 func TestIsolatedNodeReadsTheService(t *testing.T) {
 	inWorld(t, 8, func(t *testing.T, w *world) {
 		for i := range w.list {
@@ -272,7 +272,8 @@
 	})
 }
 
-// Guards against a restart of the whole fleet that exceeds the call rate of the service. 270 nodes stand for 2,700 with a tenth of the rate.
+// Guards against a restart of the whole fleet that exceeds the call rate of the service. 270 nodes stand for 2,700
+// with a tenth of the rate.
 func TestRestartOfAllNodes(t *testing.T) {
 	if testing.Short() {
 		t.Skip("a long simulation of many nodes; the pass without -short runs it")
@@ -492,8 +493,9 @@
 	value int
 }
 
-// Guards, for any order of edits, restarts, partitions, losses, duplicates, delays, stale reads and outages of the service, against
-// revisions that go down in a running process, invalid documents in force, and nodes that do not meet at the highest valid revision after healing.
+// Guards, for any order of edits, restarts, partitions, losses, duplicates, delays, stale reads and outages of the
+// service, against revisions that go down in a running process, invalid documents in force, and nodes that do not meet
+// at the highest valid revision after healing.
 func TestEngineModel(t *testing.T) {
 	const nodes = 6
 	rapid.Check(t, func(rt *rapid.T) {
@@ -574,8 +576,9 @@
 	return r.failures
 }
 
-// highestValid returns the highest valid revision of the plans at the running nodes and at the service. A valid revision that no running
-// node has is lost when the service holds a later, invalid one, since the service serves only its last.
+// highestValid returns the highest valid revision of the plans at the running nodes and at the service. A valid
+// revision that no running node has is lost when the service holds a later, invalid one, since the service serves only
+// its last.
 func (w *world) highestValid() uint64 {
 	highest := uint64(0)
 	for _, n := range w.running() {
--- a/internal/spread/outbox.go
+++ b/internal/spread/outbox.go
@@ -16,8 +16,8 @@
 const (
 	// pushTimeout bounds one push.
 	pushTimeout = 2 * time.Second
-	// maxPushedDeltaBytes is the size above which only a notice is pushed. A node has some 17 neighbours that all push the same news, so it
-	// fetches a larger delta from the first of them only.
+	// maxPushedDeltaBytes is the size above which only a notice is pushed. A node has some 17 neighbours that all push
+	// the same news, so it fetches a larger delta from the first of them only.
 	maxPushedDeltaBytes = 4 << 10
 )
 
@@ -39,7 +39,8 @@
 type news struct {
 	// previous is the revision before the news.
 	previous uint64
-	// whole asks for the delta whatever its size. A node without a VM list can't fetch, since it does not know the addresses of its peers.
+	// whole asks for the delta whatever its size. A node without a VM list can't fetch, since it does not know the
+	// addresses of its peers.
 	whole bool
 }
 
--- a/internal/spread/recover.go
+++ b/internal/spread/recover.go
@@ -25,7 +25,8 @@
 	fallbackMost  = 40 * time.Second
 )
 
-// recover fills an empty store: from the VM list of the own region, then from peers, and from the configuration service only what no peer has.
+// recover fills an empty store: from the VM list of the own region, then from peers, and from the configuration
+// service only what no peer has.
 func (e *Engine) recover(ctx context.Context) {
 	if !sleep(ctx, e.random.between(0, e.settings.StartSpread)) {
 		return
--- a/internal/spread/store.go
+++ b/internal/spread/store.go
@@ -107,7 +107,8 @@
 // Keys returns the keys of all documents in force, sorted.
 func (s *Store) Keys() []string { return slices.Sorted(maps.Keys(*s.docs.Load())) }
 
-// Accept brings a document into force if its revision is above the present one and it is valid. A document without a revision is Stale.
+// Accept brings a document into force if its revision is above the present one and it is valid. A document without a
+// revision is Stale.
 func (s *Store) Accept(now time.Time, doc *Document) Result {
 	s.accepting.Lock()
 	defer s.accepting.Unlock()
--- a/internal/spread/store_test.go
+++ b/internal/spread/store_test.go
@@ -280,8 +280,9 @@
 	side  int
 }
 
-// Guards, for any order of edits, lost, duplicated and reordered messages, restarts, stale reads and partitions, against revisions that
-// go down, invalid documents in force, and nodes that do not meet at the highest valid revision after healing.
+// Guards, for any order of edits, lost, duplicated and reordered messages, restarts, stale reads and partitions,
+// against revisions that go down, invalid documents in force, and nodes that do not meet at the highest valid revision
+// after healing.
 func TestStoreModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const nodes = 5
@@ -412,7 +413,8 @@
 	return NewDocument(plans.PlansKey, 1, sections)
 }
 
-// Guards against deltas that grow with the document: the delta of one changed section must not exceed twice its own text plus 100 bytes.
+// Guards against deltas that grow with the document: the delta of one changed section must not exceed twice its own
+// text plus 100 bytes.
 func TestDeltaBytes(t *testing.T) {
 	for _, n := range []int{10, 100, 1000, 10000} {
 		before := planDocument(n)
--- a/internal/spread/watch.go
+++ b/internal/spread/watch.go
@@ -14,8 +14,8 @@
 	// overRateDelay and overRateDelayMax pace calls after the service refused one.
 	overRateDelay    = 2 * time.Second
 	overRateDelayMax = 30 * time.Second
-	// unknownKeyDelay is the time after which a reader asks for an unknown key again. It stays below the bound for changes, since a new
-	// collection may be named before its index exists.
+	// unknownKeyDelay is the time after which a reader asks for an unknown key again. It stays below the bound for
+	// changes, since a new collection may be named before its index exists.
 	unknownKeyDelay = 5 * time.Second
 	// newsDelay bounds the calls of one watch to 20/s, whatever the service does.
 	newsDelay = 50 * time.Millisecond
--- a/internal/view/builder.go
+++ b/internal/view/builder.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// Validate parses a document as the roles would, so that only what they can use comes into force. It returns conf.Faults when the document is
-// invalid.
+// Validate parses a document as the roles would, so that only what they can use comes into force. It returns
+// conf.Faults when the document is invalid.
 func (b *Builder) Validate(key string, revision uint64, sections map[string]string) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -33,8 +33,8 @@
 	return s
 }
 
-// next joins documents after a snapshot. Owners depend on the entry VMs and on the collection's index only, so those of the collections
-// that did not change are kept.
+// next joins documents after a snapshot. Owners depend on the entry VMs and on the collection's index only, so those
+// of the collections that did not change are kept.
 func next(before *Snapshot, lists *plans.Lists, vms []shards.VM, indexes []*shards.Index) *Snapshot {
 	s := list(before.revision+1, lists, vms)
 	sameEntries := slices.Equal(s.entries, before.entries)
