Send a leaving searcher no work whichever signal says so first

Cause: a node that took over a searcher sent work before its first health poll; a signal in a reply was forgotten after 10 s although the process still ran; waiting sub-requests were sent after the signal. Change: work waits for the first answer of the health endpoint, at most 100 ms; the mark lasts 10 minutes or until nothing listens at the address; waiting sub-requests are refused as not run. Before: TestNewOwnerAsksHealthFirst failed on the commit before (one request reached the leaving searcher); TestLeavingByReply passed there, within its 10 s. Conclusion: the reply signal alone is covered too, in the tests of the owner.

--- a/internal/owner/batch.go
+++ b/internal/owner/batch.go
@@ -208,4 +208,6 @@
 	abrupt bool
 	// leaving is set when the searcher said that it is leaving.
 	leaving bool
+	// gone is set when nothing listens at the searcher's address.
+	gone bool
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -34,6 +34,9 @@
 	healthInterval = time.Second
 )
 
+// vetTimeout bounds how long the first work waits for the health endpoint, which may be slow while the searcher itself is not.
+const vetTimeout = 100 * time.Millisecond
+
 // stationKey identifies a searcher.
 type stationKey struct {
 	collection string
@@ -137,6 +140,9 @@
 // pump starts waiting sub-requests while the limit allows it. It is serialized per station, so that a push cannot be
 // missed between a failed pop and the release of its slot.
 func (o *Owner) pump(now time.Time, s *station) {
+	if !s.vetted.Load() {
+		return
+	}
 	s.pumping.Lock()
 	defer s.pumping.Unlock()
 	for int(s.inFlight.Load()) < s.link.Load().limit.Allowed(now) {
@@ -145,6 +151,11 @@
 			break
 		}
 		t := item.Payload()
+		if s.leavingNow(now) {
+			s.queue.Done(now, item, 0)
+			o.finish(t, outcome{reason: wire.Reason_REASON_SEARCHER_LEAVING})
+			continue
+		}
 		if !t.start() {
 			s.queue.Done(now, item, 0)
 			continue
@@ -243,6 +254,8 @@
 	next := maps.Clone(present)
 	next[key] = s
 	o.stations.Store(&next)
+	o.tasks.Go(func() { o.pollHealth(s) })
+	time.AfterFunc(vetTimeout, func() { o.vet(s) })
 	return s
 }
 
--- a/internal/owner/search.go
+++ b/internal/owner/search.go
@@ -80,7 +80,9 @@
 func (s *station) lost(l *link, err error, deadline time.Time) outcome {
 	var status statusError
 	switch {
-	case errors.Is(err, errDial), errors.Is(err, fasthttp.ErrNoFreeConns):
+	case errors.Is(err, errDial):
+		return outcome{reason: wire.Reason_REASON_CONNECT_FAILED, gone: true}
+	case errors.Is(err, fasthttp.ErrNoFreeConns):
 		return outcome{reason: wire.Reason_REASON_CONNECT_FAILED}
 	case errors.Is(err, fasthttp.ErrTimeout) && s.clock().Before(deadline):
 		// The client reports stall.ErrSilent as a timeout.
@@ -180,6 +182,9 @@
 // report logs what an outcome says about the searcher.
 func (o *Owner) report(now time.Time, s *station, result outcome) {
 	fields := []zap.Field{zap.String("collection", s.key.collection), zap.String("searcher", s.key.searcher)}
+	if result.gone {
+		s.noteGone()
+	}
 	if result.leaving && s.noteLeaving(now) {
 		o.logger.Log(wire.Event_EVENT_SEARCHER_LEAVING, fields...)
 	}
@@ -197,7 +202,11 @@
 func (o *Owner) pollHealth(s *station) {
 	health := &wire.SearcherHealth{}
 	now := o.clock()
+	defer o.vet(s)
 	if err := s.tell(healthPath, nil, health, now.Add(endpointTimeout)); err != nil {
+		if errors.Is(err, errDial) {
+			s.noteGone()
+		}
 		return
 	}
 	if health.GetLeaving() && s.noteLeaving(now) {
@@ -205,6 +214,13 @@
 	}
 }
 
+// vet lets work start at a station whose health endpoint was asked.
+func (o *Owner) vet(s *station) {
+	if s.vetted.CompareAndSwap(false, true) {
+		o.pump(o.clock(), s)
+	}
+}
+
 const (
 	// latencyQuantile is the quantile of the reply time that a silent connection is judged by.
 	latencyQuantile = 0.99
--- a/internal/owner/station.go
+++ b/internal/owner/station.go
@@ -20,8 +20,9 @@
 const (
 	// dialTimeout bounds a TCP connect to a searcher in this region.
 	dialTimeout = 500 * time.Millisecond
-	// leavingMemory is how long a searcher that said it is leaving gets no work although its endpoints say otherwise, since they lag.
-	leavingMemory = 10 * time.Second
+	// leavingMemory is how long a searcher that said it is leaving gets no work although its endpoints and the list say
+	// otherwise, since they lag or mislead. It ends earlier when the process is gone.
+	leavingMemory = 10 * time.Minute
 	// latencySamples and latencyAlpha set the sample of reply times, of which the last minutes dominate.
 	latencySamples = 256
 	latencyAlpha   = 0.015
@@ -46,6 +47,9 @@
 
 	// leavingUntil is the Unix time in nanoseconds until which the searcher's own word that it is leaving counts.
 	leavingUntil atomic.Int64
+	// vetted is set once the health endpoint was asked. No work starts before, since the searcher may be leaving already when this node
+	// takes over from another owner.
+	vetted atomic.Bool
 	// listedLeaving is set while the VM list says that the searcher is leaving, or no index names it.
 	listedLeaving atomic.Bool
 	nextHealth    atomic.Int64
@@ -148,6 +152,9 @@
 	return before < now.UnixNano()
 }
 
+// noteGone records that nothing listens at the address, so that a process that answers there later is another one.
+func (s *station) noteGone() { s.leavingUntil.Store(0) }
+
 // learn feeds the limit and the reply times.
 func (s *station) learn(now time.Time, l *link, result outcome, took time.Duration) {
 	switch result.reason {
