--- a/internal/entry/fanout.go
+++ b/internal/entry/fanout.go
@@ -95,7 +95,6 @@
 	searcher string
 	owner    shards.VM
 	sentAt   time.Time
-	hedge    bool
 }
 
 // event is what a stream reports to the query's goroutine: frame or ended.
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -24,7 +24,7 @@
 		}
 		return batch
 	}
-	a := &attempt{id: f.entry.nextID(), part: p, searcher: searcher, owner: owner, sentAt: now, hedge: hedge}
+	a := &attempt{id: f.entry.nextID(), part: p, searcher: searcher, owner: owner, sentAt: now}
 	f.attempts[a.id] = a
 	f.entry.policies.Picker.Sent(searcher)
 	p.tried = append(p.tried, searcher)
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -6,6 +6,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fireflylanding/fireflylanding/internal/reason"
+	"github.com/fireflylanding/fireflylanding/internal/wake"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
@@ -38,10 +40,24 @@
 	}
 }
 
+// gate refuses requests by the phase, and while the process was paused without the next tick having noticed yet. The wall clock also
+// counts the suspension of a VM.
+func (n *Node) gate() *reason.Refusal {
+	if refusal := n.phase.refusal(); refusal != nil {
+		return refusal
+	}
+	last := n.tickedAt.Load()
+	if last != 0 && n.clock().UnixNano()-last > int64(wake.DefaultPause) {
+		return reason.New(wire.Reason_REASON_NOT_READY, "the node resumes from a pause")
+	}
+	return nil
+}
+
 func (n *Node) tick(ctx context.Context, now time.Time) {
 	if verdict := n.detector.Tick(now); verdict.Stale() {
 		n.resume(ctx, now)
 	}
+	n.tickedAt.Store(now.UnixNano())
 	switch n.phase.load() {
 	case phaseStarting:
 		if n.engine.Ready() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,6 +101,8 @@
 	logged *member.Members
 	// resumedAt is when the node last woke up from a pause; only maintain uses it.
 	resumedAt time.Time
+	// tickedAt is the Unix time in nanoseconds of the last tick of maintain, 0 before the first.
+	tickedAt atomic.Int64
 	// refreshed is set when a peer answered after the last wake-up.
 	refreshed atomic.Bool
 	// exchanges counts the batches and forwarded requests of other nodes that are not answered whole.
@@ -228,7 +230,7 @@
 		Members:     n.members.Snapshot,
 		OwnerFailed: n.members.Failed,
 		Marked:      n.engine.MarksChanged,
-		Gate:        n.phase.refusal,
+		Gate:        n.gate,
 		Clock:       n.clock,
 	}
 	owners := &router{self: n.self.ID(), owner: n.owner, transport: n.transport}
--- a/internal/node/phase_test.go
+++ b/internal/node/phase_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/fireflylanding/fireflylanding/internal/status"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
@@ -41,3 +42,33 @@
 		})
 	}
 }
+
+// Guards against requests that a woken process serves from its old views before its next tick notices the pause.
+func TestGateNoticesPauseBeforeTick(t *testing.T) {
+	ticked := time.Unix(1000, 0)
+	tests := map[string]struct {
+		tickedAt time.Time
+		now      time.Time
+		want     wire.Reason
+	}{
+		"before the first tick": {now: ticked},
+		"between ticks":         {tickedAt: ticked, now: ticked.Add(tickInterval)},
+		"after a pause":         {tickedAt: ticked, now: ticked.Add(time.Hour), want: wire.Reason_REASON_NOT_READY},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := &Node{clock: func() time.Time { return test.now }}
+			n.phase.set(phaseReady)
+			if !test.tickedAt.IsZero() {
+				n.tickedAt.Store(test.tickedAt.UnixNano())
+			}
+			got := wire.Reason_REASON_UNSPECIFIED
+			if refusal := n.gate(); refusal != nil {
+				got = refusal.Reason()
+			}
+			if got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
