Prove that changes spread when the service answers one region only

Cause: this case of the configuration service was not covered. Change: the in-memory platform can answer a single region; a change must be in force on all 8 nodes within the aim of 3 s, and a node that restarts in another region must begin with it. Before: no test. After: it passes under -race, and fails when no region is answered.

--- a/internal/spread/engine_test.go
+++ b/internal/spread/engine_test.go
@@ -93,6 +93,26 @@
 	})
 }
 
+// Guards against a change that stays in the one region that the service still answers, and against a restart elsewhere that misses it.
+func TestServiceAnswersOneRegion(t *testing.T) {
+	inWorld(t, 8, func(t *testing.T, w *world) {
+		w.platform.set(func() { w.platform.onlyRegion = "north" })
+		time.Sleep(time.Minute)
+		revision := w.platform.put("plans", "[p]\nat = 1\n")
+		w.awaitRevision(aim, "plans", revision)
+		const south = 1
+		if got, want := w.list[south].Region(), "south"; got != want {
+			t.Fatalf("got region %s, want %s", got, want)
+		}
+		w.stop(w.list[south].ID())
+		n := w.start(south)
+		w.awaitReady(5 * time.Second)
+		if got := n.firstRevision("plans"); got != revision {
+			t.Errorf("%s restarted with revision %d, want %d", n.id, got, revision)
+		}
+	})
+}
+
 // Guards against a restarted node that takes a stale value of the service before it asked its peers.
 func TestRestartIgnoresStaleService(t *testing.T) {
 	inWorld(t, 8, func(t *testing.T, w *world) {
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -32,6 +32,8 @@
 	values  map[string][]plat.Value
 	changed chan struct{}
 	down    bool
+	// onlyRegion is the one region that is answered; empty means all.
+	onlyRegion string
 	// staleBy is the number of revisions by which served values are behind.
 	staleBy int
 	calls   []time.Time
@@ -124,6 +126,42 @@
 	}
 }
 
+// regionSource is the platform as the nodes of one region see it.
+type regionSource struct {
+	*testPlatform
+	region string
+}
+
+// reachable returns an error while the platform answers other regions only.
+func (s regionSource) reachable(key string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.onlyRegion != "" && s.onlyRegion != s.region {
+		return plat.NewUnavailableError(key, errDown)
+	}
+	return nil
+}
+
+// Read implements Source.
+func (s regionSource) Read(ctx context.Context, key string) (plat.Value, error) {
+	if err := s.reachable(key); err != nil {
+		return plat.Value{}, err
+	}
+	return s.testPlatform.Read(ctx, key)
+}
+
+// Watch implements Source.
+func (s regionSource) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (plat.Value, bool, error) {
+	if err := s.reachable(key); err != nil {
+		return plat.Value{}, false, err
+	}
+	value, changed, err := s.testPlatform.Watch(ctx, key, after, wait)
+	if lost := s.reachable(key); lost != nil {
+		return plat.Value{}, false, lost
+	}
+	return value, changed, err
+}
+
 // totalCalls returns the number of calls so far.
 func (p *testPlatform) totalCalls() int {
 	p.mu.Lock()
@@ -290,7 +328,7 @@
 	settings := w.settings
 	settings.Region = vm.Region()
 	n.engine = NewEngine(settings, Dependencies{
-		Self: self, Store: n.store, Source: w.platform, Peers: n, Quarantine: n.marks, Contacts: n.view, Log: log, Clock: time.Now, Registry: n.registry,
+		Self: self, Store: n.store, Source: regionSource{testPlatform: w.platform, region: vm.Region()}, Peers: n, Quarantine: n.marks, Contacts: n.view, Log: log, Clock: time.Now, Registry: n.registry,
 		VMs: func() []shards.VM { return *n.vms.Load() },
 	})
 	n.store.Subscribe(n.inForce)
