Add the golden session of refusals 429 and 503 and of an unknown outcome

Cause: these classes of answers had no golden file. Change: a list that grants no rate, a collection without an index, and a token of an issuer that is gone.

--- a/internal/proof/golden_test.go
+++ b/internal/proof/golden_test.go
@@ -17,6 +17,8 @@
 
 	"github.com/fireflylanding/fireflylanding/internal/fakes"
 	"github.com/fireflylanding/fireflylanding/internal/local"
+	"github.com/fireflylanding/fireflylanding/internal/plans"
+	"github.com/fireflylanding/fireflylanding/internal/token"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
@@ -61,9 +63,34 @@
 	return got.answer
 }
 
+// publishUses replaces the list of uses and waits until the first node has it in force.
+func (s *session) publishUses(f *local.Fleet, uses ...plans.Use) {
+	s.t.Helper()
+	body, err := fakes.UsesDocument(uses)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	revision := f.Searchers().Platform().Set(plans.UsesKey, body)
+	ctx, cancel := context.WithTimeout(context.Background(), 13*time.Second)
+	defer cancel()
+	inForce := func() bool { return f.Node("north-1").Node().View().Lists().UsesRevision() == revision }
+	if err := local.Wait(ctx, inForce); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
 // Guards against changes of what callers see that nobody intended.
 func TestSessionsMatchGoldenFiles(t *testing.T) {
 	tests := map[string]func(s *session, f *local.Fleet, address string){
+		"unavailable": func(s *session, f *local.Fleet, address string) {
+			s.publishUses(f, plans.NewUse(urgentPlan, lamps, 0, 1), plans.NewUse(urgentPlan, "absent", 1, 1))
+			s.ask(address, search("lamp 4711", time.Second))
+			absent := search("lamp 4711", time.Second)
+			absent.SetCollection("absent")
+			s.ask(address, absent)
+			gone := token.New("127.0.0.1:1", 1, []byte("key")).Issue(1)[0]
+			s.ask(address, order("order 1", gone, time.Second))
+		},
 		"normal": func(s *session, _ *local.Fleet, address string) {
 			s.ask(address, search("lamp 4711", 2*time.Second))
 		},
