Measure urgent work beside slow and half-open callers

Cause: the callers' listener was tested against slow callers, but the target of urgent work was not measured beside them.

--- a/internal/bench/check_test.go
+++ b/internal/bench/check_test.go
@@ -198,8 +198,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(all) != 11 {
-		t.Errorf("got %d scenarios, want 11", len(all))
+	if len(all) != 12 {
+		t.Errorf("got %d scenarios, want 12", len(all))
 	}
 }
 
--- a/internal/bench/fault.go
+++ b/internal/bench/fault.go
@@ -11,7 +11,7 @@
 // groupShards is the number of neighbouring shards that share owners.
 const groupShards = 8
 
-// Fault is something that happens to the fleet: Slow, Crash, Leave, Silence, Republish, Retire or Restart.
+// Fault is something that happens to the fleet: Slow, Crash, Leave, Silence, Republish, Retire, Restart or HalfOpen.
 type Fault interface{ fault() }
 
 // Slow multiplies the service time of the first searcher of each shard group.
@@ -76,6 +76,7 @@
 		"republish": Republish{Snapshot: s.Snapshot, Shards: s.Shards},
 		"retire":    Retire{Snapshot: s.Snapshot},
 		"restart":   Restart{},
+		"half-open": HalfOpen{Connections: s.Connections},
 	}
 	fault, ok := kinds[s.Kind]
 	if !ok {
@@ -105,6 +106,10 @@
 	case Republish:
 		t.partitions[f.Snapshot] = f.Shards
 		return t.searchers.Republish(collection, f.Snapshot, f.Shards)
+	case HalfOpen:
+		var err error
+		t.halfOpen, err = openHalf(t.nodes.Addresses(), f.Connections)
+		return err
 	case Retire:
 		return t.searchers.Retire(collection, f.Snapshot)
 	case Restart:
--- /dev/null
+++ b/internal/bench/halfopen.go
@@ -0,0 +1,67 @@
+package bench
+
+import (
+	"net"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// trickle is how often a half-open caller sends a further byte of its request.
+const trickle = 200 * time.Millisecond
+
+// HalfOpen opens connections to each entry whose callers send a request byte by byte and never finish it.
+type HalfOpen struct{ Connections int }
+
+func (HalfOpen) fault() {}
+
+// halfOpen holds the connections of half-open callers.
+type halfOpen struct {
+	conns []net.Conn
+	stop  chan struct{}
+	tasks conc.WaitGroup
+}
+
+// openHalf connects to each address. The connections that were opened before an error stay open until close.
+func openHalf(addresses []string, connections int) (*halfOpen, error) {
+	h := &halfOpen{stop: make(chan struct{})}
+	for _, address := range addresses {
+		for range connections {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				h.close()
+				return nil, err
+			}
+			h.conns = append(h.conns, conn)
+			h.tasks.Go(func() { h.send(conn) })
+		}
+	}
+	return h, nil
+}
+
+// send writes the beginning of a request and then a byte at a time, until the entry closes the connection or close is called.
+func (h *halfOpen) send(conn net.Conn) {
+	if _, err := conn.Write([]byte("POST /v1/query HTTP/1.1\r\nHost: entry\r\nContent-Length: 1000\r\n\r\n{")); err != nil {
+		return
+	}
+	ticker := time.NewTicker(trickle)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.stop:
+			return
+		case <-ticker.C:
+			if _, err := conn.Write([]byte(" ")); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (h *halfOpen) close() {
+	close(h.stop)
+	for _, conn := range h.conns {
+		_ = conn.Close()
+	}
+	h.tasks.Wait()
+}
--- a/internal/bench/target.go
+++ b/internal/bench/target.go
@@ -25,6 +25,7 @@
 	scenarioBulk       = "bulk-flood"
 	scenarioUrgent     = "urgent-flood"
 	scenarioStragglers = "stragglers"
+	scenarioHalfOpen   = "half-open"
 )
 
 // Target is a target of the design page and what was measured.
@@ -86,13 +87,15 @@
 func atMost(bound float64) string { return fmt.Sprintf("<= %.3f", bound) }
 
 func (r *Report) evaluateUrgent() {
-	steady, known := r.find(scenarioBulk, variantFull, windowSteady)
-	flood, ok := r.find(scenarioBulk, variantFull, windowFlood)
-	if !known || !ok {
-		return
+	for _, under := range []struct{ scenario, window string }{{scenarioBulk, windowFlood}, {scenarioHalfOpen, windowFault}} {
+		steady, known := r.find(under.scenario, variantFull, windowSteady)
+		loaded, ok := r.find(under.scenario, variantFull, under.window)
+		if !known || !ok {
+			continue
+		}
+		inflation := ratio(loaded.Rank(plans.Urgent).P99, steady.Rank(plans.Urgent).P99)
+		r.add(under.scenario+": urgent p99 over its steady p99", atMost(urgentInflation), inflation, inflation <= urgentInflation)
 	}
-	inflation := ratio(flood.Rank(plans.Urgent).P99, steady.Rank(plans.Urgent).P99)
-	r.add("bulk-flood: urgent p99 over its steady p99", atMost(urgentInflation), inflation, inflation <= urgentInflation)
 }
 
 func (r *Report) evaluateFloods() {
--- a/internal/bench/trial.go
+++ b/internal/bench/trial.go
@@ -38,7 +38,9 @@
 	partitions map[uint64]int
 	left       map[string]time.Time
 	begun      time.Time
-	marks      []mark
+	// halfOpen holds the connections of a HalfOpen fault.
+	halfOpen *halfOpen
+	marks    []mark
 
 	mu      sync.Mutex
 	records []record
@@ -82,6 +84,9 @@
 }
 
 func (t *trial) close() {
+	if t.halfOpen != nil {
+		t.halfOpen.close()
+	}
 	if t.caller != nil {
 		t.caller.close()
 	}
