Make one piece of what stood twice in budgets, trials and logs of owners

Cause: hedge and retry each had the same budget arithmetic; the bench's two kinds of trial each started, closed and timed a fleet; internal/local opened sockets as node.Listen does and copied fresh settings; an owner built log fields for every sub-request, polled a new searcher's health twice, and kept a phase of tasks that nothing depends on. Change: internal/budget and the bench's rig serve both users; local calls node.Listen; owners build fields only when they log; the second poll follows an interval after the first; a task has one flag, ended.

--- a/internal/bench/customertrial.go
+++ b/internal/bench/customertrial.go
@@ -9,23 +9,18 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
-	"github.com/fireflylanding/fireflylanding/internal/fakes"
 	"github.com/fireflylanding/fireflylanding/internal/local"
 	"github.com/fireflylanding/fireflylanding/internal/plans"
-	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
 // customerTrial is a run of all phases against one customer's fleet.
 type customerTrial struct {
-	profile   customerProfile
-	lists     customerLists
-	settings  CustomerSettings
-	loads     []customerLoad
-	searchers *fakes.Fleet
-	nodes     *local.Fleet
-	caller    *caller
-	begun     time.Time
-	growth    map[phase]customerMark
+	rig
+	profile  customerProfile
+	lists    customerLists
+	settings CustomerSettings
+	loads    []customerLoad
+	growth   map[phase]customerMark
 
 	mu sync.Mutex
 	// records holds the records of each load by its number.
@@ -44,38 +39,14 @@
 }
 
 func (t *customerTrial) start(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyWait)
-	defer cancel()
-	var err error
-	if t.searchers, err = fakes.StartFleet(customerFleet(t.profile, t.lists, t.settings.Seed)); err != nil {
+	options := local.Options{ZoneDelay: t.profile.zoneDelay, RegionDelay: t.profile.regionDelay}
+	if err := t.startFleet(ctx, customerFleet(t.profile, t.lists, t.settings.Seed), options); err != nil {
 		return err
 	}
-	t.nodes = local.New(t.searchers, local.Options{
-		ZoneDelay:   t.profile.zoneDelay,
-		RegionDelay: t.profile.regionDelay,
-		Settings:    func(s *wire.Settings) { s.GetLimits().SetMaxInFlight(maxInFlight) },
-	})
-	if err = t.nodes.StartPerRegion(ctx, nodesPerRegion); err != nil {
-		return err
-	}
-	t.caller = newCaller(t.nodes.Addresses())
 	t.caller.delay = t.profile.clientDelay
-	time.Sleep(settle)
 	return nil
 }
 
-func (t *customerTrial) close() {
-	if t.caller != nil {
-		t.caller.close()
-	}
-	if t.nodes != nil {
-		t.nodes.Close()
-	}
-	if t.searchers != nil {
-		t.searchers.Close()
-	}
-}
-
 // run sends all queries at their times, makes the faults happen, and waits for the last answer.
 func (t *customerTrial) run(ctx context.Context) error {
 	var tasks conc.WaitGroup
@@ -173,18 +144,6 @@
 	return m
 }
 
-// sleepUntil returns at an offset from the start of the trial, and false when ctx ended before.
-func (t *customerTrial) sleepUntil(ctx context.Context, at time.Duration) bool {
-	timer := time.NewTimer(time.Until(t.begun.Add(at)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // generate sends the queries of a load at their intended times, however late the answers are.
 func (t *customerTrial) generate(ctx context.Context, number int) {
 	l := &t.loads[number]
@@ -197,22 +156,11 @@
 		if !t.sleepUntil(ctx, at) {
 			return
 		}
-		calls.Go(func() { t.call(number, i, at, query) })
-	}
-}
-
-func (t *customerTrial) call(number, i int, at time.Duration, query *wire.Query) {
-	r := record{load: &t.loads[number].Load, intended: at, lag: time.Since(t.begun) - at, query: query}
-	if query.GetNonIdempotent() {
-		t.keep(number, t.caller.sendOnce(r, t.begun, i%resendEvery == 0)...)
-		return
+		calls.Go(func() { t.keep(number, t.ask(&l.Load, i, at, query)) })
 	}
-	r.body, r.err = t.caller.send(query)
-	r.took = time.Since(t.begun) - at
-	t.keep(number, r)
 }
 
-func (t *customerTrial) keep(number int, records ...record) {
+func (t *customerTrial) keep(number int, records []record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.records[number] = append(t.records[number], records...)
--- a/internal/bench/trial.go
+++ b/internal/bench/trial.go
@@ -13,7 +13,6 @@
 	"github.com/fireflylanding/fireflylanding/internal/fakes"
 	"github.com/fireflylanding/fireflylanding/internal/local"
 	"github.com/fireflylanding/fireflylanding/internal/node"
-	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
 const (
@@ -29,15 +28,12 @@
 
 // trial is one scenario under one variant.
 type trial struct {
+	rig
 	scenario   *Scenario
 	variant    variant
 	seed       uint64
-	searchers  *fakes.Fleet
-	nodes      *local.Fleet
-	caller     *caller
 	partitions map[uint64]int
 	left       map[string]time.Time
-	begun      time.Time
 	// halfOpen holds the connections of a HalfOpen fault.
 	halfOpen *halfOpen
 	marks    []mark
@@ -61,41 +57,17 @@
 }
 
 func (t *trial) start(ctx context.Context, service fakes.ServiceTime) error {
-	ctx, cancel := context.WithTimeout(ctx, readyWait)
-	defer cancel()
-	var err error
-	if t.searchers, err = fakes.StartFleet(fleetSettings(t.scenario.header, t.seed, service)); err != nil {
-		return err
-	}
 	var policies node.Policies
 	t.variant.change(&policies)
-	t.nodes = local.New(t.searchers, local.Options{
-		ZoneDelay:   zoneDelay,
-		RegionDelay: regionDelay,
-		Policies:    policies,
-		Settings:    func(s *wire.Settings) { s.GetLimits().SetMaxInFlight(maxInFlight) },
-	})
-	if err = t.nodes.StartPerRegion(ctx, nodesPerRegion); err != nil {
-		return err
-	}
-	t.caller = newCaller(t.nodes.Addresses())
-	time.Sleep(settle)
-	return nil
+	options := local.Options{ZoneDelay: zoneDelay, RegionDelay: regionDelay, Policies: policies}
+	return t.startFleet(ctx, fleetSettings(t.scenario.header, t.seed, service), options)
 }
 
 func (t *trial) close() {
 	if t.halfOpen != nil {
 		t.halfOpen.close()
 	}
-	if t.caller != nil {
-		t.caller.close()
-	}
-	if t.nodes != nil {
-		t.nodes.Close()
-	}
-	if t.searchers != nil {
-		t.searchers.Close()
-	}
+	t.rig.close()
 }
 
 // load sends all queries at their times, makes the faults happen, and waits for the last answer.
@@ -115,18 +87,6 @@
 	return ctx.Err()
 }
 
-// sleepUntil returns at an offset from the start of the trial, and false when ctx ended before.
-func (t *trial) sleepUntil(ctx context.Context, at time.Duration) bool {
-	timer := time.NewTimer(time.Until(t.begun.Add(at)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (t *trial) faults(ctx context.Context) error {
 	for _, f := range t.scenario.schedule() {
 		if !t.sleepUntil(ctx, f.at) {
@@ -154,7 +114,7 @@
 		if !t.sleepUntil(ctx, at) {
 			return
 		}
-		calls.Go(func() { t.call(l, i, at, query) })
+		calls.Go(func() { t.keep(t.ask(l, i, at, query)) })
 	}
 }
 
@@ -170,18 +130,7 @@
 	}
 }
 
-func (t *trial) call(l *Load, i int, at time.Duration, query *wire.Query) {
-	r := record{load: l, intended: at, lag: time.Since(t.begun) - at, query: query}
-	if l.Once {
-		t.keep(t.caller.sendOnce(r, t.begun, i%resendEvery == 0)...)
-		return
-	}
-	r.body, r.err = t.caller.send(query)
-	r.took = time.Since(t.begun) - at
-	t.keep(r)
-}
-
-func (t *trial) keep(records ...record) {
+func (t *trial) keep(records []record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.records = append(t.records, records...)
--- a/internal/hedge/hedger.go
+++ b/internal/hedge/hedger.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/fireflylanding/fireflylanding/internal/budget"
 )
 
 const (
@@ -82,7 +84,7 @@
 type Hedger struct {
 	settings Settings
 	// budget is in units, between 0 and MaxSaved * hedgeCost.
-	budget atomic.Int64
+	budget *budget.Budget
 
 	mu          sync.RWMutex
 	collections map[string]*latencies
@@ -90,22 +92,16 @@
 
 // New returns a hedger with an empty budget and no learned delays.
 func New(s Settings) *Hedger {
-	return &Hedger{settings: s.withDefaults(), collections: make(map[string]*latencies)}
+	s = s.withDefaults()
+	return &Hedger{
+		settings:    s,
+		budget:      budget.New(0, int64(s.MaxSaved)*hedgeCost),
+		collections: make(map[string]*latencies),
+	}
 }
 
 // Sent earns budget for a number of first attempts.
-func (h *Hedger) Sent(n int) {
-	if n <= 0 {
-		return
-	}
-	most := int64(h.settings.MaxSaved) * hedgeCost
-	for {
-		budget := h.budget.Load()
-		if budget >= most || h.budget.CompareAndSwap(budget, min(budget+int64(n), most)) {
-			return
-		}
-	}
-}
+func (h *Hedger) Sent(n int) { h.budget.Earn(n) }
 
 // Allow spends budget for one hedge and reports whether it may be sent. A hedge costs more as the pressure of the shard's owner rises
 // from 0.5 to 1, which scales the budget to 0.
@@ -119,15 +115,8 @@
 		return false
 	}
 	cost := math.Ceil(hedgeCost / min(scale, 1))
-	for {
-		budget := h.budget.Load()
-		if float64(budget) < cost {
-			return false
-		}
-		if h.budget.CompareAndSwap(budget, budget-int64(cost)) {
-			return true
-		}
-	}
+	// Near noPressure the cost exceeds what an integer holds.
+	return cost <= math.MaxInt64/2 && h.budget.Spend(int64(cost))
 }
 
 // Delay returns the time after which a shard of the collection counts as straggling.
--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflylanding/fireflylanding/internal/conf"
 	"github.com/fireflylanding/fireflylanding/internal/events"
@@ -148,18 +148,11 @@
 }
 
 func listen() (node.Listeners, error) {
-	var listeners node.Listeners
-	var err error
-	if listeners.Callers, err = net.Listen("tcp", loopback); err != nil {
-		return node.Listeners{}, err
-	}
-	if listeners.Admin, err = net.Listen("tcp", loopback); err != nil {
-		return node.Listeners{}, err
-	}
-	if listeners.Peers, err = net.ListenPacket("udp", loopback); err != nil {
-		return node.Listeners{}, err
-	}
-	return listeners, nil
+	return node.Listen(wire.Settings_builder{Node: wire.NodeSettings_builder{
+		CallerAddress: loopback,
+		PeerAddress:   loopback,
+		AdminAddress:  loopback,
+	}.Build()}.Build())
 }
 
 // connect puts the emulated network in front of a node's socket, with latencies to and from all present nodes.
@@ -188,12 +181,9 @@
 
 // settings returns the settings of a node with all defaults.
 func (f *Fleet) settings(vm shards.VM, admin string) (*wire.Settings, error) {
-	regions := ""
-	for i, region := range f.searchers.Settings().Regions() {
-		if i > 0 {
-			regions += ", "
-		}
-		regions += region.Name()
+	var regions []string
+	for _, region := range f.searchers.Settings().Regions() {
+		regions = append(regions, region.Name())
 	}
 	text := fmt.Sprintf(`[node]
 id = %s
@@ -208,14 +198,13 @@
 start_spread = 0s
 [peers]
 development_keys = true
-`, vm.ID(), vm.Region(), vm.AvailabilityZone(), regions, vm.Address(), vm.PeerAddress(), admin, f.searchers.Platform().Address())
+`, vm.ID(), vm.Region(), vm.AvailabilityZone(), strings.Join(regions, ", "), vm.Address(), vm.PeerAddress(), admin, f.searchers.Platform().Address())
 	var settings *wire.Settings
 	var err error
 	if settings, err = conf.Load(vm.ID(), []byte(text)); err != nil {
 		return nil, err
 	}
 	if f.options.Settings != nil {
-		settings = proto.Clone(settings).(*wire.Settings)
 		f.options.Settings(settings)
 	}
 	return settings, nil
--- a/internal/owner/batch.go
+++ b/internal/owner/batch.go
@@ -155,19 +155,12 @@
 	}
 }
 
-// Phases of a task. A task ends once, from either of the first two.
-const (
-	phaseWaiting int32 = iota
-	phaseRunning
-	phaseEnded
-)
-
 // task is one sub-request at its owner.
 type task struct {
 	batch   *batch
 	item    *wire.SubRequest
 	station *station
-	phase   atomic.Int32
+	ended   atomic.Bool
 
 	mu     sync.Mutex
 	ticket queue.Ticket
@@ -192,11 +185,8 @@
 	return t.ticket
 }
 
-// start moves the task from waiting to running and reports whether it did.
-func (t *task) start() bool { return t.phase.CompareAndSwap(phaseWaiting, phaseRunning) }
-
 // end reports whether this call ended the task.
-func (t *task) end() bool { return t.phase.Swap(phaseEnded) != phaseEnded }
+func (t *task) end() bool { return !t.ended.Swap(true) }
 
 // outcome is the result of a task.
 type outcome struct {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -156,10 +156,6 @@
 			o.finish(t, outcome{reason: wire.Reason_REASON_SEARCHER_LEAVING})
 			continue
 		}
-		if !t.start() {
-			s.queue.Done(now, item, 0)
-			continue
-		}
 		s.inFlight.Add(1)
 		o.tasks.Go(func() { o.run(s, t, item) })
 	}
--- a/internal/owner/search.go
+++ b/internal/owner/search.go
@@ -181,23 +181,34 @@
 
 // report logs what an outcome says about the searcher.
 func (o *Owner) report(now time.Time, s *station, result outcome) {
-	fields := []zap.Field{zap.String("collection", s.key.collection), zap.String("searcher", s.key.searcher)}
 	if result.gone {
 		s.noteGone()
 	}
-	if result.leaving && s.noteLeaving(now) {
-		o.logger.Log(wire.Event_EVENT_SEARCHER_LEAVING, fields...)
+	if result.leaving {
+		o.noteLeaving(now, s)
 	}
 	if result.abrupt {
 		o.abrupt.Inc(1)
-		o.logger.Log(wire.Event_EVENT_SEARCHER_LOST, fields...)
+		o.log(wire.Event_EVENT_SEARCHER_LOST, s)
 	}
 	if result.reason == wire.Reason_REASON_REPLY_MISMATCH {
 		o.mismatches.Inc(1)
-		o.logger.Log(wire.Event_EVENT_REPLY_MISMATCH, fields...)
+		o.log(wire.Event_EVENT_REPLY_MISMATCH, s)
 	}
 }
 
+// noteLeaving marks a searcher that said it is leaving, and logs the first signal.
+func (o *Owner) noteLeaving(now time.Time, s *station) {
+	if s.noteLeaving(now) {
+		o.log(wire.Event_EVENT_SEARCHER_LEAVING, s)
+	}
+}
+
+// log writes an event about a searcher.
+func (o *Owner) log(event wire.Event, s *station) {
+	o.logger.Log(event, zap.String("collection", s.key.collection), zap.String("searcher", s.key.searcher))
+}
+
 // pollHealth obeys a leaving signal of the health endpoint. What else the endpoint says is not used, since it may mislead.
 func (o *Owner) pollHealth(s *station) {
 	health := &wire.SearcherHealth{}
@@ -209,8 +220,8 @@
 		}
 		return
 	}
-	if health.GetLeaving() && s.noteLeaving(now) {
-		o.logger.Log(wire.Event_EVENT_SEARCHER_LEAVING, zap.String("collection", s.key.collection), zap.String("searcher", s.key.searcher))
+	if health.GetLeaving() {
+		o.noteLeaving(now, s)
 	}
 }
 
@@ -245,7 +256,7 @@
 	expected := s.expectedReply()
 	for range l.group.Check(now, expected) {
 		o.silent.Inc(1)
-		o.logger.Log(wire.Event_EVENT_CONNECTION_SILENT, zap.String("collection", s.key.collection), zap.String("searcher", s.key.searcher))
+		o.log(wire.Event_EVENT_CONNECTION_SILENT, s)
 	}
 	if !l.group.NeedsProbe(now, expected) || !s.probing.CompareAndSwap(false, true) {
 		return
--- a/internal/owner/station.go
+++ b/internal/owner/station.go
@@ -74,7 +74,8 @@
 		queue:    queue.New[*task](policies.Queue),
 		latency:  metrics.NewExpDecaySample(latencySamples, latencyAlpha),
 	}
-	s.nextHealth.Store(now.UnixNano())
+	// The first poll comes with the station.
+	s.nextHealth.Store(now.Add(healthInterval).UnixNano())
 	s.link.Store(newLink(searcher, share, policies, clock))
 	return s
 }
--- a/internal/retry/retrier.go
+++ b/internal/retry/retrier.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fireflylanding/fireflylanding/internal/budget"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -93,7 +94,7 @@
 type Retrier struct {
 	settings Settings
 	// budget is in units, between 0 and MaxSaved * retryCost.
-	budget atomic.Int64
+	budget *budget.Budget
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -105,37 +106,17 @@
 
 // New returns a retrier. Random draws the jitter; the retrier alone uses it from then on.
 func New(s Settings, random *rand.Rand) *Retrier {
-	r := &Retrier{settings: s.withDefaults(), random: random, needs: make(map[string]*atomic.Uint64)}
-	r.budget.Store(int64(r.settings.Reserve) * retryCost)
-	return r
-}
-
-// Sent earns budget for a number of first attempts.
-func (r *Retrier) Sent(n int) {
-	if n <= 0 {
-		return
-	}
-	most := int64(r.settings.MaxSaved) * retryCost
-	for {
-		budget := r.budget.Load()
-		if budget >= most || r.budget.CompareAndSwap(budget, min(budget+int64(n), most)) {
-			return
-		}
+	s = s.withDefaults()
+	return &Retrier{
+		settings: s,
+		budget:   budget.New(int64(s.Reserve)*retryCost, int64(s.MaxSaved)*retryCost),
+		random:   random,
+		needs:    make(map[string]*atomic.Uint64),
 	}
 }
 
-// spend takes the cost of one retry from the budget and reports whether it sufficed.
-func (r *Retrier) spend() bool {
-	for {
-		budget := r.budget.Load()
-		if budget < retryCost {
-			return false
-		}
-		if r.budget.CompareAndSwap(budget, budget-retryCost) {
-			return true
-		}
-	}
-}
+// Sent earns budget for a number of first attempts.
+func (r *Retrier) Sent(n int) { r.budget.Earn(n) }
 
 // Observe learns the latency of a successful attempt, which is the time that a retry needs.
 func (r *Retrier) Observe(collection string, latency time.Duration) {
@@ -204,7 +185,7 @@
 	if spare <= 0 {
 		return Stop{Reason: wire.Reason_REASON_RETRY_NO_TIME}
 	}
-	if !r.spend() {
+	if !r.budget.Spend(retryCost) {
 		return Stop{Reason: wire.Reason_REASON_RETRY_BUDGET}
 	}
 	if definite(a.Reason) {
