--- /dev/null
+++ b/internal/budget/window_test.go
@@ -0,0 +1,60 @@
+package budget
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against more extra attempts in any window than the share of first attempts and the allowance.
+func TestWindowBoundsExtraAttempts(t *testing.T) {
+	tests := map[string]struct {
+		firsts    int
+		share     float64
+		allowance float64
+		want      int
+	}{
+		"nothing earned":      {firsts: 0, share: 0.2, allowance: 0, want: 0},
+		"allowance only":      {firsts: 0, share: 0.2, allowance: 5, want: 5},
+		"share of firsts":     {firsts: 100, share: 0.2, allowance: 0, want: 20},
+		"share and allowance": {firsts: 100, share: 0.2, allowance: 5, want: 25},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := NewWindow(10 * time.Second)
+			now := time.Unix(1_700_000_000, 0)
+			for range test.firsts {
+				w.First(now)
+			}
+			got := 0
+			for range 200 {
+				if w.Extra(now.Add(3*time.Second), test.share, test.allowance) {
+					got++
+				}
+			}
+			if got != test.want {
+				t.Errorf("got %d extra attempts, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against extra attempts that are earned by requests of long ago, and against a window that never frees what was spent.
+func TestWindowForgets(t *testing.T) {
+	w := NewWindow(10 * time.Second)
+	now := time.Unix(1_700_000_000, 0)
+	for range 100 {
+		w.First(now)
+	}
+	if got := w.Extra(now.Add(11*time.Second), 0.2, 0); got {
+		t.Errorf("extra attempt on forgotten requests: got %v, want false", got)
+	}
+	if got := w.Extra(now.Add(11*time.Second), 0, 1); !got {
+		t.Errorf("first extra attempt within the allowance: got %v, want true", got)
+	}
+	if got := w.Extra(now.Add(12*time.Second), 0, 1); got {
+		t.Errorf("second extra attempt in one window: got %v, want false", got)
+	}
+	if got := w.Extra(now.Add(22*time.Second), 0, 1); !got {
+		t.Errorf("extra attempt in the next window: got %v, want true", got)
+	}
+}
--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -83,6 +83,7 @@
 			demoCommand(stdout, stderr),
 			benchCommand(stdout, stderr),
 			serveCommand(stderr),
+			platformCommand(stdout),
 			checkCommand(stdout),
 			askCommand(stdout),
 			statusCommand(stdout),
--- /dev/null
+++ b/internal/edge/conn.go
@@ -0,0 +1,72 @@
+package edge
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/fireflylanding/fireflylanding/internal/pool"
+	"github.com/fireflylanding/fireflylanding/internal/route"
+)
+
+const (
+	// headerWait and idleWait mark the deadlines that the HTTP library sets before it reads a head and between requests. The
+	// connection puts the operator's present limits in their place, which may change while the server runs.
+	headerWait = 100 * time.Hour
+	idleWait   = 200 * time.Hour
+	// Limits until a version of the routes is in force.
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+)
+
+// conn is a caller's connection that can be looked at while its request runs.
+type conn struct {
+	net.Conn
+	raw    syscall.RawConn
+	limits func() route.Limits
+}
+
+// SetReadDeadline replaces the library's marks by the operator's limits.
+func (c *conn) SetReadDeadline(at time.Time) error {
+	wait := time.Until(at)
+	limits := c.limits()
+	switch {
+	case at.IsZero():
+	case wait > (headerWait+idleWait)/2:
+		at = time.Now().Add(orDefault(limits.IdleTimeout, defaultIdleTimeout))
+	case wait > headerWait/2:
+		at = time.Now().Add(orDefault(limits.HeaderTimeout, defaultHeaderTimeout))
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+func orDefault(value, standard time.Duration) time.Duration {
+	if value > 0 {
+		return value
+	}
+	return standard
+}
+
+// gone reports whether the caller has closed the connection.
+func (c *conn) gone() bool { return pool.Peek(c.raw) == pool.Closed }
+
+// listener wraps accepted connections.
+type listener struct {
+	net.Listener
+	limits func() route.Limits
+}
+
+// Accept is part of net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: accepted, limits: l.limits}
+	if sc, ok := accepted.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			c.raw = raw
+		}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/peer/refuse.go
@@ -0,0 +1,42 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// Refusing refuses the exchanges of roles that a process does not have. A handler embeds it and defines the others.
+type Refusing struct{}
+
+// Batch refuses all sub-requests as not run.
+func (Refusing) Batch(_ context.Context, batch *wire.Batch, reply func(*wire.BatchReply) error) {
+	replies := make([]*wire.SubReply, len(batch.GetItems()))
+	for i, item := range batch.GetItems() {
+		replies[i] = wire.SubReply_builder{
+			AttemptId: item.GetAttemptId(),
+			Shard:     item.GetShard(),
+			Snapshot:  batch.GetSnapshot(),
+			Reason:    wire.Reason_REASON_NOT_OWNER,
+		}.Build()
+	}
+	// A sender that is gone needs no reply.
+	_ = reply(wire.BatchReply_builder{QueryId: batch.GetQueryId(), Replies: replies, Last: true}.Build())
+}
+
+// Cancel does nothing, since no attempt runs.
+func (Refusing) Cancel(context.Context, *wire.Cancel) {}
+
+// Forward answers that this process issued no token.
+func (Refusing) Forward(context.Context, *wire.Forward) *wire.Answer {
+	return wire.Answer_builder{
+		Run:    wire.RunState_RUN_STATE_UNKNOWN,
+		Reason: wire.Reason_REASON_TOKEN_ISSUER_GONE,
+	}.Build()
+}
+
+// Push drops the news.
+func (Refusing) Push(context.Context, *wire.Push) {}
+
+// Pull has nothing to offer.
+func (Refusing) Pull(context.Context, *wire.Pull) *wire.Push { return &wire.Push{} }
--- /dev/null
+++ b/internal/pool/conn.go
@@ -0,0 +1,83 @@
+package pool
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// readBufferBytes holds the head and the body of most replies.
+const readBufferBytes = 4 << 10
+
+// Conn is a connection that carries one request at a time.
+type Conn struct {
+	net.Conn
+	raw    syscall.RawConn
+	reader *bufio.Reader
+	// reused is set when the connection carried a request before.
+	reused bool
+	// idleSince is when the last reply ended; usableUntil is when the searcher may close the idle connection.
+	idleSince   time.Time
+	usableUntil time.Time
+}
+
+func newConn(conn net.Conn) *Conn {
+	c := &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
+	if sc, ok := conn.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			c.raw = raw
+		}
+	}
+	return c
+}
+
+// Reader returns the buffered reader of the connection. Bytes that stay in it after a reply belong to no request.
+func (c *Conn) Reader() *bufio.Reader { return c.reader }
+
+// Reused reports whether the connection carried a request before.
+func (c *Conn) Reused() bool { return c.reused }
+
+// clean reports whether an idle connection is open and holds no bytes, which would be taken for the next reply.
+func (c *Conn) clean() bool { return c.reader.Buffered() == 0 && Peek(c.raw) == Quiet }
+
+// Condition is what a look at a connection without reading shows.
+type Condition int
+
+// Conditions of a connection.
+const (
+	// Quiet means open, without bytes to read.
+	Quiet Condition = iota
+	// Readable means that bytes wait.
+	Readable
+	// Closed means that the other end closed or reset the connection.
+	Closed
+)
+
+// Peek looks at a connection without taking bytes from it or blocking. It returns Quiet when the connection cannot be looked at.
+func Peek(raw syscall.RawConn) Condition {
+	if raw == nil {
+		return Quiet
+	}
+	condition := Quiet
+	err := raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case n > 0:
+			condition = Readable
+		case err == nil:
+			condition = Closed
+		case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+			condition = Quiet
+		default:
+			condition = Closed
+		}
+	})
+	if err != nil {
+		return Closed
+	}
+	return condition
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,281 @@
+// Package pool holds the connections of this node to one searcher: a bounded number, each with one request at a time, and requests
+// that wait for one in the order of their rank.
+package pool
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection; a living searcher answers within a round trip.
+	dialTimeout = time.Second
+	// defaultIdle is the life of an idle connection when the searcher states none.
+	defaultIdle = 4 * time.Second
+	// idleMargin is kept between the end of a connection's stated life and its last use, for the way there.
+	idleMargin = 300 * time.Millisecond
+	// numRanks is the number of waiting lists; greater ranks share the last one.
+	numRanks = 3
+)
+
+// ErrClosed is the error of a pool whose searcher is gone.
+var ErrClosed = errors.New("the pool is closed")
+
+// Dial opens a connection. It must end when ctx ends.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// Pool is safe for concurrent use.
+type Pool struct {
+	address string
+	dial    Dial
+	// dialed reports the time that opening a connection took.
+	dialed func(took time.Duration)
+
+	mu    sync.Mutex
+	limit int
+	// open counts connections in use, idle or being opened; it stays within limit except after the limit shrank.
+	open    int
+	idle    []*Conn
+	waiting [numRanks][]*waiter
+	closed  bool
+}
+
+// waiter waits for a connection, or for the right to open one (nil).
+type waiter struct {
+	ready chan *Conn
+}
+
+// New returns an empty pool that opens at most limit connections.
+func New(address string, limit int, dial Dial, dialed func(took time.Duration)) *Pool {
+	return &Pool{address: address, limit: max(limit, 1), dial: dial, dialed: dialed}
+}
+
+// SetLimit changes the number of connections.
+func (p *Pool) SetLimit(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = max(limit, 1)
+}
+
+// Busy returns the number of requests that use or wait for a connection.
+func (p *Pool) Busy() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	busy := p.open - len(p.idle)
+	for _, list := range p.waiting {
+		busy += len(list)
+	}
+	return busy
+}
+
+// Get returns a clean connection: an idle one, a new one, or the first that another request returns. Its errors are that of ctx, that
+// of opening a connection, and ErrClosed; no byte was sent then.
+func (p *Pool) Get(ctx context.Context, now time.Time, rank int) (*Conn, error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, ErrClosed
+	}
+	if conn := p.takeIdle(now); conn != nil {
+		p.mu.Unlock()
+		return conn, nil
+	}
+	if p.open < p.limit {
+		p.open++
+		p.mu.Unlock()
+		return p.connect(ctx)
+	}
+	w := &waiter{ready: make(chan *Conn, 1)}
+	rank = min(max(rank, 0), numRanks-1)
+	p.waiting[rank] = append(p.waiting[rank], w)
+	p.mu.Unlock()
+	return p.wait(ctx, w, rank)
+}
+
+func (p *Pool) wait(ctx context.Context, w *waiter, rank int) (*Conn, error) {
+	select {
+	case conn, ok := <-w.ready:
+		if !ok {
+			return nil, ErrClosed
+		}
+		if conn == nil {
+			return p.connect(ctx)
+		}
+		return conn, nil
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case conn, ok := <-w.ready:
+		if ok {
+			// What was handed over meanwhile goes to the next in line.
+			p.release(conn)
+		}
+	default:
+		p.removeWaiter(w, rank)
+	}
+	return nil, ctx.Err()
+}
+
+func (p *Pool) removeWaiter(w *waiter, rank int) {
+	for i, other := range p.waiting[rank] {
+		if other == w {
+			p.waiting[rank] = append(p.waiting[rank][:i], p.waiting[rank][i+1:]...)
+			return
+		}
+	}
+}
+
+// takeIdle returns the idle connection that was used last, so that surplus ones age and close.
+func (p *Pool) takeIdle(now time.Time) *Conn {
+	for len(p.idle) > 0 {
+		conn := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if now.Before(conn.usableUntil) && conn.clean() {
+			conn.reused = true
+			return conn
+		}
+		p.open--
+		closeQuietly(conn)
+	}
+	return nil
+}
+
+func (p *Pool) connect(ctx context.Context) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	started := time.Now()
+	conn, err := p.dial(ctx, p.address)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.handOn()
+		p.mu.Unlock()
+		return nil, err
+	}
+	p.dialed(time.Since(started))
+	return newConn(conn), nil
+}
+
+// Put returns a connection whose reply was read whole. Life is how long the searcher keeps it open, or 0 when it did not say.
+func (p *Pool) Put(conn *Conn, now time.Time, life time.Duration) {
+	if life <= 0 {
+		life = defaultIdle
+	}
+	conn.idleSince = now
+	conn.usableUntil = now.Add(life - min(idleMargin, life/2))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.open > p.limit || conn.reader.Buffered() > 0 {
+		p.discard(conn)
+		return
+	}
+	p.release(conn)
+}
+
+// Discard closes a connection that may not be used again.
+func (p *Pool) Discard(conn *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.discard(conn)
+}
+
+func (p *Pool) discard(conn *Conn) {
+	p.open--
+	closeQuietly(conn)
+	p.handOn()
+}
+
+// release gives a connection to the first waiter or makes it idle. A nil connection is the right to open one.
+func (p *Pool) release(conn *Conn) {
+	if conn == nil {
+		p.open--
+		p.handOn()
+		return
+	}
+	if w := p.nextWaiter(); w != nil {
+		conn.reused = true
+		w.ready <- conn
+		return
+	}
+	if p.closed {
+		p.open--
+		closeQuietly(conn)
+		return
+	}
+	p.idle = append(p.idle, conn)
+}
+
+// handOn gives the right to open a connection to the first waiter.
+func (p *Pool) handOn() {
+	if p.open >= p.limit {
+		return
+	}
+	if w := p.nextWaiter(); w != nil {
+		p.open++
+		w.ready <- nil
+	}
+}
+
+func (p *Pool) nextWaiter() *waiter {
+	for rank := range p.waiting {
+		if len(p.waiting[rank]) > 0 {
+			w := p.waiting[rank][0]
+			p.waiting[rank] = p.waiting[rank][1:]
+			return w
+		}
+	}
+	return nil
+}
+
+// DropIdle closes the idle connections that received nothing since a time. After one connection went silent they may be silent too.
+func (p *Pool) DropIdle(since time.Time) {
+	p.dropIdle(func(conn *Conn) bool { return conn.idleSince.Before(since) })
+}
+
+// Trim closes the idle connections whose life has ended.
+func (p *Pool) Trim(now time.Time) {
+	p.dropIdle(func(conn *Conn) bool { return !now.Before(conn.usableUntil) })
+}
+
+func (p *Pool) dropIdle(drop func(*Conn) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, conn := range p.idle {
+		if drop(conn) {
+			p.open--
+			closeQuietly(conn)
+		} else {
+			kept = append(kept, conn)
+		}
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
+// Close closes the idle connections and refuses further requests. Connections in use are closed when they are returned.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, conn := range p.idle {
+		p.open--
+		closeQuietly(conn)
+	}
+	p.idle = nil
+	for rank := range p.waiting {
+		for _, w := range p.waiting[rank] {
+			close(w.ready)
+		}
+		p.waiting[rank] = nil
+	}
+}
+
+// closeQuietly closes a connection that is given up; an error would only say that it was broken already.
+func closeQuietly(conn *Conn) { _ = conn.Close() }
--- /dev/null
+++ b/internal/relay/engine.go
@@ -0,0 +1,118 @@
+// Package relay runs callers' requests at searchers: it fans a request out over the services that its route names, repeats and hedges
+// attempts within a budget that all nodes share, and answers with one reply or with the merged records of the shards.
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+
+	"github.com/fireflylanding/fireflylanding/internal/budget"
+	"github.com/fireflylanding/fireflylanding/internal/events"
+	"github.com/fireflylanding/fireflylanding/internal/fleet"
+	"github.com/fireflylanding/fireflylanding/internal/quar"
+	"github.com/fireflylanding/fireflylanding/internal/reason"
+	"github.com/fireflylanding/fireflylanding/internal/route"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// Budget bounds the attempts beyond the first of each request, for each service and over all nodes.
+type Budget struct {
+	// Share is the part of the requests to a service, and Allowance the number beyond it, that all nodes together may add within Window.
+	Share     float64
+	Allowance float64
+	Window    time.Duration
+}
+
+// budgetMargin keeps the nodes' sum below the bound while their windows differ.
+const budgetMargin = 0.8
+
+// Engine is safe for concurrent use.
+type Engine struct {
+	codec    Codec
+	budget   Budget
+	grid     *grid
+	marks    *quar.Table
+	logger   *events.Logger
+	counters *reason.Counters
+	clock    func() time.Time
+
+	// windows holds the budget of each service that this node used.
+	windows sync.Map
+	// nodes is the number of nodes that share the budget.
+	nodes    atomic.Int64
+	inFlight atomic.Int64
+	tasks    conc.WaitGroup
+	attempts metrics.Counter
+	hedges   metrics.Counter
+}
+
+// New returns an engine without searchers. Dial opens connections to them.
+func New(codec Codec, b Budget, place Place, marks *quar.Table, dial func(ctx context.Context, address string) (net.Conn, error),
+	logger *events.Logger, counters *reason.Counters, registry metrics.Registry, clock func() time.Time) *Engine {
+	e := &Engine{
+		codec:    codec,
+		budget:   b,
+		grid:     newGrid(place, dial),
+		marks:    marks,
+		logger:   logger,
+		counters: counters,
+		clock:    clock,
+		attempts: metrics.NewRegisteredCounter("relay.attempts", registry),
+		hedges:   metrics.NewRegisteredCounter("relay.hedges", registry),
+	}
+	e.nodes.Store(1)
+	return e
+}
+
+// Update makes the engine use the searchers of a snapshot, with this node's share of their connections.
+func (e *Engine) Update(snapshot *fleet.Snapshot, table *route.Table, nodes Nodes) {
+	e.nodes.Store(int64(max(nodes.Total, 1)))
+	e.grid.update(snapshot, table, nodes)
+}
+
+// Trim closes idle connections whose life has ended.
+func (e *Engine) Trim(now time.Time) { e.grid.trim(now) }
+
+// InFlight returns the number of requests that wait for their answer.
+func (e *Engine) InFlight() int { return int(e.inFlight.Load()) }
+
+// Close closes the connections and waits for the attempts in flight. There must be no request in flight.
+func (e *Engine) Close() {
+	e.grid.close()
+	e.tasks.Wait()
+}
+
+// Serve runs a request and returns its answer, at the latest when the caller's patience or the route's time ends.
+func (e *Engine) Serve(now time.Time, request *Request) Answer {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	f := newFlight(e, now, request)
+	return f.run()
+}
+
+func (e *Engine) window(service string) *budget.Window {
+	if w, ok := e.windows.Load(service); ok {
+		return w.(*budget.Window)
+	}
+	w, _ := e.windows.LoadOrStore(service, budget.NewWindow(e.budget.Window))
+	return w.(*budget.Window)
+}
+
+// extra reports whether the budget allows another attempt at a service, and spends it.
+func (e *Engine) extra(now time.Time, service string) bool {
+	allowance := budgetMargin * e.budget.Allowance / float64(e.nodes.Load())
+	return e.window(service).Extra(now, budgetMargin*e.budget.Share, allowance)
+}
+
+// count records the reason of a failed attempt.
+func (e *Engine) count(r wire.Reason) {
+	if r != wire.Reason_REASON_UNSPECIFIED {
+		e.counters.Add(r)
+	}
+}
--- /dev/null
+++ b/internal/relay/finish.go
@@ -0,0 +1,123 @@
+package relay
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fireflylanding/fireflylanding/internal/route"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// finish ends the attempts in flight and makes the answer.
+func (f *flight) finish(now time.Time) Answer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.done = true
+	last := now.Add(loserTime)
+	if f.gone {
+		last = now
+	}
+	for a := range f.attempts {
+		if !a.part.settled {
+			f.uncertain = true
+		}
+		a.cut(last)
+	}
+	answer := f.answer(now)
+	for i := range f.parts {
+		if passed, ok := answer.(Passed); !ok || passed.Response != f.parts[i].reply.response {
+			f.parts[i].reply.release()
+		}
+	}
+	f.log(now, answer)
+	return answer
+}
+
+func (f *flight) answer(now time.Time) Answer {
+	if f.gone {
+		return f.refused(wire.Reason_REASON_CALLER_GONE)
+	}
+	if target, ok := f.request.Route.Target().(route.Gather); ok {
+		return f.merged(now, target)
+	}
+	return f.passed(now)
+}
+
+// merged returns the answer of a request over shards.
+func (f *flight) merged(now time.Time, target route.Gather) Answer {
+	if !f.enough() {
+		if f.open > 0 && !now.Before(f.deadline.Add(-leastRemaining)) {
+			return f.refused(wire.Reason_REASON_DEADLINE)
+		}
+		return f.refused(wire.Reason_REASON_COVERAGE)
+	}
+	bodies := make([][]byte, 0, f.good)
+	proofs := make([]string, 0, f.good)
+	for i := range f.parts {
+		p := &f.parts[i]
+		if p.settled && p.reason == wire.Reason_REASON_UNSPECIFIED {
+			bodies = append(bodies, p.reply.response.Body())
+			proofs = append(proofs, p.reply.head.Proof)
+		}
+	}
+	return Merged{Records: mergeTop(bodies, target.Top), Proofs: proofs, Missing: len(f.parts) - f.good}
+}
+
+// passed returns the answer of a request to one searcher: its reply, its own failure, or a refusal.
+func (f *flight) passed(now time.Time) Answer {
+	p := &f.parts[0]
+	if !p.settled {
+		return f.refused(wire.Reason_REASON_DEADLINE)
+	}
+	if p.reason == wire.Reason_REASON_UNSPECIFIED || f.passable(p) {
+		return Passed{Response: p.reply.response}
+	}
+	return f.refused(p.reason)
+}
+
+// passable reports whether a searcher's own failure may be passed on. A status that promises that the request did not run may not,
+// unless the searcher said so.
+func (f *flight) passable(p *part) bool {
+	if p.reason != wire.Reason_REASON_SEARCHER_ERROR || p.reply.response == nil || p.reply.head.Proof == "" {
+		return false
+	}
+	switch p.reply.response.StatusCode() {
+	case 408, 421, 429, 503:
+		return false
+	default:
+		return true
+	}
+}
+
+func (f *flight) refused(r wire.Reason) Refused {
+	f.engine.count(r)
+	return Refused{Reason: r, NotRun: !f.uncertain, RetryAfter: retryAfter}
+}
+
+// log writes one line for an answer that is not whole.
+func (f *flight) log(now time.Time, answer Answer) {
+	switch answer := answer.(type) {
+	case Refused:
+		f.engine.logger.Log(wire.Event_EVENT_REQUEST_FAILED, zap.String("request", f.request.ID), zap.String("route", f.request.Route.Name()),
+			zap.Stringer("reason", answer.Reason), zap.Bool("not_run", answer.NotRun), zap.Duration("after", now.Sub(f.started)),
+			zap.Int("shards", len(f.parts)), zap.Int("replied", f.good), zap.Int("open", f.open))
+	case Merged:
+		if answer.Missing > 0 {
+			f.engine.logger.Log(wire.Event_EVENT_ANSWER_PARTIAL, zap.String("request", f.request.ID), zap.String("route", f.request.Route.Name()),
+				zap.Int("missing", answer.Missing), zap.Duration("after", now.Sub(f.started)), zap.Strings("services", f.missing()))
+		}
+	}
+}
+
+// missing returns the services whose replies are not in.
+func (f *flight) missing() []string {
+	var services []string
+	for i := range f.parts {
+		p := &f.parts[i]
+		if !p.settled || p.reason != wire.Reason_REASON_UNSPECIFIED {
+			services = append(services, p.service)
+		}
+	}
+	return services
+}
--- /dev/null
+++ b/internal/relay/flight.go
@@ -0,0 +1,387 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fireflylanding/fireflylanding/internal/health"
+	"github.com/fireflylanding/fireflylanding/internal/route"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+const (
+	// answerMargin is kept between the last moment for an answer and the goal or the deadline, for the way to the caller.
+	answerMargin = 15 * time.Millisecond
+	// gonePoll is how often a running request looks whether its caller is still there.
+	gonePoll = 100 * time.Millisecond
+	// loserTime is how long an attempt may go on after its request was answered, so that its connection can be kept.
+	loserTime = 250 * time.Millisecond
+	// Hedges are sent after a multiple of the expected latency, within a share of the goal.
+	hedgeFactor   = 2.5
+	minHedge      = 12 * time.Millisecond
+	maxHedgeShare = 0.35
+	// hedgePoll is the wait before a hedge that found no better searcher is considered again.
+	hedgePoll = 10 * time.Millisecond
+	// refusedExtra is the number of attempts beyond the route's that may be refused without having run.
+	refusedExtra = 2
+	// retryAfter is what callers are told to wait after a refusal.
+	retryAfter = 50 * time.Millisecond
+)
+
+// part is one service's share of a request.
+type part struct {
+	service string
+	// tried lists the stations that got an attempt.
+	tried []*station
+	// ran is the number of attempts that may have run, and sent that of all.
+	ran      int
+	sent     int
+	inFlight int
+	hedgeAt  time.Time
+	settled  bool
+	reason   wire.Reason
+	reply    result
+}
+
+// flight is one request on its way. Its fields are guarded by mu, since replies settle parts from their own goroutines.
+type flight struct {
+	engine   *Engine
+	request  *Request
+	started  time.Time
+	deadline time.Time
+	// cutAt is when an answer of the least coverage is sent without waiting for the other shards.
+	cutAt time.Time
+	least float64
+	ctx   context.Context
+	end   context.CancelFunc
+	// signal wakes the request's goroutine up.
+	signal chan struct{}
+
+	mu    sync.Mutex
+	parts []part
+	// open is the number of parts that are not settled, good that of parts with a reply.
+	open     int
+	good     int
+	attempts map[*attempt]struct{}
+	done     bool
+	// uncertain is set once a searcher may have run a part without a reply that is used.
+	uncertain bool
+	gone      bool
+}
+
+func newFlight(e *Engine, now time.Time, request *Request) *flight {
+	terms := request.Route.Terms()
+	patience := terms.Timeout
+	if request.Patience > 0 && request.Patience < patience {
+		patience = request.Patience
+	}
+	f := &flight{
+		engine:   e,
+		request:  request,
+		started:  now,
+		deadline: now.Add(patience),
+		least:    1,
+		signal:   make(chan struct{}, 1),
+		attempts: make(map[*attempt]struct{}),
+	}
+	f.cutAt = f.deadline
+	f.ctx, f.end = context.WithCancel(context.Background())
+	switch target := request.Route.Target().(type) {
+	case route.Gather:
+		f.least = target.LeastShare
+		f.cutAt = now.Add(terms.Goal - answerMargin)
+		f.parts = make([]part, len(target.Shards))
+		for i, shard := range target.Shards {
+			f.parts[i].service = shard
+		}
+	default:
+		service, _ := request.Route.Next()
+		f.parts = []part{{service: service}}
+	}
+	f.open = len(f.parts)
+	return f
+}
+
+// run sends the request and returns its answer.
+func (f *flight) run() Answer {
+	defer f.end()
+	f.mu.Lock()
+	for i := range f.parts {
+		f.engine.window(f.parts[i].service).First(f.started)
+		f.start(f.started, &f.parts[i], false)
+	}
+	f.mu.Unlock()
+	timer := time.NewTimer(gonePoll)
+	defer timer.Stop()
+	for {
+		now := f.engine.clock()
+		next, over := f.advance(now)
+		if over {
+			return f.finish(now)
+		}
+		timer.Reset(max(next.Sub(now), 0))
+		select {
+		case <-f.signal:
+		case <-timer.C:
+		}
+	}
+}
+
+// advance does what is due and returns when to look again, or that the request is over.
+func (f *flight) advance(now time.Time) (time.Time, bool) {
+	if f.request.Route.Terms().Idempotent && now.Sub(f.started) >= gonePoll && f.request.Gone() {
+		f.mu.Lock()
+		f.gone = true
+		f.mu.Unlock()
+		return now, true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.over(now) {
+		return now, true
+	}
+	next := f.deadline.Add(-leastRemaining)
+	if f.cutAt.After(now) && f.cutAt.Before(next) {
+		next = f.cutAt
+	}
+	if poll := now.Add(gonePoll); poll.Before(next) {
+		next = poll
+	}
+	for i := range f.parts {
+		p := &f.parts[i]
+		if p.settled || p.inFlight != 1 || p.hedgeAt.IsZero() {
+			continue
+		}
+		if !now.Before(p.hedgeAt) {
+			f.hedge(now, p)
+		}
+		if !p.hedgeAt.IsZero() && p.hedgeAt.Before(next) {
+			next = p.hedgeAt
+		}
+	}
+	return next, f.over(now)
+}
+
+// over reports whether the answer is to be sent now.
+func (f *flight) over(now time.Time) bool {
+	if f.open == 0 || !now.Before(f.deadline.Add(-leastRemaining)) {
+		return true
+	}
+	if !f.reachable() {
+		return true
+	}
+	return !now.Before(f.cutAt) && f.enough()
+}
+
+// enough reports whether the replies make up the least coverage.
+func (f *flight) enough() bool {
+	return f.good > 0 && float64(f.good) >= f.least*float64(len(f.parts))
+}
+
+// reachable reports whether the least coverage can still be reached.
+func (f *flight) reachable() bool {
+	return float64(f.good+f.open) >= f.least*float64(len(f.parts))
+}
+
+// start sends the next attempt of a part, or settles the part when there is nowhere to send it.
+func (f *flight) start(now time.Time, p *part, hedge bool) bool {
+	chosen, ok := f.engine.grid.choose(now, p.service, p.triedStation)
+	if !ok {
+		if p.inFlight == 0 {
+			f.settle(p, lastReason(p))
+		}
+		return false
+	}
+	f.launch(now, p, chosen, hedge)
+	return true
+}
+
+func lastReason(p *part) wire.Reason {
+	if p.reason != wire.Reason_REASON_UNSPECIFIED {
+		return p.reason
+	}
+	return wire.Reason_REASON_NO_REPLICA
+}
+
+func (p *part) triedStation(s *station) bool {
+	for _, tried := range p.tried {
+		if tried == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *flight) launch(now time.Time, p *part, chosen choice, hedge bool) {
+	a := &attempt{part: p, station: chosen.station, sentAt: now, deadline: f.deadline, ends: f.deadline, hedge: hedge}
+	a.ticket = chosen.station.track.Begin(now)
+	p.tried = append(p.tried, chosen.station)
+	p.sent++
+	p.inFlight++
+	p.hedgeAt = time.Time{}
+	if f.mayHedge(p) {
+		p.hedgeAt = now.Add(f.hedgeDelay(chosen))
+	}
+	f.attempts[a] = struct{}{}
+	f.engine.attempts.Inc(1)
+	f.engine.tasks.Go(func() { f.ended(a, f.engine.perform(f.ctx, a, f.request)) })
+}
+
+func (f *flight) mayHedge(p *part) bool {
+	terms := f.request.Route.Terms()
+	return terms.Idempotent && p.inFlight == 1 && p.sent < terms.MaxAttempts
+}
+
+// hedgeDelay returns the wait for a reply after which a second searcher is worth its cost.
+func (f *flight) hedgeDelay(chosen choice) time.Duration {
+	expected := min(time.Duration(float64(chosen.cost)*hedgeFactor), time.Duration(float64(f.request.Route.Terms().Goal)*maxHedgeShare))
+	return max(expected, minHedge)
+}
+
+// hedge sends a second attempt for a part when a searcher that replies is at hand and the budget allows it.
+func (f *flight) hedge(now time.Time, p *part) {
+	chosen, ok := f.engine.grid.choose(now, p.service, p.triedStation)
+	if !ok {
+		p.hedgeAt = time.Time{}
+		return
+	}
+	if now.Add(chosen.cost).After(f.deadline) {
+		p.hedgeAt = now.Add(hedgePoll)
+		return
+	}
+	if !f.engine.extra(now, p.service) {
+		f.engine.count(wire.Reason_REASON_HEDGE_BUDGET)
+		p.hedgeAt = now.Add(hedgePoll)
+		return
+	}
+	f.engine.count(wire.Reason_REASON_HEDGE)
+	f.engine.hedges.Inc(1)
+	f.launch(now, p, chosen, true)
+	p.hedgeAt = time.Time{}
+}
+
+// ended takes in the result of an attempt.
+func (f *flight) ended(a *attempt, r result) {
+	now := f.engine.clock()
+	a.station.track.End(now, a.ticket, outcome(r))
+	if r.reason == wire.Reason_REASON_WRONG_SEARCHER {
+		a.station.replaced.Store(true)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.attempts, a)
+	p := a.part
+	p.inFlight--
+	if !r.notRun() {
+		p.ran++
+	}
+	if f.done || p.settled {
+		r.release()
+		return
+	}
+	if r.reason == wire.Reason_REASON_UNSPECIFIED {
+		p.reply = r
+		f.settle(p, wire.Reason_REASON_UNSPECIFIED)
+		f.cutPart(now, p)
+		return
+	}
+	f.failed(now, a, r)
+}
+
+// outcome tells the searcher's record how an attempt ended.
+func outcome(r result) health.Outcome {
+	switch r.reason {
+	case wire.Reason_REASON_UNSPECIFIED:
+		return health.Replied{}
+	case wire.Reason_REASON_SEARCHER_SHED:
+		return health.Shed{}
+	case wire.Reason_REASON_CANCELLED, wire.Reason_REASON_EXPIRED, wire.Reason_REASON_CONNECTION_SILENT:
+		return health.Abandoned{}
+	case wire.Reason_REASON_CONNECT_FAILED, wire.Reason_REASON_WRONG_SEARCHER:
+		return health.Unreachable{}
+	default:
+		return health.Failed{}
+	}
+}
+
+// failed decides what follows a failed attempt of an open part.
+func (f *flight) failed(now time.Time, a *attempt, r result) {
+	p := a.part
+	f.engine.count(r.reason)
+	f.uncertain = f.uncertain || !r.notRun()
+	p.reason = r.reason
+	f.engine.logger.Log(wire.Event_EVENT_ATTEMPT_FAILED, zap.String("request", f.request.ID), zap.String("searcher", a.station.searcher.ID()),
+		zap.Stringer("reason", r.reason), zap.Bool("not_run", r.notRun()), zap.Duration("after", now.Sub(a.sentAt)))
+	// The last failure is kept, since it is passed on when no attempt succeeds.
+	p.reply.release()
+	p.reply = r
+	if p.inFlight > 0 {
+		return
+	}
+	if f.mayRetry(now, p, r) {
+		f.start(now, p, false)
+		f.wake()
+		return
+	}
+	f.settle(p, r.reason)
+}
+
+// mayRetry reports whether a part may go to another searcher after a failure, and spends the budget for it.
+func (f *flight) mayRetry(now time.Time, p *part, r result) bool {
+	terms := f.request.Route.Terms()
+	if !terms.Idempotent && p.ran > 0 {
+		f.engine.count(wire.Reason_REASON_RETRY_UNSAFE)
+		return false
+	}
+	if p.ran >= terms.MaxAttempts || p.sent >= terms.MaxAttempts+refusedExtra {
+		f.engine.count(wire.Reason_REASON_RETRY_ATTEMPTS)
+		return false
+	}
+	if f.deadline.Sub(now) < answerMargin {
+		f.engine.count(wire.Reason_REASON_RETRY_NO_TIME)
+		return false
+	}
+	if r.sent && !f.engine.extra(now, p.service) {
+		f.engine.count(wire.Reason_REASON_RETRY_BUDGET)
+		return false
+	}
+	return true
+}
+
+// settle ends a part, with a reply when the reason is unspecified.
+func (f *flight) settle(p *part, r wire.Reason) {
+	if p.settled {
+		return
+	}
+	p.settled = true
+	p.reason = r
+	f.open--
+	if r == wire.Reason_REASON_UNSPECIFIED {
+		f.good++
+	}
+	if f.open == 0 || !f.reachable() || (f.enough() && !f.engine.clock().Before(f.cutAt)) {
+		f.wake()
+	}
+}
+
+func (f *flight) wake() {
+	select {
+	case f.signal <- struct{}{}:
+	default:
+	}
+}
+
+// cutPart gives the other attempts of a settled part a last moment.
+func (f *flight) cutPart(now time.Time, p *part) {
+	if p.inFlight == 0 {
+		return
+	}
+	for a := range f.attempts {
+		if a.part == p {
+			a.cut(now.Add(loserTime))
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/table.go
@@ -0,0 +1,119 @@
+// Package route holds the operator's routes as one immutable table: which requests go to which services, and within which limits.
+package route
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	// MaxHeaderBytes and MaxBodyBytes are the greatest sizes of a request's head and body.
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	// HeaderTimeout is the time that a caller may take to send a head, IdleTimeout that between two requests.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Service is a group of searchers that answer alike. A shard is a service of its own.
+type Service struct {
+	name       string
+	healthPath string
+	maxConns   int
+}
+
+// NewService returns a service whose searchers accept maxConns connections each from all callers together.
+func NewService(name, healthPath string, maxConns int) Service {
+	return Service{name: name, healthPath: healthPath, maxConns: maxConns}
+}
+
+// Name returns the name that searchers register under.
+func (s Service) Name() string { return s.name }
+
+// HealthPath returns the path of the searchers' health check.
+func (s Service) HealthPath() string { return s.healthPath }
+
+// MaxConns returns the number of connections that a searcher accepts from all nodes together.
+func (s Service) MaxConns() int { return s.maxConns }
+
+// Table is an immutable version of the routes.
+type Table struct {
+	version  uint64
+	routes   []*Route
+	byPrefix map[string]map[string]*Route
+	services map[string]Service
+	limits   Limits
+}
+
+// New returns a table. It fails on two routes with the same host and prefix, and on a route to a service that is not listed.
+func New(version uint64, routes []*Route, services []Service, limits Limits) (*Table, error) {
+	t := &Table{
+		version:  version,
+		routes:   routes,
+		byPrefix: make(map[string]map[string]*Route),
+		services: make(map[string]Service, len(services)),
+		limits:   limits,
+	}
+	for _, service := range services {
+		t.services[service.name] = service
+	}
+	for _, r := range routes {
+		for _, service := range r.Services() {
+			if _, ok := t.services[service]; !ok {
+				return nil, errors.Newf("route %q: service %q is not listed", r.name, service)
+			}
+		}
+		prefixes := t.byPrefix[r.host]
+		if prefixes == nil {
+			prefixes = make(map[string]*Route)
+			t.byPrefix[r.host] = prefixes
+		}
+		if _, ok := prefixes[r.prefix]; ok {
+			return nil, errors.Newf("route %q: host %q and prefix %q stand twice", r.name, r.host, r.prefix)
+		}
+		prefixes[r.prefix] = r
+	}
+	return t, nil
+}
+
+// Version returns the operator's version of the table.
+func (t *Table) Version() uint64 { return t.version }
+
+// Routes returns all routes. The caller must not change the result.
+func (t *Table) Routes() []*Route { return t.routes }
+
+// Limits returns the bounds for callers.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Service returns a service by name.
+func (t *Table) Service(name string) (Service, bool) {
+	service, ok := t.services[name]
+	return service, ok
+}
+
+// ServiceNames returns the names of all services.
+func (t *Table) ServiceNames() []string {
+	names := make([]string, 0, len(t.services))
+	for name := range t.services {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Find returns the route of a host with the longest prefix that begins the path.
+func (t *Table) Find(host, path string) (*Route, bool) {
+	prefixes := t.byPrefix[host]
+	if prefixes == nil {
+		return nil, false
+	}
+	path, _, _ = strings.Cut(path, "?")
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, ok := prefixes[path[:end+1]]; ok {
+			return r, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/tier/settings.go
@@ -0,0 +1,64 @@
+package tier
+
+import (
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Settings of a node whose routes and searchers come from a source.
+type Settings struct {
+	// Node is the name of the VM.
+	Node   string
+	Zone   string
+	Region string
+	// Regions maps each availability zone to its region.
+	Regions map[string]string
+
+	// Addresses to listen on: IP address and port.
+	CallerAddress    string
+	ReadyAddress     string
+	DirectoryAddress string
+	PeerAddress      string
+	// Seeds are peer addresses of some nodes; any of them may be stale.
+	Seeds        []string
+	StoreAddress string
+
+	Cores       int
+	MemoryBytes int64
+	// StopTime is the time from SIGTERM until the process is killed.
+	StopTime time.Duration
+	// DirectoryValid is the longest time that callers keep an answer of the directory.
+	DirectoryValid time.Duration
+	// All nodes together may send ExtraShare of the requests to a service, plus ExtraAllowance, as repeats within ExtraWindow.
+	ExtraShare     float64
+	ExtraAllowance float64
+	ExtraWindow    time.Duration
+}
+
+// Validate reports the first setting that cannot be used.
+func (s Settings) Validate() error {
+	for name, address := range map[string]string{
+		"caller address":    s.CallerAddress,
+		"ready address":     s.ReadyAddress,
+		"directory address": s.DirectoryAddress,
+		"peer address":      s.PeerAddress,
+		"store address":     s.StoreAddress,
+	} {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return errors.Wrap(err, name)
+		}
+	}
+	switch {
+	case s.Node == "" || s.Zone == "" || s.Region == "":
+		return errors.New("node, zone or region is missing")
+	case s.Regions[s.Zone] != s.Region:
+		return errors.Newf("zone %q is not listed in region %q", s.Zone, s.Region)
+	case s.StopTime <= 0 || s.DirectoryValid <= 0 || s.ExtraWindow <= 0:
+		return errors.New("a time is not positive")
+	case s.ExtraShare < 0 || s.ExtraAllowance < 0 || s.MemoryBytes < 0 || s.Cores < 0:
+		return errors.New("a bound is negative")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tier/tier.go
@@ -0,0 +1,227 @@
+// Package tier assembles one node that serves callers from the routes and searchers of the platform: it finds the other nodes, follows
+// the source, and runs from start to graceful shutdown.
+package tier
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v3"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/fireflylanding/fireflylanding/internal/certs"
+	"github.com/fireflylanding/fireflylanding/internal/edge"
+	"github.com/fireflylanding/fireflylanding/internal/events"
+	"github.com/fireflylanding/fireflylanding/internal/fleet"
+	"github.com/fireflylanding/fireflylanding/internal/follow"
+	"github.com/fireflylanding/fireflylanding/internal/peer"
+	"github.com/fireflylanding/fireflylanding/internal/quar"
+	"github.com/fireflylanding/fireflylanding/internal/reason"
+	"github.com/fireflylanding/fireflylanding/internal/relay"
+	"github.com/fireflylanding/fireflylanding/internal/roster"
+	"github.com/fireflylanding/fireflylanding/internal/wake"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// Guide is what the platform's calls ask a node.
+type Guide interface {
+	// Offer returns the caller addresses for a caller in a zone and how long they may be kept; none when no node is known to be ready.
+	Offer(region, zone string) ([]string, time.Duration)
+	// Ready reports whether the node takes new callers.
+	Ready() bool
+}
+
+// Adapter is the platform as the node sees it.
+type Adapter struct {
+	Source follow.Source
+	Codec  edge.Codec
+	// Directory and Checks answer the platform's calls.
+	Directory func(Guide) *fiber.App
+	Checks    func(Guide) *fiber.App
+}
+
+// memoryShare of the machine's memory is the target of the garbage collector; the rest is for stacks, sockets and the C library.
+const memoryShare = 0.6
+
+// Tier is one process of the system.
+type Tier struct {
+	settings atomic.Pointer[Settings]
+	adapter  Adapter
+	logger   *events.Logger
+	clock    func() time.Time
+	registry metrics.Registry
+	counters *reason.Counters
+
+	fleet    *fleet.Registry
+	follower *follow.Follower
+	roster   *roster.Roster
+	engine   *relay.Engine
+	edge     *edge.Server
+	peers    *peer.Transport
+	detector *wake.Detector
+	sockets  sockets
+	// stopping is set once SIGTERM came, refusing once no request is taken any more.
+	stopping atomic.Bool
+	refusing atomic.Bool
+	ready    atomic.Bool
+}
+
+type sockets struct {
+	callers   net.Listener
+	checks    net.Listener
+	directory net.Listener
+	peers     net.PacketConn
+}
+
+// New returns a node with its sockets open; Run starts it.
+func New(settings Settings, adapter Adapter, logger *events.Logger, clock func() time.Time) (*Tier, error) {
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
+	t := &Tier{
+		adapter:  adapter,
+		logger:   logger.With(zap.String("node", settings.Node)),
+		clock:    clock,
+		registry: metrics.NewRegistry(),
+		fleet:    fleet.New(),
+		detector: wake.New(wake.Settings{Expected: tickInterval}),
+	}
+	t.settings.Store(&settings)
+	t.counters = reason.NewCounters(t.registry, "reasons")
+	t.roster = roster.New(roster.State{
+		ID:            settings.Node,
+		Region:        settings.Region,
+		Zone:          settings.Zone,
+		CallerAddress: settings.CallerAddress,
+		PeerAddress:   settings.PeerAddress,
+		Generation:    uint64(clock().UnixMilli()),
+	}, roster.Settings{})
+	extra := relay.Budget{Share: settings.ExtraShare, Allowance: settings.ExtraAllowance, Window: settings.ExtraWindow}
+	place := relay.Place{Zone: settings.Zone, Region: settings.Region, Regions: settings.Regions}
+	t.engine = relay.New(adapter.Codec, extra, place, quar.New(quar.Settings{}), dial, t.logger, t.counters, t.registry, clock)
+	t.follower = follow.New(adapter.Source, t.fleet, t.rebuild, t.logger, clock)
+	t.edge = edge.New(t.engine, adapter.Codec, edge.Sources{
+		Table:   t.follower.Table,
+		Gate:    t.gate,
+		Leaving: t.stopping.Load,
+		Clock:   clock,
+	}, t.logger, t.counters)
+	if err := t.open(settings); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// open opens the sockets and the transport between nodes.
+func (t *Tier) open(s Settings) error {
+	var err error
+	if t.sockets.callers, err = net.Listen("tcp", s.CallerAddress); err != nil {
+		return errors.Wrap(err, "caller address")
+	}
+	if t.sockets.checks, err = net.Listen("tcp", s.ReadyAddress); err != nil {
+		return errors.Wrap(err, "ready address")
+	}
+	if t.sockets.directory, err = net.Listen("tcp", s.DirectoryAddress); err != nil {
+		return errors.Wrap(err, "directory address")
+	}
+	if t.sockets.peers, err = net.ListenPacket("udp", s.PeerAddress); err != nil {
+		return errors.Wrap(err, "peer address")
+	}
+	var keys *certs.Keys
+	if keys, err = certs.Development(t.logger, t.clock); err != nil {
+		return err
+	}
+	t.peers, err = peer.New(t.sockets.peers, keys.Server(), keys.Client(), t.logger, t.registry)
+	return err
+}
+
+// Keep-alive probes show a connection that went silent.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: keepAlive}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// Offer is part of Guide.
+func (t *Tier) Offer(region, zone string) ([]string, time.Duration) {
+	return t.roster.Offer(t.clock(), region, zone), min(directoryValid, t.settings.Load().DirectoryValid)
+}
+
+// Ready is part of Guide.
+func (t *Tier) Ready() bool { return t.ready.Load() && !t.stopping.Load() }
+
+// gate refuses requests before the first routes and after the end of service.
+func (t *Tier) gate() *reason.Refusal {
+	switch {
+	case t.refusing.Load():
+		return reason.New(wire.Reason_REASON_STOPPING, "")
+	case !t.ready.Load():
+		return reason.New(wire.Reason_REASON_NOT_READY, "")
+	default:
+		return nil
+	}
+}
+
+// Apply puts changed settings in force. Addresses to listen on change with the next start only.
+func (t *Tier) Apply(settings Settings) error {
+	if err := settings.Validate(); err != nil {
+		return err
+	}
+	t.settings.Store(&settings)
+	return nil
+}
+
+// Run serves until stop ends, then shuts down gracefully. It returns the number of requests that were cut off.
+func (t *Tier) Run(stop context.Context) int {
+	s := t.settings.Load()
+	if s.Cores > 0 {
+		runtime.GOMAXPROCS(s.Cores)
+	}
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	t.logger.Log(wire.Event_EVENT_NODE_STARTED, zap.Uint64("generation", t.roster.Self().Generation))
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
+	directory, checks := t.adapter.Directory(t), t.adapter.Checks(t)
+	var tasks, listeners conc.WaitGroup
+	tasks.Go(func() { t.peers.Serve(ctx, handler{tier: t}) })
+	tasks.Go(func() { t.follower.Run(ctx) })
+	tasks.Go(func() { t.maintain(ctx) })
+	tasks.Go(func() { t.greet(ctx) })
+	listeners.Go(func() { t.report("callers", t.edge.Serve(t.sockets.callers)) })
+	listeners.Go(func() { t.report("directory", directory.Listener(t.sockets.directory, listenConfig)) })
+	listeners.Go(func() { t.report("checks", checks.Listener(t.sockets.checks, listenConfig)) })
+	<-stop.Done()
+	cut := t.shutdown()
+	cancel()
+	t.closeSockets()
+	tasks.Wait()
+	t.logger.Log(wire.Event_EVENT_STOP_DONE, zap.Int("cut", cut))
+	return cut
+}
+
+var listenConfig = fiber.ListenConfig{DisableStartupMessage: true}
+
+func (t *Tier) report(name string, err error) {
+	if err != nil && !t.stopping.Load() {
+		t.logger.Log(wire.Event_EVENT_LISTENER_FAILED, zap.String("listener", name), zap.Error(err))
+	}
+}
+
+// closeSockets ends all listeners; the process is about to end.
+func (t *Tier) closeSockets() {
+	_ = t.sockets.callers.Close()
+	_ = t.sockets.checks.Close()
+	_ = t.sockets.directory.Close()
+	_ = t.peers.Close()
+	_ = t.sockets.peers.Close()
+}
