--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -121,8 +121,10 @@
 	if table == nil {
 		return s.refuse(wire.Reason_REASON_NOT_READY)
 	}
-	limits := table.Limits()
-	if id == "" || len(ctx.Request.Header.Header()) > limits.MaxHeaderBytes || len(ctx.Request.Body()) > limits.MaxBodyBytes {
+	if r := exceeded(&ctx.Request, table.Limits()); r != wire.Reason_REASON_UNSPECIFIED {
+		return s.refuse(r)
+	}
+	if id == "" {
 		return s.refuse(wire.Reason_REASON_BAD_REQUEST)
 	}
 	found, ok := table.Find(string(ctx.Request.Header.Host()), string(ctx.Request.Header.RequestURI()))
@@ -141,6 +143,18 @@
 	})
 }
 
+// exceeded returns which limit of the operator a request breaks, or REASON_UNSPECIFIED.
+func exceeded(request *fasthttp.Request, limits route.Limits) wire.Reason {
+	switch {
+	case len(request.Header.Header()) > limits.MaxHeaderBytes:
+		return wire.Reason_REASON_HEAD_TOO_LARGE
+	case len(request.Body()) > limits.MaxBodyBytes:
+		return wire.Reason_REASON_BODY_TOO_LARGE
+	default:
+		return wire.Reason_REASON_UNSPECIFIED
+	}
+}
+
 func gone(c net.Conn) func() bool {
 	if watched, ok := c.(*conn); ok {
 		return watched.gone
@@ -185,6 +199,10 @@
 		return fasthttp.StatusBadRequest
 	case wire.Reason_REASON_ROUTE_UNKNOWN:
 		return fasthttp.StatusNotFound
+	case wire.Reason_REASON_HEAD_TOO_LARGE:
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
+	case wire.Reason_REASON_BODY_TOO_LARGE:
+		return fasthttp.StatusRequestEntityTooLarge
 	}
 	switch {
 	case refused.NotRun:
--- /dev/null
+++ b/internal/fleet/registry_test.go
@@ -0,0 +1,88 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func searcher(id, address string, revision uint64, leaving bool) *Searcher {
+	return NewSearcher(id, "s", address, "z", 2, leaving, 1, revision)
+}
+
+func ids(s *Snapshot) []string {
+	got := []string{}
+	for _, searcher := range s.Service("s") {
+		got = append(got, searcher.ID())
+	}
+	return got
+}
+
+// Guards against use of searchers that leave, are gone, or whose address belongs to another by now.
+func TestSnapshot(t *testing.T) {
+	tests := map[string]struct {
+		apply func(r *Registry)
+		want  []string
+	}{
+		"ready":                      {apply: func(*Registry) {}, want: []string{"a", "b"}},
+		"leaving":                    {apply: func(r *Registry) { r.Apply(start, []*Searcher{searcher("a", "1", 5, true)}, nil) }, want: []string{"b"}},
+		"gone":                       {apply: func(r *Registry) { r.Apply(start, nil, []string{"a"}) }, want: []string{"b"}},
+		"older registration is late": {apply: func(r *Registry) { r.Apply(start, []*Searcher{searcher("a", "1", 1, true)}, nil) }, want: []string{"a", "b"}},
+		"address taken over":         {apply: func(r *Registry) { r.Apply(start, []*Searcher{searcher("c", "1", 9, false)}, nil) }, want: []string{"b", "c"}},
+		"missing from a listing":     {apply: func(r *Registry) { r.Replace(start, []*Searcher{searcher("b", "2", 3, false)}) }, want: []string{"b"}},
+		"gone, then seen": {apply: func(r *Registry) {
+			r.Apply(start, nil, []string{"a"})
+			r.Apply(start, []*Searcher{searcher("a", "1", 7, false)}, nil)
+		}, want: []string{"a", "b"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := New()
+			r.Replace(start, []*Searcher{searcher("a", "1", 2, false), searcher("b", "2", 3, false)})
+			test.apply(r)
+			if got := ids(r.Snapshot()); !slices.Equal(got, test.want) {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against dropping living searchers that could not renew their registration while the platform was away, and against keeping
+// dead ones for good.
+func TestRemovalInDoubt(t *testing.T) {
+	tests := map[string]struct {
+		returns bool
+		after   time.Duration
+		want    []string
+	}{
+		"soon after":           {after: time.Second, want: []string{"a", "b"}},
+		"later, still missing": {after: 3 * time.Second, want: []string{"b"}},
+		"later, came back":     {returns: true, after: 3 * time.Second, want: []string{"a", "b"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := New()
+			r.Replace(start, []*Searcher{searcher("a", "1", 2, false), searcher("b", "2", 3, false)})
+			r.Doubt(start.Add(2 * time.Second))
+			r.Apply(start, nil, []string{"a"})
+			if test.returns {
+				r.Apply(start.Add(time.Second), []*Searcher{searcher("a", "1", 8, false)}, nil)
+			}
+			r.Expire(start.Add(test.after))
+			if got := ids(r.Snapshot()); !slices.Equal(got, test.want) {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against taking a restarted searcher under its old id for the old process.
+func TestKeyTellsLifetimesApart(t *testing.T) {
+	first := NewSearcher("a", "s", "1", "z", 2, false, 1, 2)
+	second := NewSearcher("a", "s", "1", "z", 2, false, 2, 3)
+	if first.Key() == second.Key() {
+		t.Errorf("got the same key %v for two processes, want two", first.Key())
+	}
+}
--- a/rules_test.go
+++ b/rules_test.go
@@ -128,3 +128,27 @@
 	}
 	return false
 }
+
+// platformNames are names of the platform that stand for nothing else. The adapter alone may know them.
+var platformNames = regexp.MustCompile(`X-Request-Id|X-Deadline-Ms|X-Server-Stamp|X-Expect-Instance|X-Not-Executed|X-Instance-Id|X-Shard-Stamps|` +
+	`X-Shards-Missing|/v1/(kv-key|kv-range|kv-watch|resolve|ready)\b|op/config|"servers/|latency_goal_ms|max_attempts|min_coverage|top_k|` +
+	`warmup_left_ms|node_name|machine_class|internal_ports|config_apply_ms|retry_slack|contact_ms|grace_s|ttl_max_s|as_of|has_more|` +
+	`allow_stale|wait_ms|FIREFLYLANDING_SETTINGS`)
+
+// Guards against names of the platform that spread from the adapter into the product.
+func TestPlatformNamesStayInTheAdapter(t *testing.T) {
+	var adapter int
+	for path, text := range sourceFiles(t) {
+		found := platformNames.FindAllString(text, -1)
+		if strings.HasPrefix(path, "platform/") {
+			adapter += len(found)
+			continue
+		}
+		if len(found) > 0 {
+			t.Errorf("%s: got %q, want none outside platform/", path, found)
+		}
+	}
+	if adapter == 0 {
+		t.Error("got no name of the platform in platform/, want the pattern to match there")
+	}
+}
