Follow the store by few readers, gossip coarsely between regions, and keep few nodes of a zone active

Ruled out: traffic of requests itself (15 MB remain with the same 92,800 sub-requests). Change: two readers a region, entries pulled by the others; tables within a region, coarse states between regions; callers are sent to the first nodes of a zone whose processors carry its load; a connection is opened in advance to each searcher. A first try left a stopping node without its share of connections, found by TestGracefulStop.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -117,23 +117,6 @@
 	r.publish()
 }
 
-// Replace makes the registry hold exactly the searchers of a complete listing.
-func (r *Registry) Replace(now time.Time, all []*Searcher) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	listed := make(map[string]bool, len(all))
-	for _, s := range all {
-		listed[s.id] = true
-		r.enter(s)
-	}
-	for id := range r.byID {
-		if !listed[id] {
-			r.remove(now, id)
-		}
-	}
-	r.publish()
-}
-
 func (r *Registry) enter(s *Searcher) {
 	if known, ok := r.byID[s.id]; ok && known.revision > s.revision {
 		return
--- /dev/null
+++ b/internal/follow/entries.go
@@ -0,0 +1,121 @@
+package follow
+
+import (
+	"slices"
+	"time"
+)
+
+// Entry is an entry of the source as it was read, or the note that it was removed.
+type Entry struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	Removed  bool
+}
+
+// Batch is a set of entries up to a revision of the source. A complete batch lists all that there are.
+type Batch struct {
+	Entries  []Entry
+	Revision uint64
+	Complete bool
+}
+
+// maxRemoved is the number of removals that are remembered for other nodes. A node that lacks an older one gets everything.
+const maxRemoved = 4096
+
+// entries is a copy of the source's entries. It never goes back: of two entries with one key the later counts.
+type entries struct {
+	byKey map[string]Entry
+	// removed holds the removed keys in the order of their revisions; those up to floor are forgotten.
+	removed  []Entry
+	floor    uint64
+	revision uint64
+	// currentAt is the latest time at which the source was known to have nothing later.
+	currentAt time.Time
+}
+
+func newEntries() *entries { return &entries{byKey: make(map[string]Entry)} }
+
+// merge takes in a batch and returns the entries that it changed.
+func (e *entries) merge(batch Batch) []Entry {
+	var changed []Entry
+	listed := make(map[string]bool)
+	for _, entry := range batch.Entries {
+		listed[entry.Key] = true
+		if e.enter(entry) {
+			changed = append(changed, entry)
+		}
+	}
+	if batch.Complete {
+		for key, known := range e.byKey {
+			if listed[key] || known.Revision > batch.Revision {
+				continue
+			}
+			gone := Entry{Key: key, Revision: batch.Revision, Removed: true}
+			e.enter(gone)
+			changed = append(changed, gone)
+		}
+	}
+	e.revision = max(e.revision, batch.Revision)
+	return changed
+}
+
+// enter stores an entry unless a later one is known, and reports whether it did.
+func (e *entries) enter(entry Entry) bool {
+	known, ok := e.byKey[entry.Key]
+	if ok && known.Revision >= entry.Revision {
+		return false
+	}
+	if !entry.Removed {
+		if e.removedSince(entry) {
+			return false
+		}
+		e.byKey[entry.Key] = entry
+		return true
+	}
+	if !ok {
+		return false
+	}
+	delete(e.byKey, entry.Key)
+	e.removed = append(e.removed, entry)
+	if len(e.removed) > maxRemoved {
+		e.floor = max(e.floor, e.removed[0].Revision)
+		e.removed = slices.Delete(e.removed, 0, 1)
+	}
+	return true
+}
+
+// removedSince reports whether the key was removed after an entry was written.
+func (e *entries) removedSince(entry Entry) bool {
+	for i := len(e.removed) - 1; i >= 0; i-- {
+		if e.removed[i].Key == entry.Key {
+			return e.removed[i].Revision >= entry.Revision
+		}
+	}
+	return false
+}
+
+// after returns what changed after a revision, or everything when the removals since are not all remembered.
+func (e *entries) after(revision uint64) Batch {
+	batch := Batch{Revision: e.revision, Complete: revision == 0 || revision < e.floor}
+	for _, entry := range e.byKey {
+		if batch.Complete || entry.Revision > revision {
+			batch.Entries = append(batch.Entries, entry)
+		}
+	}
+	if !batch.Complete {
+		for _, entry := range e.removed {
+			if entry.Revision > revision {
+				batch.Entries = append(batch.Entries, entry)
+			}
+		}
+	}
+	return batch
+}
+
+// confirm records that the source had nothing after the present revision at a time.
+func (e *entries) confirm(at time.Time) {
+	if at.After(e.currentAt) {
+		e.currentAt = at
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -162,6 +162,27 @@
 	return newConn(conn), nil
 }
 
+// Empty reports whether the pool has no connection, nor one being opened.
+func (p *Pool) Empty() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open == 0 && !p.closed
+}
+
+// Warm opens a connection in advance if the pool has none.
+func (p *Pool) Warm(ctx context.Context) {
+	p.mu.Lock()
+	if p.open > 0 || p.closed {
+		p.mu.Unlock()
+		return
+	}
+	p.open++
+	p.mu.Unlock()
+	if conn, err := p.connect(ctx); err == nil {
+		p.Put(conn, time.Now(), 0)
+	}
+}
+
 // Put returns a connection whose reply was read whole. Life is how long the searcher keeps it open, or 0 when it did not say.
 func (p *Pool) Put(conn *Conn, now time.Time, life time.Duration) {
 	if life <= 0 {
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -45,11 +45,18 @@
 	// windows holds the budget of each service that this node used.
 	windows sync.Map
 	// nodes is the number of nodes that share the budget.
-	nodes    atomic.Int64
+	nodes atomic.Int64
+	// active is set when callers are sent to this node.
+	active   atomic.Bool
 	inFlight atomic.Int64
 	tasks    conc.WaitGroup
 	attempts metrics.Counter
 	hedges   metrics.Counter
+
+	// load is the moving average of Load, as of loadAt when loadAttempts had been sent.
+	load         float64
+	loadAt       time.Time
+	loadAttempts int64
 }
 
 // New returns an engine without searchers. Dial opens connections to them.
@@ -72,12 +79,35 @@
 
 // Update makes the engine use the searchers of a snapshot, with this node's share of their connections.
 func (e *Engine) Update(snapshot *fleet.Snapshot, table *route.Table, nodes Nodes) {
-	e.nodes.Store(int64(max(nodes.Total, 1)))
+	e.nodes.Store(int64(max(nodes.Active, 1)))
+	e.active.Store(nodes.SelfActive)
 	e.grid.update(snapshot, table, nodes)
 }
 
-// Trim closes idle connections whose life has ended.
-func (e *Engine) Trim(now time.Time) { e.grid.trim(now) }
+// Tick closes idle connections whose life has ended, and opens others in advance on a node that callers are sent to.
+func (e *Engine) Tick(ctx context.Context, now time.Time) {
+	e.grid.trim(now)
+	if e.active.Load() {
+		e.grid.warm(ctx, now, func(f func()) { e.tasks.Go(f) })
+	}
+}
+
+// attemptCost is the processor time of one attempt, measured over a whole day of the node; it turns attempts into load.
+const attemptCost = 150 * time.Microsecond
+
+// loadWeight is the weight of the latest interval in the load.
+const loadWeight = 0.3
+
+// Load returns the part of a core that attempts take, as a moving average over calls. One goroutine calls it.
+func (e *Engine) Load(now time.Time) float64 {
+	attempts := e.attempts.Count()
+	if elapsed := now.Sub(e.loadAt); !e.loadAt.IsZero() && elapsed > 0 {
+		latest := float64(attempts-e.loadAttempts) * float64(attemptCost) / float64(elapsed)
+		e.load += (latest - e.load) * loadWeight
+	}
+	e.loadAt, e.loadAttempts = now, attempts
+	return e.load
+}
 
 // InFlight returns the number of requests that wait for their answer.
 func (e *Engine) InFlight() int { return int(e.inFlight.Load()) }
--- a/internal/relay/station.go
+++ b/internal/relay/station.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -17,6 +19,8 @@
 	searcher *fleet.Searcher
 	pool     *pool.Pool
 	track    *health.Track
+	// warmAt is when a connection may be opened in advance again; only the node's tick uses it.
+	warmAt time.Time
 	// replaced is set once another process answered at the searcher's address.
 	replaced atomic.Bool
 }
@@ -42,6 +46,8 @@
 	// nearShare is the share of a searcher's connections for the nodes of its own region, farShare that for all others.
 	nearShare = 0.6
 	farShare  = 0.3
+	// warmInterval is the least time between two connections to one searcher that are opened in advance.
+	warmInterval = 2 * time.Second
 )
 
 // grid holds the stations of all searchers. Readers load a snapshot; one writer replaces it.
@@ -91,17 +97,24 @@
 	}
 }
 
-// Nodes counts the nodes that share a searcher's connections.
+// Nodes counts the nodes that share a searcher's connections and the budget of repeats.
 type Nodes struct {
-	// ByRegion is the number of nodes of each region, and Total that of all.
+	// Active is the number of nodes that callers are sent to, and ByRegion that of each region.
+	Active   int
 	ByRegion map[string]int
-	Total    int
+	// SelfActive is set when callers are sent to this node.
+	SelfActive bool
 }
 
-// share returns this node's share of a searcher's connections, at least 1.
+// Equal reports whether the counts are the same.
+func (n Nodes) Equal(other Nodes) bool {
+	return n.Active == other.Active && n.SelfActive == other.SelfActive && maps.Equal(n.ByRegion, other.ByRegion)
+}
+
+// share returns this node's share of a searcher's connections, at least 1. Nodes that callers are not sent to take 1.
 func (g *grid) share(s *fleet.Searcher, table *route.Table, nodes Nodes) int {
 	service, ok := table.Service(s.Service())
-	if !ok {
+	if !ok || !nodes.SelfActive {
 		return 1
 	}
 	region := g.place.Regions[s.Zone()]
@@ -109,10 +122,22 @@
 	if region == g.place.Region {
 		return max(1, int(nearShare*float64(service.MaxConns())/float64(near)))
 	}
-	far := max(nodes.Total-near, 1)
+	far := max(nodes.Active-near, 1)
 	return max(1, int(farShare*float64(service.MaxConns())/float64(far)))
 }
 
+// warm opens a connection to each searcher of the routes that has none, so that a request need not wait for one.
+func (g *grid) warm(ctx context.Context, now time.Time, start func(func())) {
+	for _, group := range g.current.Load().services {
+		for _, s := range group {
+			if s.pool.Empty() && !now.Before(s.warmAt) {
+				s.warmAt = now.Add(warmInterval)
+				start(func() { s.pool.Warm(ctx) })
+			}
+		}
+	}
+}
+
 func (g *grid) learnDistance(region string, took time.Duration) {
 	known, ok := g.distances.Load(region)
 	if !ok || took < known.(time.Duration) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,11 +1,15 @@
 // Package roster holds what a node knows of the other nodes when no list of them is published: each node counts its own heartbeats,
-// nodes pass on the greatest counts that they heard, and a node whose count stands still is not offered to callers.
+// nodes pass on the greatest counts that they heard, and a node whose count stands still is not offered to callers. Nodes of one region
+// follow each other closely; what is known of other regions is coarse, since bytes between regions are dear.
 package roster
 
 import (
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Phase is what a node does.
@@ -30,6 +34,9 @@
 	Generation uint64
 	// Beat counts heartbeats of one process.
 	Beat uint64
+	// Cores is the processor share of the VM, and Load the part of a core that its requests take.
+	Cores float64
+	Load  float64
 }
 
 func (s State) after(other State) bool {
@@ -39,11 +46,24 @@
 	return s.Beat > other.Beat
 }
 
+// order is the place of a node among those of its zone. It does not depend on who asks, so that all nodes agree.
+func (s State) order() uint64 { return xxhash.Sum64String(s.ID) }
+
 const (
-	// defaultSuspectAfter is the silence after which a node is not offered to callers.
+	// defaultSuspectAfter is the silence after which a node is not offered to callers, for nodes that are heard directly.
 	defaultSuspectAfter = 2 * time.Second
+	// relayedFactor is the multiple of the table interval after which a node that is heard through others counts as silent: a heartbeat
+	// passes a few nodes on its way.
+	relayedFactor = 6
 	// defaultForgetAfter is the silence after which a node is no longer greeted, except by its seed address.
 	defaultForgetAfter = 2 * time.Minute
+	// farBeats is the least advance of a heartbeat count that is passed on between regions.
+	farBeats = 10
+	// tableBytesPerS bounds the bytes for the table of a region that a node sends, and stateBytes is the size of one state in it.
+	tableBytesPerS = 1024
+	stateBytes     = 64
+	// minTableInterval is the time between two exchanges of the region's table in a small region.
+	minTableInterval = time.Second
 )
 
 // Settings of a roster. Zero fields take their defaults.
@@ -54,8 +74,9 @@
 
 type record struct {
 	state State
-	// advancedAt is when the state last moved forward.
+	// advancedAt is when the state last moved forward, heardAt when the node itself was last heard.
 	advancedAt time.Time
+	heardAt    time.Time
 }
 
 // Roster is safe for concurrent use.
@@ -66,8 +87,9 @@
 	self State
 	// others is by id, without this node.
 	others map[string]*record
-	// turn rotates the nodes that are greeted.
-	turn int
+	// tableAt is when the region's table was last sent, farAt when another region was last greeted.
+	tableAt time.Time
+	farAt   time.Time
 }
 
 // New returns a roster that knows only its own node.
@@ -93,14 +115,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.self.Phase = phase
-	r.self.Beat++
+	r.self.Beat += farBeats
 }
 
-// Beat counts a heartbeat of this node.
-func (r *Roster) Beat() {
+// Beat counts a heartbeat of this node, with its present load.
+func (r *Roster) Beat(load float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.self.Beat++
+	r.self.Load = load
 }
 
 // Resumed forgives the silence of all nodes while this process was paused.
@@ -109,6 +132,16 @@
 	defer r.mu.Unlock()
 	for _, record := range r.others {
 		record.advancedAt = now
+		record.heardAt = now
+	}
+}
+
+// Heard records contact with a node itself.
+func (r *Roster) Heard(now time.Time, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if record, ok := r.others[id]; ok {
+		record.heardAt = now
 	}
 }
 
@@ -131,7 +164,11 @@
 		if !state.after(known.state) {
 			continue
 		}
-		changed = changed || state.Phase != known.state.Phase || state.Generation != known.state.Generation
+		turned := state.Phase != known.state.Phase || state.Generation != known.state.Generation
+		if !turned && state.Region != r.self.Region && state.Beat < known.state.Beat+farBeats {
+			continue
+		}
+		changed = changed || turned
 		known.state = state
 		known.advancedAt = now
 	}
@@ -148,29 +185,62 @@
 	}
 }
 
-// States returns this node's state and those of all nodes that are not silent, to be passed on.
-func (r *Roster) States(now time.Time) []State {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	states := []State{r.self}
+// tableInterval is the time between two exchanges of the region's table; it grows with the region, so that its bytes do not.
+func (r *Roster) tableInterval() time.Duration {
+	members := 1
 	for _, record := range r.others {
-		if now.Sub(record.advancedAt) < r.settings.SuspectAfter {
-			states = append(states, record.state)
+		if record.state.Region == r.self.Region {
+			members++
 		}
 	}
-	sort.Slice(states, func(i, j int) bool { return states[i].ID < states[j].ID })
-	return states
+	return max(minTableInterval, time.Duration(members*stateBytes)*time.Second/tableBytesPerS)
+}
+
+// live reports whether a node was heard lately: directly, as those that this node greets at each heartbeat, or through others, which
+// takes longer.
+func (r *Roster) live(now time.Time, record *record, interval time.Duration, greeted map[string]bool) bool {
+	if !record.heardAt.IsZero() && greeted[record.state.ID] {
+		latest := record.heardAt
+		if record.advancedAt.After(latest) {
+			latest = record.advancedAt
+		}
+		return now.Sub(latest) < r.settings.SuspectAfter
+	}
+	silence := relayedFactor * interval
+	if record.state.Region != r.self.Region {
+		silence += farBeats * farInterval
+	}
+	return now.Sub(record.advancedAt) < silence
+}
+
+// greeted returns the ids of the nodes that this node greets at each heartbeat.
+func (r *Roster) greeted() map[string]bool {
+	ids := make(map[string]bool)
+	for _, s := range r.closest() {
+		ids[s.ID] = true
+	}
+	return ids
 }
 
-// Live returns the nodes that were heard lately and are ready, this node included when it is.
+// Live returns the nodes that were heard lately and are ready, this node included when it is, sorted by id.
 func (r *Roster) Live(now time.Time) []State {
-	states := r.States(now)
-	live := states[:0]
-	for _, state := range states {
-		if state.Phase == Ready {
-			live = append(live, state)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.liveReady(now)
+}
+
+func (r *Roster) liveReady(now time.Time) []State {
+	var live []State
+	if r.self.Phase == Ready {
+		live = append(live, r.self)
+	}
+	interval, greeted := r.tableInterval(), r.greeted()
+	for _, record := range r.others {
+		if record.state.Phase == Ready && r.live(now, record, interval, greeted) {
+			live = append(live, record.state)
 		}
 	}
+	sort.Slice(live, func(i, j int) bool { return live[i].ID < live[j].ID })
 	return live
 }
 
@@ -186,36 +256,195 @@
 	return members
 }
 
-// Greet returns up to n peer addresses to exchange states with: known nodes in turn, then seeds that no known node has.
-func (r *Roster) Greet(now time.Time, n int, seeds []string) []string {
+// zoneLeaders is the number of nodes of a zone that are followed directly by all others of the zone, and regionLeaders that of a region
+// that are followed by the leaders of its zones.
+const (
+	zoneLeaders   = 3
+	regionLeaders = 2
+)
+
+// first returns the first n nodes in their order, among those that take part.
+func (r *Roster) first(n int, takesPart func(State) bool) []State {
+	var states []State
+	if takesPart(r.self) {
+		states = append(states, r.self)
+	}
+	for _, record := range r.others {
+		if takesPart(record.state) {
+			states = append(states, record.state)
+		}
+	}
+	sort.Slice(states, func(i, j int) bool { return states[i].order() < states[j].order() })
+	return states[:min(len(states), n)]
+}
+
+// leads reports whether this node is one of its zone's leaders.
+func (r *Roster) leads() bool {
+	for _, s := range r.first(zoneLeaders, r.inZone) {
+		if s.ID == r.self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Roster) inZone(s State) bool   { return s.Zone == r.self.Zone }
+func (r *Roster) inRegion(s State) bool { return s.Region == r.self.Region }
+
+// closest returns the nodes that this node greets at each heartbeat, possibly itself among them.
+func (r *Roster) closest() []State {
+	near := r.first(zoneLeaders, r.inZone)
+	if !r.leads() {
+		return near
+	}
+	for _, s := range r.first(regionLeaders, r.inRegion) {
+		if !r.inZone(s) {
+			near = append(near, s)
+		}
+	}
+	return near
+}
+
+// First returns the first n live and ready nodes of this node's region in their order.
+func (r *Roster) First(now time.Time, n int) []State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var addresses []string
-	known := map[string]bool{r.self.PeerAddress: true}
+	live := make(map[string]bool)
+	for _, s := range r.liveReady(now) {
+		live[s.ID] = true
+	}
+	return r.first(n, func(s State) bool { return r.inRegion(s) && live[s.ID] })
+}
+
+// farInterval is the time between two exchanges of a zone's first nodes with other regions.
+const farInterval = 2 * time.Second
+
+// Greeting says whom to exchange states with, and which.
+type Greeting struct {
+	// Address is a peer address.
+	Address string
+	// States are sent; the other end answers in kind.
+	States []State
+}
+
+// Greet returns the exchanges of one heartbeat: with the first nodes of the zone, which takes one state, now and then with a node of the
+// region, which takes the region's table, and, from the first nodes of a zone only, with another region. While nobody of the region is
+// known, seeds are greeted.
+func (r *Roster) Greet(now time.Time, seeds []string) []Greeting {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forget(now)
+	var greetings []Greeting
+	for _, s := range r.closest() {
+		if s.ID != r.self.ID {
+			greetings = append(greetings, Greeting{Address: s.PeerAddress, States: []State{r.self}})
+		}
+	}
+	if now.Sub(r.tableAt) >= r.tableInterval() {
+		r.tableAt = now
+		if mate, ok := r.random(r.inRegion); ok {
+			greetings = append(greetings, Greeting{Address: mate.PeerAddress, States: r.table(now)})
+		}
+	}
+	if r.leads() && now.Sub(r.farAt) >= farInterval {
+		r.farAt = now
+		if far, ok := r.random(func(s State) bool { return s.Region != r.self.Region }); ok {
+			greetings = append(greetings, Greeting{Address: far.PeerAddress, States: r.all()})
+		}
+	}
+	return append(greetings, r.greetSeeds(seeds)...)
+}
+
+func (r *Roster) forget(now time.Time) {
 	for id, record := range r.others {
 		if now.Sub(record.advancedAt) > r.settings.ForgetAfter {
 			delete(r.others, id)
-			continue
-		}
-		if !known[record.state.PeerAddress] {
-			known[record.state.PeerAddress] = true
-			addresses = append(addresses, record.state.PeerAddress)
 		}
 	}
+}
+
+// greetSeeds returns an exchange with a seed that no known node has.
+func (r *Roster) greetSeeds(seeds []string) []Greeting {
+	known := map[string]bool{r.self.PeerAddress: true}
+	for _, record := range r.others {
+		known[record.state.PeerAddress] = true
+	}
+	var unknown []string
 	for _, seed := range seeds {
 		if !known[seed] {
-			known[seed] = true
-			addresses = append(addresses, seed)
+			unknown = append(unknown, seed)
+		}
+	}
+	if len(unknown) == 0 {
+		return nil
+	}
+	return []Greeting{{Address: unknown[rand.IntN(len(unknown))], States: []State{r.self}}}
+}
+
+// random returns a known node other than this one.
+func (r *Roster) random(fits func(State) bool) (State, bool) {
+	var states []State
+	for _, record := range r.others {
+		if fits(record.state) {
+			states = append(states, record.state)
 		}
 	}
-	sort.Strings(addresses)
-	if len(addresses) <= n {
-		return addresses
+	if len(states) == 0 {
+		return State{}, false
 	}
-	chosen := make([]string, n)
-	for i := range chosen {
-		chosen[i] = addresses[(r.turn+i)%len(addresses)]
+	return states[rand.IntN(len(states))], true
+}
+
+// table returns the states of the region, and those of other regions that moved lately.
+func (r *Roster) table(now time.Time) []State {
+	lately := 2 * r.tableInterval()
+	states := []State{r.self}
+	for _, record := range r.others {
+		if record.state.Region == r.self.Region || now.Sub(record.advancedAt) < lately {
+			states = append(states, record.state)
+		}
+	}
+	return states
+}
+
+func (r *Roster) all() []State {
+	states := []State{r.self}
+	for _, record := range r.others {
+		states = append(states, record.state)
+	}
+	return states
+}
+
+// Reply returns the states that answer a greeting in kind: one state for one, the region's table for that of the same region, and all
+// for a stranger or another region.
+func (r *Roster) Reply(now time.Time, greeting []State) []State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(greeting) == 0 {
+		return []State{r.self}
+	}
+	sender := greeting[0]
+	_, known := r.others[sender.ID]
+	switch {
+	case !known || sender.Region != r.self.Region:
+		return r.all()
+	case len(greeting) == 1:
+		return []State{r.self}
+	default:
+		return r.table(now)
+	}
+}
+
+// Neighbours returns up to n peer addresses of random nodes of the region, which learn of a change at once.
+func (r *Roster) Neighbours(n int) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var addresses []string
+	for _, record := range r.others {
+		if record.state.Region == r.self.Region {
+			addresses = append(addresses, record.state.PeerAddress)
+		}
 	}
-	r.turn = (r.turn + n) % len(addresses)
-	return chosen
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(n, len(addresses))]
 }
--- a/internal/tier/greet.go
+++ b/internal/tier/greet.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/fireflylanding/fireflylanding/internal/follow"
 	"github.com/fireflylanding/fireflylanding/internal/peer"
 	"github.com/fireflylanding/fireflylanding/internal/roster"
 	"github.com/fireflylanding/fireflylanding/internal/shards"
@@ -11,12 +12,13 @@
 )
 
 const (
-	// greetInterval is the time between two heartbeats, and greetFanout the number of nodes that each goes to.
+	// greetInterval is the time between two heartbeats.
 	greetInterval = 500 * time.Millisecond
-	greetFanout   = 2
-	// announceFanout is the number of nodes that learn of a change of phase at once.
-	announceFanout = 16
-	greetTimeout   = 800 * time.Millisecond
+	// newsFanout is the number of nodes of the region that learn of a change at once; they tell as many others.
+	newsFanout   = 4
+	greetTimeout = 800 * time.Millisecond
+	// pullTimeout bounds the transfer of entries between nodes.
+	pullTimeout = 2 * time.Second
 )
 
 // handler serves the exchanges that other nodes open.
@@ -27,12 +29,17 @@
 
 // Digest is part of peer.Handler.
 func (h handler) Digest(_ context.Context, digest *wire.Digest) *wire.Digest {
-	h.tier.merge(digest)
-	return h.tier.digest()
+	now := h.tier.clock()
+	states := h.tier.merge(now, digest)
+	return h.tier.digest(now, h.tier.roster.Reply(now, states))
 }
 
-func (t *Tier) digest() *wire.Digest {
-	states := t.roster.States(t.clock())
+// Pull is part of peer.Handler.
+func (h handler) Pull(_ context.Context, pull *wire.Pull) *wire.Push {
+	return h.tier.entriesAfter(pull.GetEntriesAfter())
+}
+
+func (t *Tier) digest(now time.Time, states []roster.State) *wire.Digest {
 	nodes := make([]*wire.NodeState, len(states))
 	for i, s := range states {
 		nodes[i] = wire.NodeState_builder{
@@ -44,12 +51,32 @@
 			Phase:            uint32(s.Phase),
 			Generation:       s.Generation,
 			Beat:             s.Beat,
+			Cores:            float32(s.Cores),
+			Load:             float32(s.Load),
 		}.Build()
 	}
-	return wire.Digest_builder{Id: t.settings.Load().Node, Nodes: nodes}.Build()
+	return wire.Digest_builder{Id: t.settings.Load().Node, Nodes: nodes, Source: t.position(now)}.Build()
+}
+
+func (t *Tier) position(now time.Time) *wire.SourcePosition {
+	p := t.follower.Position(now)
+	return wire.SourcePosition_builder{
+		Revision: p.Revision,
+		AgeMs:    uint64(max(p.Age.Milliseconds(), 0)),
+		DoubtMs:  uint64(p.Doubt.Milliseconds()),
+	}.Build()
 }
 
-func (t *Tier) merge(digest *wire.Digest) {
+func positionOf(p *wire.SourcePosition) follow.Position {
+	return follow.Position{
+		Revision: p.GetRevision(),
+		Age:      time.Duration(p.GetAgeMs()) * time.Millisecond,
+		Doubt:    time.Duration(p.GetDoubtMs()) * time.Millisecond,
+	}
+}
+
+// merge takes in a digest and returns its states, the sender's first.
+func (t *Tier) merge(now time.Time, digest *wire.Digest) []roster.State {
 	states := make([]roster.State, len(digest.GetNodes()))
 	for i, n := range digest.GetNodes() {
 		states[i] = roster.State{
@@ -61,11 +88,54 @@
 			Phase:         roster.Phase(n.GetPhase()),
 			Generation:    n.GetGeneration(),
 			Beat:          n.GetBeat(),
+			Cores:         float64(n.GetCores()),
+			Load:          float64(n.GetLoad()),
 		}
 	}
-	if t.roster.Merge(t.clock(), states) {
+	changed := t.roster.Merge(now, states)
+	t.roster.Heard(now, digest.GetId())
+	if changed {
 		t.rebuild()
 	}
+	if len(states) > 0 && states[0].Region == t.roster.Self().Region && t.follower.Hear(now, positionOf(digest.GetSource())) {
+		t.pull(states[0].PeerAddress)
+	}
+	return states
+}
+
+// pull takes the entries that another node knows. One transfer runs at a time; what it leaves out the next heartbeat shows.
+func (t *Tier) pull(address string) {
+	if !t.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer t.pulling.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+		defer cancel()
+		asked := t.clock()
+		after := t.follower.Position(asked).Revision
+		push, err := t.peers.Pull(ctx, shards.NewVM("", "", "", "", address), wire.Pull_builder{EntriesAfter: after}.Build())
+		if err != nil {
+			// Another heartbeat, or the source itself, tells the same.
+			return
+		}
+		batch := follow.Batch{Revision: push.GetSource().GetRevision(), Complete: push.GetComplete()}
+		for _, e := range push.GetEntries() {
+			batch.Entries = append(batch.Entries, follow.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Removed: e.GetRemoved()})
+		}
+		position := positionOf(push.GetSource())
+		position.Age += t.clock().Sub(asked)
+		t.follower.Receive(t.clock(), batch, position)
+	}()
+}
+
+func (t *Tier) entriesAfter(revision uint64) *wire.Push {
+	batch := t.follower.After(revision)
+	list := make([]*wire.SourceEntry, len(batch.Entries))
+	for i, e := range batch.Entries {
+		list[i] = wire.SourceEntry_builder{Key: e.Key, Value: e.Value, Revision: e.Revision, Removed: e.Removed}.Build()
+	}
+	return wire.Push_builder{Entries: list, Complete: batch.Complete, Source: t.position(t.clock())}.Build()
 }
 
 // greet exchanges states with some nodes at each heartbeat until ctx ends.
@@ -73,8 +143,11 @@
 	ticker := time.NewTicker(greetInterval)
 	defer ticker.Stop()
 	for {
-		t.roster.Beat()
-		t.exchange(ctx, greetFanout)
+		now := t.clock()
+		t.roster.Beat(t.engine.Load(now))
+		for _, greeting := range t.roster.Greet(now, t.settings.Load().Seeds) {
+			t.exchange(ctx, greeting.Address, greeting.States)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -83,20 +156,23 @@
 	}
 }
 
-// announce tells the nearest nodes of a change of phase at once.
-func (t *Tier) announce() { t.exchange(context.Background(), announceFanout) }
-
-// exchange swaps states with up to n nodes, each in its own goroutine, so that a node that does not answer delays no other.
-func (t *Tier) exchange(ctx context.Context, n int) {
-	for _, address := range t.roster.Greet(t.clock(), n, t.settings.Load().Seeds) {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, greetTimeout)
-			defer cancel()
-			// A node that does not answer is noticed by its silence.
-			answer, err := t.peers.Digest(ctx, shards.NewVM("", "", "", "", address), t.digest())
-			if err == nil {
-				t.merge(answer)
-			}
-		}()
+// announce tells neighbours of a change at once.
+func (t *Tier) announce() {
+	self := []roster.State{t.roster.Self()}
+	for _, address := range t.roster.Neighbours(newsFanout) {
+		t.exchange(context.Background(), address, self)
 	}
 }
+
+// exchange swaps states with a node in a goroutine, so that a node that does not answer delays no other.
+func (t *Tier) exchange(ctx context.Context, address string, states []roster.State) {
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+		defer cancel()
+		// A node that does not answer is noticed by its silence.
+		answer, err := t.peers.Digest(ctx, shards.NewVM("", "", "", "", address), t.digest(t.clock(), states))
+		if err == nil {
+			t.merge(t.clock(), answer)
+		}
+	}()
+}
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -35,17 +35,21 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			t.tick(t.clock())
+			t.tick(ctx, t.clock())
 		}
 	}
 }
 
-func (t *Tier) tick(now time.Time) {
+func (t *Tier) tick(ctx context.Context, now time.Time) {
 	if verdict := t.detector.Tick(now); verdict.Stale() {
 		t.logger.Log(wire.Event_EVENT_PAUSE_DETECTED)
 		t.roster.Resumed(now)
 	}
-	t.engine.Trim(now)
+	t.engine.Tick(ctx, now)
+	if nodes := t.nodes(now); !nodes.Equal(t.shared) {
+		t.shared = nodes
+		t.rebuild()
+	}
 }
 
 // rebuild makes the engine use the present routes and searchers, and makes the node ready once it has both.
@@ -54,7 +58,9 @@
 	if table == nil {
 		return
 	}
-	t.engine.Update(t.fleet.Snapshot(), table, t.nodes())
+	t.updates.Lock()
+	t.engine.Update(t.fleet.Snapshot(), table, t.nodes(t.clock()))
+	t.updates.Unlock()
 	if t.ready.CompareAndSwap(false, true) {
 		t.roster.SetPhase(roster.Ready)
 		t.logger.Log(wire.Event_EVENT_NODE_READY, zap.Uint64("version", table.Version()))
@@ -63,15 +69,42 @@
 }
 
 // nodes counts the nodes that share the connections of searchers and the budget of repeats.
-func (t *Tier) nodes() relay.Nodes {
-	known := t.roster.Members()
-	nodes := relay.Nodes{ByRegion: make(map[string]int), Total: len(known)}
-	for _, state := range known {
+func (t *Tier) nodes(now time.Time) relay.Nodes {
+	self := t.roster.Self()
+	nodes := relay.Nodes{ByRegion: make(map[string]int)}
+	active := make(map[string]bool)
+	for _, state := range t.roster.Active(now) {
+		active[state.ID] = true
+	}
+	// A node that is out of reach still uses the share that it had.
+	for _, state := range t.roster.Members() {
+		if !active[state.ID] && state.Load < leastLoad {
+			continue
+		}
 		nodes.ByRegion[state.Region]++
+		nodes.Active++
 	}
+	// A stopping node and one that others still send callers to keep their share while they serve.
+	nodes.SelfActive = active[self.ID] || self.Load >= leastLoad || self.Phase == roster.Stopping
 	return nodes
 }
 
+// leastLoad is the load in cores from which a node counts among those that share, though callers are not sent to it.
+const leastLoad = 0.01
+
+// readersPerRegion is the number of nodes of a region that read the source; one of them may be lost unnoticed.
+const readersPerRegion = 2
+
+// reader reports whether this node is one of those that read the source for their region.
+func (t *Tier) reader() bool {
+	for _, state := range t.roster.First(t.clock(), readersPerRegion) {
+		if state.ID == t.roster.Self().ID {
+			return true
+		}
+	}
+	return false
+}
+
 // shutdown leaves the directory, serves callers that have not asked again, closes the listener and waits for what is in flight. It
 // returns the number of requests that were cut off.
 func (t *Tier) shutdown() int {
--- a/internal/tier/settings.go
+++ b/internal/tier/settings.go
@@ -25,8 +25,12 @@
 	Seeds        []string
 	StoreAddress string
 
+	// Cores is the number of processors, Power their sum in whole cores.
 	Cores       int
+	Power       float64
 	MemoryBytes int64
+	// ApplyWithin is the time in which a change of the source must be in force.
+	ApplyWithin time.Duration
 	// StopTime is the time from SIGTERM until the process is killed.
 	StopTime time.Duration
 	// DirectoryValid is the longest time that callers keep an answer of the directory.
@@ -55,7 +59,7 @@
 		return errors.New("node, zone or region is missing")
 	case s.Regions[s.Zone] != s.Region:
 		return errors.Newf("zone %q is not listed in region %q", s.Zone, s.Region)
-	case s.StopTime <= 0 || s.DirectoryValid <= 0 || s.ExtraWindow <= 0:
+	case s.StopTime <= 0 || s.ApplyWithin <= 0 || s.DirectoryValid <= 0 || s.ExtraWindow <= 0:
 		return errors.New("a time is not positive")
 	case s.ExtraShare < 0 || s.ExtraAllowance < 0 || s.MemoryBytes < 0 || s.Cores < 0:
 		return errors.New("a bound is negative")
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -7,6 +7,7 @@
 	"net"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -71,6 +72,12 @@
 	stopping atomic.Bool
 	refusing atomic.Bool
 	ready    atomic.Bool
+	// pulling is set while entries of another node are taken in.
+	pulling atomic.Bool
+	// shared counts the nodes that shared at the last tick; only maintain uses it.
+	shared relay.Nodes
+	// updates orders rebuilds.
+	updates sync.Mutex
 }
 
 type sockets struct {
@@ -102,11 +109,16 @@
 		CallerAddress: settings.CallerAddress,
 		PeerAddress:   settings.PeerAddress,
 		Generation:    uint64(clock().UnixMilli()),
+		Cores:         settings.Power,
 	}, roster.Settings{})
 	extra := relay.Budget{Share: settings.ExtraShare, Allowance: settings.ExtraAllowance, Window: settings.ExtraWindow}
 	place := relay.Place{Zone: settings.Zone, Region: settings.Region, Regions: settings.Regions}
 	t.engine = relay.New(adapter.Codec, extra, place, quar.New(quar.Settings{}), dial, t.logger, t.counters, t.registry, clock)
-	t.follower = follow.New(adapter.Source, t.fleet, t.rebuild, t.logger, clock)
+	t.follower = follow.New(adapter.Source, t.fleet, follow.Settings{ApplyWithin: settings.ApplyWithin}, follow.Hooks{
+		Reader:  t.reader,
+		Changed: t.rebuild,
+		News:    t.announce,
+	}, t.logger, clock)
 	t.edge = edge.New(t.engine, adapter.Codec, edge.Sources{
 		Table:   t.follower.Table,
 		Gate:    t.gate,
