Log each troubled request in one bounded line, show metrics and explain a request from log lines

Cause: a failed request left a line an attempt, unbounded and blocking, and no metrics were served on the platform.

--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -84,6 +84,7 @@
 			benchCommand(stdout, stderr),
 			serveCommand(stderr),
 			platformCommand(stdout),
+			explainCommand(stdout),
 			checkCommand(stdout),
 			askCommand(stdout),
 			statusCommand(stdout),
--- a/internal/cmd/platform.go
+++ b/internal/cmd/platform.go
@@ -49,25 +49,26 @@
 
 // runTier runs a node on the platform until SIGTERM.
 func runTier(ctx context.Context, path, level string, stdout io.Writer) error {
-	var logger *events.Logger
+	var logger *events.Bounded
 	var err error
-	if logger, err = events.New(stdout, level); err != nil {
+	if logger, err = events.NewBounded(stdout, level); err != nil {
 		return withCode(exitUsage, err)
 	}
+	defer logger.Close()
 	var settings tier.Settings
 	if settings, err = site.ReadSettings(path); err != nil {
 		return withCode(exitSettings, err)
 	}
 	store := site.NewStore(settings.StoreAddress)
 	var t *tier.Tier
-	t, err = tier.New(settings, tier.Adapter{Source: store, Codec: site.Codec{}, Directory: site.Directory, Checks: site.Ready}, logger, time.Now)
+	t, err = tier.New(settings, tier.Adapter{Source: store, Codec: site.Codec{}, Directory: site.Directory, Checks: site.Ready}, logger.Logger, time.Now)
 	if err != nil {
 		return withCode(exitSettings, err)
 	}
 	stop, stopped := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stopped()
 	var tasks conc.WaitGroup
-	tasks.Go(func() { reload(stop, path, t, logger) })
+	tasks.Go(func() { reload(stop, path, t, logger.Logger) })
 	defer tasks.Wait()
 	if cut := t.Run(stop); cut > 0 {
 		return withCode(exitCut, errors.Newf("%d requests were cut off", cut))
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -135,6 +135,7 @@
 	return s.engine.Serve(now, &relay.Request{
 		ID:        id,
 		Route:     found,
+		Version:   table.Version(),
 		Patience:  patience,
 		Head:      s.codec.AppendHead(nil, &ctx.Request.Header, len(body)),
 		Body:      body,
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -32,7 +32,8 @@
 	ticket  health.Ticket
 	// deadline ends the attempt; the searcher is told the time until then.
 	deadline time.Time
-	hedge    bool
+	// step shows the attempt in the log; it is guarded by the flight's mu.
+	step *step
 
 	mu sync.Mutex
 	// conn is the connection in use, nil before and after. ends is the time at which it is given up.
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -47,11 +47,12 @@
 	// nodes is the number of nodes that share the budget.
 	nodes atomic.Int64
 	// active is set when callers are sent to this node.
-	active   atomic.Bool
-	inFlight atomic.Int64
-	tasks    conc.WaitGroup
-	attempts metrics.Counter
-	hedges   metrics.Counter
+	active    atomic.Bool
+	inFlight  atomic.Int64
+	tasks     conc.WaitGroup
+	attempts  metrics.Counter
+	hedges    metrics.Counter
+	latencies *latencies
 
 	// load is the moving average of Load, as of loadAt when loadAttempts had been sent.
 	load         float64
@@ -63,15 +64,16 @@
 func New(codec Codec, b Budget, place Place, marks *quar.Table, dial func(ctx context.Context, address string) (net.Conn, error),
 	logger *events.Logger, counters *reason.Counters, registry metrics.Registry, clock func() time.Time) *Engine {
 	e := &Engine{
-		codec:    codec,
-		budget:   b,
-		grid:     newGrid(place, dial),
-		marks:    marks,
-		logger:   logger,
-		counters: counters,
-		clock:    clock,
-		attempts: metrics.NewRegisteredCounter("relay.attempts", registry),
-		hedges:   metrics.NewRegisteredCounter("relay.hedges", registry),
+		codec:     codec,
+		budget:    b,
+		grid:      newGrid(place, dial),
+		marks:     marks,
+		logger:    logger,
+		counters:  counters,
+		clock:     clock,
+		latencies: newLatencies(registry),
+		attempts:  metrics.NewRegisteredCounter("relay.attempts", registry),
+		hedges:    metrics.NewRegisteredCounter("relay.hedges", registry),
 	}
 	e.nodes.Store(1)
 	return e
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -31,6 +29,7 @@
 		}
 	}
 	f.log(now, answer)
+	f.engine.observe(f, now, answer)
 	return answer
 }
 
@@ -95,21 +94,6 @@
 	return Refused{Reason: r, NotRun: !f.uncertain, RetryAfter: retryAfter}
 }
 
-// log writes one line for an answer that is not whole.
-func (f *flight) log(now time.Time, answer Answer) {
-	switch answer := answer.(type) {
-	case Refused:
-		f.engine.logger.Log(wire.Event_EVENT_REQUEST_FAILED, zap.String("request", f.request.ID), zap.String("route", f.request.Route.Name()),
-			zap.Stringer("reason", answer.Reason), zap.Bool("not_run", answer.NotRun), zap.Duration("after", now.Sub(f.started)),
-			zap.Int("shards", len(f.parts)), zap.Int("replied", f.good), zap.Int("open", f.open))
-	case Merged:
-		if answer.Missing > 0 {
-			f.engine.logger.Log(wire.Event_EVENT_ANSWER_PARTIAL, zap.String("request", f.request.ID), zap.String("route", f.request.Route.Name()),
-				zap.Int("missing", answer.Missing), zap.Duration("after", now.Sub(f.started)), zap.Strings("services", f.missing()))
-		}
-	}
-}
-
 // missing returns the services whose replies are not in.
 func (f *flight) missing() []string {
 	var services []string
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/fireflylanding/fireflylanding/internal/health"
 	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
@@ -70,6 +68,8 @@
 	// uncertain is set once a searcher may have run a part without a reply that is used.
 	uncertain bool
 	gone      bool
+	// trail holds the attempts for the log.
+	trail trail
 }
 
 func newFlight(e *Engine, now time.Time, request *Request) *flight {
@@ -111,7 +111,7 @@
 	f.mu.Lock()
 	for i := range f.parts {
 		f.engine.window(f.parts[i].service).First(f.started)
-		f.start(f.started, &f.parts[i], false)
+		f.start(f.started, &f.parts[i], wire.Reason_REASON_UNSPECIFIED)
 	}
 	f.mu.Unlock()
 	timer := time.NewTimer(gonePoll)
@@ -187,7 +187,7 @@
 }
 
 // start sends the next attempt of a part, or settles the part when there is nowhere to send it.
-func (f *flight) start(now time.Time, p *part, hedge bool) bool {
+func (f *flight) start(now time.Time, p *part, cause wire.Reason) bool {
 	chosen, ok := f.engine.grid.choose(now, p.service, p.triedStation)
 	if !ok {
 		if p.inFlight == 0 {
@@ -195,7 +195,7 @@
 		}
 		return false
 	}
-	f.launch(now, p, chosen, hedge)
+	f.launch(now, p, chosen, cause)
 	return true
 }
 
@@ -215,8 +215,17 @@
 	return false
 }
 
-func (f *flight) launch(now time.Time, p *part, chosen choice, hedge bool) {
-	a := &attempt{part: p, station: chosen.station, sentAt: now, deadline: f.deadline, ends: f.deadline, hedge: hedge}
+func (f *flight) launch(now time.Time, p *part, chosen choice, cause wire.Reason) {
+	a := &attempt{part: p, station: chosen.station, sentAt: now, deadline: f.deadline, ends: f.deadline}
+	a.step = &step{
+		service:  p.service,
+		searcher: chosen.station.searcher.ID(),
+		cause:    cause,
+		at:       now.Sub(f.started),
+		expected: chosen.cost,
+		stalled:  chosen.stalled,
+	}
+	f.trail = append(f.trail, a.step)
 	a.ticket = chosen.station.track.Begin(now)
 	p.tried = append(p.tried, chosen.station)
 	p.sent++
@@ -259,7 +268,7 @@
 	}
 	f.engine.count(wire.Reason_REASON_HEDGE)
 	f.engine.hedges.Inc(1)
-	f.launch(now, p, chosen, true)
+	f.launch(now, p, chosen, wire.Reason_REASON_HEDGE)
 	p.hedgeAt = time.Time{}
 }
 
@@ -273,6 +282,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.attempts, a)
+	a.step.ended, a.step.took, a.step.result = true, now.Sub(a.sentAt), r.reason
 	p := a.part
 	p.inFlight--
 	if !r.notRun() {
@@ -313,8 +323,6 @@
 	f.engine.count(r.reason)
 	f.uncertain = f.uncertain || !r.notRun()
 	p.reason = r.reason
-	f.engine.logger.Log(wire.Event_EVENT_ATTEMPT_FAILED, zap.String("request", f.request.ID), zap.String("searcher", a.station.searcher.ID()),
-		zap.Stringer("reason", r.reason), zap.Bool("not_run", r.notRun()), zap.Duration("after", now.Sub(a.sentAt)))
 	// The last failure is kept, since it is passed on when no attempt succeeds.
 	p.reply.release()
 	p.reply = r
@@ -322,7 +330,7 @@
 		return
 	}
 	if f.mayRetry(now, p, r) {
-		f.start(now, p, false)
+		f.start(now, p, r.reason)
 		f.wake()
 		return
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -13,8 +13,9 @@
 type Request struct {
 	// ID is the caller's id of this attempt; replies must echo it.
 	ID string
-	// Route is where the request goes.
-	Route *route.Route
+	// Route is where the request goes, by the given version of the routes.
+	Route   *route.Route
+	Version uint64
 	// Patience is how long the caller waits from now on; 0 means that it did not say.
 	Patience time.Duration
 	// Head is the head for searchers without the parts that differ between attempts, and Body the body.
--- /dev/null
+++ b/internal/tier/metrics.go
@@ -0,0 +1,44 @@
+package tier
+
+import (
+	"github.com/gofiber/fiber/v3"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/fireflylanding/fireflylanding/internal/expo"
+)
+
+// metricsPath is where a node shows its metrics.
+const metricsPath = "/metrics"
+
+// metricsApp serves the metrics of the registry.
+func (t *Tier) metricsApp() *fiber.App {
+	app := fiber.New()
+	app.Get(metricsPath, func(c fiber.Ctx) error {
+		c.Set(fiber.HeaderContentType, "text/plain; version=0.0.4")
+		return expo.Write(c, t.registry)
+	})
+	return app
+}
+
+// registerGauges registers what the node knows, read when the metrics are asked for.
+func (t *Tier) registerGauges() {
+	for name, read := range map[string]func() int64{
+		"routes.version": func() int64 {
+			if table := t.follower.Table(); table != nil {
+				return int64(table.Version())
+			}
+			return 0
+		},
+		"store.revision":      func() int64 { return int64(t.follower.Position(t.clock()).Revision) },
+		"store.age_ms":        func() int64 { return t.follower.Position(t.clock()).Age.Milliseconds() },
+		"store.doubt_ms":      func() int64 { return t.follower.Position(t.clock()).Doubt.Milliseconds() },
+		"searchers.known":     func() int64 { return int64(len(t.fleet.Snapshot().All())) },
+		"nodes.known":         func() int64 { return int64(len(t.roster.Members())) },
+		"nodes.live":          func() int64 { return int64(len(t.roster.Live(t.clock()))) },
+		"nodes.active":        func() int64 { return int64(len(t.roster.Active(t.clock()))) },
+		"requests.in_flight":  func() int64 { return int64(t.engine.InFlight()) },
+		"callers.connections": func() int64 { return int64(t.edge.Connections()) },
+	} {
+		_ = t.registry.Register(name, metrics.NewFunctionalGauge(read))
+	}
+}
--- a/internal/tier/settings.go
+++ b/internal/tier/settings.go
@@ -20,6 +20,7 @@
 	CallerAddress    string
 	ReadyAddress     string
 	DirectoryAddress string
+	MetricsAddress   string
 	PeerAddress      string
 	// Seeds are peer addresses of some nodes; any of them may be stale.
 	Seeds        []string
@@ -47,6 +48,7 @@
 		"caller address":    s.CallerAddress,
 		"ready address":     s.ReadyAddress,
 		"directory address": s.DirectoryAddress,
+		"metrics address":   s.MetricsAddress,
 		"peer address":      s.PeerAddress,
 		"store address":     s.StoreAddress,
 	} {
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -84,6 +84,7 @@
 	callers   net.Listener
 	checks    net.Listener
 	directory net.Listener
+	metrics   net.Listener
 	peers     net.PacketConn
 }
 
@@ -128,6 +129,7 @@
 	if err := t.open(settings); err != nil {
 		return nil, err
 	}
+	t.registerGauges()
 	return t, nil
 }
 
@@ -143,6 +145,9 @@
 	if t.sockets.directory, err = net.Listen("tcp", s.DirectoryAddress); err != nil {
 		return errors.Wrap(err, "directory address")
 	}
+	if t.sockets.metrics, err = net.Listen("tcp", s.MetricsAddress); err != nil {
+		return errors.Wrap(err, "metrics address")
+	}
 	if t.sockets.peers, err = net.ListenPacket("udp", s.PeerAddress); err != nil {
 		return errors.Wrap(err, "peer address")
 	}
@@ -212,11 +217,13 @@
 	listeners.Go(func() { t.report("callers", t.edge.Serve(t.sockets.callers)) })
 	listeners.Go(func() { t.report("directory", directory.Listener(t.sockets.directory, listenConfig)) })
 	listeners.Go(func() { t.report("checks", checks.Listener(t.sockets.checks, listenConfig)) })
+	listeners.Go(func() { t.report("metrics", t.metricsApp().Listener(t.sockets.metrics, listenConfig)) })
 	<-stop.Done()
 	cut := t.shutdown()
 	cancel()
 	t.closeSockets()
 	tasks.Wait()
+	listeners.Wait()
 	t.logger.Log(wire.Event_EVENT_STOP_DONE, zap.Int("cut", cut))
 	return cut
 }
@@ -234,6 +241,7 @@
 	_ = t.sockets.callers.Close()
 	_ = t.sockets.checks.Close()
 	_ = t.sockets.directory.Close()
+	_ = t.sockets.metrics.Close()
 	_ = t.peers.Close()
 	_ = t.sockets.peers.Close()
 }
