Soak the real program as processes under random faults from outside

Cause: nothing brought about faults of signals, proxies, the store and searchers that overlap, with the real program.

--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -85,6 +85,7 @@
 			serveCommand(stderr),
 			platformCommand(stdout),
 			explainCommand(stdout),
+			soakCommand(stdout),
 			checkCommand(stdout),
 			askCommand(stdout),
 			statusCommand(stdout),
--- /dev/null
+++ b/internal/cmd/soak.go
@@ -0,0 +1,76 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fireflylanding/fireflylanding/internal/soak"
+)
+
+func soakCommand(stdout io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run this program as processes on loopback under random faults and check the promises",
+		Description: `The logs of the nodes stay in a folder that is named when a promise was broken.
+
+Example:
+   fireflylanding soak --seed 1 --seeds 10`,
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Usage: "first seed", Value: 1},
+			&cli.IntFlag{Name: "seeds", Usage: "number of seeds, one after the other", Value: 1},
+			&cli.IntFlag{Name: "rounds", Usage: "rounds of faults for each seed", Value: 2},
+			&cli.IntFlag{Name: "nodes", Usage: "processes of the system", Value: 6},
+			&cli.IntFlag{Name: "shards", Usage: "shards with three searchers each", Value: 4},
+			&cli.IntFlag{Name: "callers", Usage: "callers", Value: 12},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return runSoak(ctx, command, stdout)
+		},
+	}
+}
+
+func runSoak(ctx context.Context, command *cli.Command, stdout io.Writer) error {
+	var binary string
+	var err error
+	if binary, err = os.Executable(); err != nil {
+		return err
+	}
+	broken := 0
+	for i := range command.Int("seeds") {
+		seed := command.Uint64("seed") + uint64(i)
+		var directory string
+		if directory, err = os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed)); err != nil {
+			return err
+		}
+		var report soak.Report
+		report, err = soak.Run(ctx, soak.Settings{
+			Binary: binary, Seed: seed, Rounds: command.Int("rounds"), Nodes: command.Int("nodes"), Shards: command.Int("shards"),
+			Callers: command.Int("callers"), Directory: directory,
+		})
+		if err != nil {
+			return errors.Wrapf(err, "seed %d", seed)
+		}
+		fmt.Fprintf(stdout, "seed %d: %d of %d requests served, %d promises broken; faults: %v\n", seed, report.Served, report.Requests,
+			len(report.Violations), report.Faults)
+		if len(report.Violations) == 0 {
+			if err := os.RemoveAll(directory); err != nil {
+				return err
+			}
+			continue
+		}
+		broken++
+		for _, v := range report.Violations {
+			fmt.Fprintf(stdout, "  %s\n", v)
+		}
+		fmt.Fprintf(stdout, "  logs: %s\n", directory)
+	}
+	if broken > 0 {
+		return errors.Newf("%d seeds broke a promise", broken)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/cut.go
@@ -0,0 +1,21 @@
+package soak
+
+import (
+	"context"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// cutOff reports whether a request that a node had read ended without an answer. A connection that closes before the request was read
+// is no loss: the request may be sent elsewhere. Ran tells whether the request reached a searcher.
+func cutOff(err error, ran bool) bool {
+	switch {
+	case err == nil, errors.Is(err, context.DeadlineExceeded):
+		return false
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return true
+	default:
+		return ran
+	}
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,46 @@
+package soak
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// buildTimeout bounds the build of the program, soakTimeout one seed.
+const (
+	buildTimeout = 5 * time.Minute
+	soakTimeout  = 2 * time.Minute
+)
+
+// regressions are seeds that once broke a promise, with the cause; the first is a fresh one for each change of the soak.
+var regressions = map[string]uint64{
+	"short run": 20261204,
+}
+
+// Guards against promises that break under faults from outside the processes.
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "fireflylanding")
+	ctx, cancel := context.WithTimeout(t.Context(), buildTimeout)
+	defer cancel()
+	if output, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "github.com/fireflylanding/fireflylanding").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, output)
+	}
+	for name, seed := range regressions {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), soakTimeout)
+			defer cancel()
+			report, err := Run(ctx, Settings{Binary: binary, Seed: seed, Rounds: 1, Nodes: 4, Shards: 3, Callers: 6, Directory: t.TempDir()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(report.Violations) > 0 {
+				t.Errorf("got broken promises %v under %v, want none", report.Violations, report.Faults)
+			}
+			if report.Requests == 0 {
+				t.Error("got no request, want some")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/story/story_test.go
@@ -0,0 +1,71 @@
+package story
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// lastRequest returns the request of the last line of a log.
+func lastRequest(t *testing.T, log []byte) string {
+	t.Helper()
+	lines, err := readLines(bytes.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := len(lines) - 1; i >= 0; i-- {
+		if lines[i].Request != "" {
+			return lines[i].Request
+		}
+	}
+	t.Fatal("got no line of a request")
+	return ""
+}
+
+// Guards against a story of a failed request that leaves out why, or what its node believed.
+func TestTell(t *testing.T) {
+	logs, err := filepath.Glob("testdata/*.log")
+	if err != nil || len(logs) < 3 {
+		t.Fatalf("got logs %v, error %v, want at least 3", logs, err)
+	}
+	for _, path := range logs {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			log, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var out strings.Builder
+			noise := strings.NewReader("not JSON\n12:00:01 front-9 {\"broken\n")
+			if err := Tell(&out, lastRequest(t, log), noise, bytes.NewReader(log)); err != nil {
+				t.Fatal(err)
+			}
+			golden := strings.TrimSuffix(path, ".log") + ".golden"
+			if *update {
+				if err := os.WriteFile(golden, []byte(out.String()), 0o644); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want, err := os.ReadFile(golden)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := out.String(); got != string(want) {
+				t.Errorf("got\n%s\nwant\n%s", got, want)
+			}
+		})
+	}
+}
+
+// Guards against a story of another request.
+func TestTellUnknown(t *testing.T) {
+	var out strings.Builder
+	if err := Tell(&out, "none", strings.NewReader(`{"request":"other"}`)); !errors.Is(err, ErrUnknown) {
+		t.Errorf("got error %v, want %v", err, ErrUnknown)
+	}
+}
--- a/rules_test.go
+++ b/rules_test.go
@@ -38,10 +38,11 @@
 		pattern *regexp.Regexp
 		allowed []string
 	}{
-		"starts a process": {pattern: regexp.MustCompile(`"os/exec"|os\.StartProcess|syscall\.ForkExec`)},
+		// The fault soak is a developers' tool that runs the program as separate processes.
+		"starts a process": {pattern: regexp.MustCompile(`"os/exec"|os\.StartProcess|syscall\.ForkExec`), allowed: []string{"internal/soak/"}},
 		"writes a file": {
 			pattern: regexp.MustCompile(`os\.(Create|CreateTemp|WriteFile|OpenFile|Mkdir|MkdirAll|MkdirTemp|Rename|Remove|RemoveAll|Truncate)\(`),
-			allowed: []string{"internal/events/gendoc/", "internal/bench/", "internal/cmd/bench.go", "internal/cmd/capacity.go", "internal/sizing/"},
+			allowed: []string{"internal/events/gendoc/", "internal/bench/", "internal/cmd/bench.go", "internal/cmd/capacity.go", "internal/cmd/soak.go", "internal/sizing/", "internal/soak/"},
 		},
 		"stores at the platform": {pattern: regexp.MustCompile(`fasthttp\.MethodPut|MethodPatch|MethodDelete`)},
 	}
