Quarantine requests that crash searchers on the platform path, and survive clock jumps, pauses and a moved store

Cause: marks of crashing requests were not used on this path; TestCrashingRequest failed first with 12 runs of 12 searchers, want at most 3. The budget's window went by the time of day, so that a jump froze or emptied it. A changed store address was not used. After a pause a node took its entries for current. A silent connection between nodes was used again. Ruled out: counting broken connections alone, since searchers that lose answers live on; a connection opened 50 ms later tells.

--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -17,8 +17,10 @@
 	// firsts and extras hold the counts of the last two windows by part, indexed by the part's number.
 	firsts [2 * buckets]int
 	extras [2 * buckets]int
-	// part is the number of the latest part.
-	part int64
+	// part is the number of the latest part since began, the time of the first call. Times are compared by their monotonic readings, so
+	// that a jump of the clock moves nothing.
+	part  int64
+	began time.Time
 }
 
 // NewWindow returns a window of the given length without attempts.
@@ -57,7 +59,10 @@
 
 // advance empties the parts that began since the last call.
 func (w *Window) advance(now time.Time) {
-	part := now.UnixNano() / int64(w.length/buckets)
+	if w.began.IsZero() {
+		w.began = now
+	}
+	part := int64(now.Sub(w.began) / (w.length / buckets))
 	if part <= w.part {
 		return
 	}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -54,6 +54,8 @@
 	// Watch returns the entries that changed after a revision as soon as there are any, or an empty batch after the wait. It returns
 	// ErrHistoryLost when the source cannot tell them any more.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+	// SetAddress makes further calls go to another address.
+	SetAddress(address string)
 	// Decode returns what an entry means.
 	Decode(entry Entry) Change
 }
@@ -148,6 +150,13 @@
 	}
 }
 
+// Resumed tells the follower that this process did not run for a while: what it knows may be old, whatever its clock says.
+func (f *Follower) Resumed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries.currentAt = time.Time{}
+}
+
 // Hear takes in another node's position and reports whether that node knows later entries.
 func (f *Follower) Hear(now time.Time, p Position) bool {
 	f.mu.Lock()
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -42,6 +42,8 @@
 
 func (s *script) Watch(context.Context, uint64, time.Duration) (Batch, error) { return s.next("watch") }
 
+func (s *script) SetAddress(string) {}
+
 // Decode reads "routes N" as a version of the routes, "bad" as unreadable, and anything else as a searcher.
 func (s *script) Decode(entry Entry) Change {
 	var version uint64
@@ -152,6 +154,7 @@
 		reader    bool
 		started   bool
 		confirmed time.Duration
+		resumed   bool
 		after     time.Duration
 		want      bool
 	}{
@@ -159,6 +162,7 @@
 		"reader":                 {reader: true, started: true, want: true},
 		"told lately":            {started: true, after: time.Second, want: false},
 		"told long ago":          {started: true, after: 3 * time.Second, want: true},
+		"after a pause":          {started: true, resumed: true, after: time.Second, want: true},
 		"confirmed by another":   {started: true, confirmed: 2 * time.Second, after: 3 * time.Second, want: false},
 		"confirmation was stale": {started: true, confirmed: 200 * time.Millisecond, after: 3 * time.Second, want: true},
 	}
@@ -172,6 +176,9 @@
 			if test.confirmed > 0 {
 				f.Hear(now.Add(test.confirmed), Position{Revision: 5})
 			}
+			if test.resumed {
+				f.Resumed()
+			}
 			if got := f.mustRead(now.Add(test.after)); got != test.want {
 				t.Errorf("got %v, want %v", got, test.want)
 			}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -171,16 +171,27 @@
 
 // Warm opens a connection in advance if the pool has none.
 func (p *Pool) Warm(ctx context.Context) {
+	if p.Empty() {
+		// A searcher that cannot be reached shows with the next request too.
+		_ = p.Probe(ctx)
+	}
+}
+
+// Probe opens a connection to see whether the searcher lives, and keeps it for a request. It does nothing while the limit is reached.
+func (p *Pool) Probe(ctx context.Context) error {
 	p.mu.Lock()
-	if p.open > 0 || p.closed {
+	if p.open >= p.limit || p.closed {
 		p.mu.Unlock()
-		return
+		return nil
 	}
 	p.open++
 	p.mu.Unlock()
-	if conn, err := p.connect(ctx); err == nil {
-		p.Put(conn, time.Now(), 0)
+	conn, err := p.connect(ctx)
+	if err != nil {
+		return err
 	}
+	p.Put(conn, time.Now(), 0)
+	return nil
 }
 
 // Put returns a connection whose reply was read whole. Life is how long the searcher keeps it open, or 0 when it did not say.
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -34,10 +34,12 @@
 
 // Engine is safe for concurrent use.
 type Engine struct {
-	codec    Codec
-	budget   Budget
+	codec  Codec
+	budget atomic.Pointer[Budget]
+	// marked is called after a request was found to crash searchers.
+	marked   atomic.Pointer[func()]
 	grid     *grid
-	marks    *quar.Table
+	crashes  *crashes
 	logger   *events.Logger
 	counters *reason.Counters
 	clock    func() time.Time
@@ -65,9 +67,8 @@
 	logger *events.Logger, counters *reason.Counters, registry metrics.Registry, clock func() time.Time) *Engine {
 	e := &Engine{
 		codec:     codec,
-		budget:    b,
 		grid:      newGrid(place, dial),
-		marks:     marks,
+		crashes:   &crashes{marks: marks},
 		logger:    logger,
 		counters:  counters,
 		clock:     clock,
@@ -75,6 +76,7 @@
 		attempts:  metrics.NewRegisteredCounter("relay.attempts", registry),
 		hedges:    metrics.NewRegisteredCounter("relay.hedges", registry),
 	}
+	e.budget.Store(&b)
 	e.nodes.Store(1)
 	return e
 }
@@ -83,9 +85,14 @@
 func (e *Engine) Update(snapshot *fleet.Snapshot, table *route.Table, nodes Nodes) {
 	e.nodes.Store(int64(max(nodes.Active, 1)))
 	e.active.Store(nodes.SelfActive)
-	e.grid.update(snapshot, table, nodes)
+	for _, gone := range e.grid.update(snapshot, table, nodes) {
+		e.searcherEnded(e.clock(), gone)
+	}
 }
 
+// SetBudget changes the share and the allowance of repeats; the window stays.
+func (e *Engine) SetBudget(b Budget) { e.budget.Store(&b) }
+
 // Tick closes idle connections whose life has ended, and opens others in advance on a node that callers are sent to.
 func (e *Engine) Tick(ctx context.Context, now time.Time) {
 	e.grid.trim(now)
@@ -125,6 +132,9 @@
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	f := newFlight(e, now, request)
+	if e.crashes.quarantined(now, f.fingerprint) {
+		return f.quarantine()
+	}
 	return f.run()
 }
 
@@ -132,14 +142,15 @@
 	if w, ok := e.windows.Load(service); ok {
 		return w.(*budget.Window)
 	}
-	w, _ := e.windows.LoadOrStore(service, budget.NewWindow(e.budget.Window))
+	w, _ := e.windows.LoadOrStore(service, budget.NewWindow(e.budget.Load().Window))
 	return w.(*budget.Window)
 }
 
 // extra reports whether the budget allows another attempt at a service, and spends it.
 func (e *Engine) extra(now time.Time, service string) bool {
-	allowance := budgetMargin * e.budget.Allowance / float64(e.nodes.Load())
-	return e.window(service).Extra(now, budgetMargin*e.budget.Share, allowance)
+	bound := e.budget.Load()
+	allowance := budgetMargin * bound.Allowance / float64(e.nodes.Load())
+	return e.window(service).Extra(now, budgetMargin*bound.Share, allowance)
 }
 
 // count records the reason of a failed attempt.
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -33,6 +33,16 @@
 	return answer
 }
 
+// quarantine refuses a request that crashed searchers before it runs again.
+func (f *flight) quarantine() Answer {
+	f.end()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	answer := f.refused(wire.Reason_REASON_QUARANTINED)
+	f.log(f.started, answer)
+	return answer
+}
+
 func (f *flight) answer(now time.Time) Answer {
 	if f.gone {
 		return f.refused(wire.Reason_REASON_CALLER_GONE)
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -50,6 +50,8 @@
 	request  *Request
 	started  time.Time
 	deadline time.Time
+	// fingerprint names the request when it comes again.
+	fingerprint uint64
 	// cutAt is when an answer of the least coverage is sent without waiting for the other shards.
 	cutAt time.Time
 	least float64
@@ -79,13 +81,14 @@
 		patience = request.Patience
 	}
 	f := &flight{
-		engine:   e,
-		request:  request,
-		started:  now,
-		deadline: now.Add(patience),
-		least:    1,
-		signal:   make(chan struct{}, 1),
-		attempts: make(map[*attempt]struct{}),
+		engine:      e,
+		request:     request,
+		started:     now,
+		deadline:    now.Add(patience),
+		fingerprint: fingerprint(request.Route, request),
+		least:       1,
+		signal:      make(chan struct{}, 1),
+		attempts:    make(map[*attempt]struct{}),
 	}
 	f.cutAt = f.deadline
 	f.ctx, f.end = context.WithCancel(context.Background())
@@ -279,6 +282,12 @@
 	if r.reason == wire.Reason_REASON_WRONG_SEARCHER {
 		a.station.replaced.Store(true)
 	}
+	if r.abrupt {
+		f.engine.suspect(now, f.fingerprint, a.station)
+	}
+	if r.reason == wire.Reason_REASON_CONNECT_FAILED {
+		f.engine.searcherEnded(now, a.station.searcher.Key())
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.attempts, a)
@@ -348,6 +357,10 @@
 		f.engine.count(wire.Reason_REASON_RETRY_ATTEMPTS)
 		return false
 	}
+	if f.engine.crashes.quarantined(now, f.fingerprint) {
+		f.engine.count(wire.Reason_REASON_QUARANTINED)
+		return false
+	}
 	if f.deadline.Sub(now) < answerMargin {
 		f.engine.count(wire.Reason_REASON_RETRY_NO_TIME)
 		return false
--- a/internal/relay/station.go
+++ b/internal/relay/station.go
@@ -21,6 +21,8 @@
 	track    *health.Track
 	// warmAt is when a connection may be opened in advance again; only the node's tick uses it.
 	warmAt time.Time
+	// probing is set while the node looks whether the searcher lives.
+	probing atomic.Bool
 	// replaced is set once another process answered at the searcher's address.
 	replaced atomic.Bool
 }
@@ -65,8 +67,8 @@
 	return g
 }
 
-// update makes stations for the searchers of a snapshot and closes those of processes that are gone.
-func (g *grid) update(snapshot *fleet.Snapshot, table *route.Table, nodes Nodes) {
+// update makes stations for the searchers of a snapshot, and closes and returns those of processes that are gone.
+func (g *grid) update(snapshot *fleet.Snapshot, table *route.Table, nodes Nodes) []fleet.Key {
 	old := g.current.Load()
 	next := &stations{byKey: make(map[fleet.Key]*station), services: make(map[string][]*station)}
 	for _, s := range snapshot.All() {
@@ -90,11 +92,14 @@
 		}
 	}
 	g.current.Store(next)
+	var gone []fleet.Key
 	for key, s := range old.byKey {
 		if _, ok := next.byKey[key]; !ok {
 			s.pool.Close()
+			gone = append(gone, key)
 		}
 	}
+	return gone
 }
 
 // Nodes counts the nodes that share a searcher's connections and the budget of repeats.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -436,12 +436,19 @@
 }
 
 // Neighbours returns up to n peer addresses of random nodes of the region, which learn of a change at once.
-func (r *Roster) Neighbours(n int) []string {
+func (r *Roster) Neighbours(n int) []string { return r.sample(n, r.inRegion) }
+
+// Spread returns up to n peer addresses of random nodes of the region and as many of other regions.
+func (r *Roster) Spread(n int) []string {
+	return append(r.Neighbours(n), r.sample(n, func(s State) bool { return !r.inRegion(s) })...)
+}
+
+func (r *Roster) sample(n int, fits func(State) bool) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var addresses []string
 	for _, record := range r.others {
-		if record.state.Region == r.self.Region {
+		if fits(record.state) {
 			addresses = append(addresses, record.state.PeerAddress)
 		}
 	}
--- a/internal/tier/greet.go
+++ b/internal/tier/greet.go
@@ -34,6 +34,13 @@
 	return h.tier.digest(now, h.tier.roster.Reply(now, states))
 }
 
+// Push is part of peer.Handler. It takes in marks of requests that crash searchers, and passes on what is new.
+func (h handler) Push(_ context.Context, push *wire.Push) {
+	if h.tier.engine.MergeMarks(h.tier.clock(), push.GetMarks()) {
+		h.tier.spreadMarks()
+	}
+}
+
 // Pull is part of peer.Handler.
 func (h handler) Pull(_ context.Context, pull *wire.Pull) *wire.Push {
 	return h.tier.entriesAfter(pull.GetEntriesAfter())
@@ -169,10 +176,27 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, greetTimeout)
 		defer cancel()
-		// A node that does not answer is noticed by its silence.
 		answer, err := t.peers.Digest(ctx, shards.NewVM("", "", "", "", address), t.digest(t.clock(), states))
-		if err == nil {
-			t.merge(t.clock(), answer)
+		if err != nil {
+			// The node is noticed by its silence. The connection may have gone silent on its own, so the next exchange opens another.
+			t.peers.Forget(address)
+			return
 		}
+		t.merge(t.clock(), answer)
 	}()
 }
+
+// spreadMarks tells some nodes of the requests that crash searchers; they tell as many others.
+func (t *Tier) spreadMarks() {
+	push := wire.Push_builder{From: t.settings.Load().Node, Marks: t.engine.Marks(t.clock())}.Build()
+	for _, address := range t.roster.Spread(newsFanout) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), greetTimeout)
+			defer cancel()
+			if err := t.peers.Push(ctx, shards.NewVM("", "", "", "", address), push); err != nil {
+				// As above: other nodes pass the marks on too.
+				t.peers.Forget(address)
+			}
+		}()
+	}
+}
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -44,6 +44,7 @@
 	if verdict := t.detector.Tick(now); verdict.Stale() {
 		t.logger.Log(wire.Event_EVENT_PAUSE_DETECTED)
 		t.roster.Resumed(now)
+		t.follower.Resumed()
 	}
 	t.engine.Tick(ctx, now)
 	if nodes := t.nodes(now); !nodes.Equal(t.shared) {
--- a/internal/tier/settings.go
+++ b/internal/tier/settings.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fireflylanding/fireflylanding/internal/relay"
 )
 
 // Settings of a node whose routes and searchers come from a source.
@@ -68,3 +70,8 @@
 	}
 	return nil
 }
+
+// budget returns the bound on repeats.
+func (s Settings) budget() relay.Budget {
+	return relay.Budget{Share: s.ExtraShare, Allowance: s.ExtraAllowance, Window: s.ExtraWindow}
+}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -112,9 +112,8 @@
 		Generation:    uint64(clock().UnixMilli()),
 		Cores:         settings.Power,
 	}, roster.Settings{})
-	extra := relay.Budget{Share: settings.ExtraShare, Allowance: settings.ExtraAllowance, Window: settings.ExtraWindow}
 	place := relay.Place{Zone: settings.Zone, Region: settings.Region, Regions: settings.Regions}
-	t.engine = relay.New(adapter.Codec, extra, place, quar.New(quar.Settings{}), dial, t.logger, t.counters, t.registry, clock)
+	t.engine = relay.New(adapter.Codec, settings.budget(), place, quar.New(quar.Settings{}), dial, t.logger, t.counters, t.registry, clock)
 	t.follower = follow.New(adapter.Source, t.fleet, follow.Settings{ApplyWithin: settings.ApplyWithin}, follow.Hooks{
 		Reader:  t.reader,
 		Changed: t.rebuild,
@@ -129,6 +128,7 @@
 	if err := t.open(settings); err != nil {
 		return nil, err
 	}
+	t.engine.OnMarked(t.spreadMarks)
 	t.registerGauges()
 	return t, nil
 }
@@ -193,6 +193,8 @@
 		return err
 	}
 	t.settings.Store(&settings)
+	t.engine.SetBudget(settings.budget())
+	t.adapter.Source.SetAddress(settings.StoreAddress)
 	return nil
 }
 
