Apply the last state of an entry that changed twice in one batch

Cause: after an outage of the store one batch told that a registration was removed and then written again; the registry entered it and then removed it. Ruled out: quarantine (no refusal of that reason), lost entries at the store (the other zones had the shard). Change: merge returns each key once. TestFollow/removed_and_registered_again_in_one_batch failed first.

--- a/internal/follow/entries.go
+++ b/internal/follow/entries.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -36,14 +37,14 @@
 
 func newEntries() *entries { return &entries{byKey: make(map[string]Entry)} }
 
-// merge takes in a batch and returns the entries that it changed.
+// merge takes in a batch and returns the entries that it changed, each key once, as it is after the batch.
 func (e *entries) merge(batch Batch) []Entry {
-	var changed []Entry
+	latest := make(map[string]Entry)
 	listed := make(map[string]bool)
 	for _, entry := range batch.Entries {
 		listed[entry.Key] = true
 		if e.enter(entry) {
-			changed = append(changed, entry)
+			latest[entry.Key] = entry
 		}
 	}
 	if batch.Complete {
@@ -51,13 +52,12 @@
 			if listed[key] || known.Revision > batch.Revision {
 				continue
 			}
-			gone := Entry{Key: key, Revision: batch.Revision, Removed: true}
-			e.enter(gone)
-			changed = append(changed, gone)
+			latest[key] = Entry{Key: key, Revision: batch.Revision, Removed: true}
+			e.enter(latest[key])
 		}
 	}
 	e.revision = max(e.revision, batch.Revision)
-	return changed
+	return slices.Collect(maps.Values(latest))
 }
 
 // enter stores an entry unless a later one is known, and reports whether it did.
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -109,6 +109,10 @@
 			calls:       []call{all(5, routes(2, 3), seen("a", 4)), some(7, routes(6, 6), seen("b", 6), gone("a", 7))},
 			wantVersion: 6, wantIDs: []string{"b"}, wantAsked: []string{"list", "watch"},
 		},
+		"removed and registered again in one batch": {
+			calls:       []call{all(5, routes(2, 3), seen("a", 4), seen("b", 5)), some(8, gone("a", 6), gone("b", 7), seen("a", 8))},
+			wantVersion: 3, wantIDs: []string{"a"}, wantAsked: []string{"list", "watch"},
+		},
 		"older version is ignored": {
 			calls:       []call{all(5, routes(2, 6)), some(7, routes(6, 3))},
 			wantVersion: 6, wantIDs: []string{}, wantAsked: []string{"list", "watch"},
