Give far nodes more connections and make refusals costly by the square of their share

Attempts waited up to 480 ms for one of the node's single connection to a far searcher (share 0.3 of 26 over 5 nodes), and first attempts went on to searchers that refuse. Ruled out: the budget itself (retries of refusals were within it where a good searcher was chosen first). Change: near and far shares 0.5 and 0.45; failure cost 3 s times the square of the failing share; a refusal counts as a failure.

--- a/internal/health/track.go
+++ b/internal/health/track.go
@@ -20,8 +20,9 @@
 	minStall    = 20 * time.Millisecond
 	// stallCost is the expected rest of a stall.
 	stallCost = 150 * time.Millisecond
-	// failureCost is the cost of a searcher that fails each request.
-	failureCost   = 400 * time.Millisecond
+	// failureCost is the cost of a searcher that fails each request. It goes with the square of the share that fails: a rare failure is
+	// made good by a repeat, but repeats of many would exceed their budget.
+	failureCost   = 3 * time.Second
 	failureWeight = 0.3
 	// firstAvoidance is how long a searcher that could not be reached is avoided; it doubles up to maxAvoidance.
 	firstAvoidance = 300 * time.Millisecond
@@ -112,7 +113,7 @@
 	case Shed:
 		// A refusal is a quick reply of a full searcher: others are better for a while.
 		t.repliedAt = now
-		t.fail(now, 0.5)
+		t.fail(now, 1)
 	case Unreachable:
 		t.fail(now, 1)
 		t.avoid(now)
@@ -189,7 +190,8 @@
 		Outstanding: len(t.outstanding),
 		Stalled:     t.stalled(now),
 	}
-	r.Penalty = time.Duration(t.fadedFailures(now) * float64(failureCost))
+	failures := t.fadedFailures(now)
+	r.Penalty = time.Duration(failures * failures * float64(failureCost))
 	if r.Stalled {
 		r.Penalty += stallCost
 	}
--- a/internal/health/track_test.go
+++ b/internal/health/track_test.go
@@ -51,6 +51,19 @@
 			}
 			return now.Add(10 * time.Second)
 		}},
+		"rarely fails": {record: func(track *Track, now time.Time) time.Time {
+			track.End(now, track.Begin(now), Failed{})
+			return served(track, now, 10, service)
+		}},
+		"sheds two of five, as far ones do not": {record: func(track *Track, now time.Time) time.Time {
+			for range 6 {
+				now = served(track, now, 3, service)
+				for range 2 {
+					track.End(now, track.Begin(now), Shed{})
+				}
+			}
+			return served(track, now, 3, service)
+		}, wantLeave: true},
 		"unreachable": {record: func(track *Track, now time.Time) time.Time {
 			track.End(now, track.Begin(now), Unreachable{})
 			return now.Add(100 * time.Millisecond)
--- a/internal/relay/station.go
+++ b/internal/relay/station.go
@@ -46,8 +46,8 @@
 	priorZone   = time.Millisecond
 	priorRegion = 30 * time.Millisecond
 	// nearShare is the share of a searcher's connections for the nodes of its own region, farShare that for all others.
-	nearShare = 0.6
-	farShare  = 0.3
+	nearShare = 0.5
+	farShare  = 0.45
 	// warmInterval is the least time between two connections to one searcher that are opened in advance.
 	warmInterval = 2 * time.Second
 )
