--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -115,21 +115,21 @@
 // serve finds the route of a request and runs it.
 func (s *Server) serve(ctx *fasthttp.RequestCtx, now time.Time, id string, patience time.Duration) relay.Answer {
 	if refusal := s.sources.Gate(); refusal != nil {
-		return s.refuse(refusal.Reason())
+		return s.refuse(id, refusal.Reason())
 	}
 	table := s.sources.Table()
 	if table == nil {
-		return s.refuse(wire.Reason_REASON_NOT_READY)
+		return s.refuse(id, wire.Reason_REASON_NOT_READY)
 	}
 	if r := exceeded(&ctx.Request, table.Limits()); r != wire.Reason_REASON_UNSPECIFIED {
-		return s.refuse(r)
+		return s.refuse(id, r)
 	}
 	if id == "" {
-		return s.refuse(wire.Reason_REASON_BAD_REQUEST)
+		return s.refuse(id, wire.Reason_REASON_BAD_REQUEST)
 	}
 	found, ok := table.Find(string(ctx.Request.Header.Host()), string(ctx.Request.Header.RequestURI()))
 	if !ok {
-		return s.refuse(wire.Reason_REASON_ROUTE_UNKNOWN)
+		return s.refuse(id, wire.Reason_REASON_ROUTE_UNKNOWN)
 	}
 	body := ctx.Request.Body()
 	return s.engine.Serve(now, &relay.Request{
@@ -163,8 +163,10 @@
 	return func() bool { return false }
 }
 
-func (s *Server) refuse(r wire.Reason) relay.Answer {
+// refuse answers a request that is not run.
+func (s *Server) refuse(id string, r wire.Reason) relay.Answer {
 	s.counters.Add(r)
+	s.logger.Log(wire.Event_EVENT_REQUEST_FAILED, zap.String("request", id), zap.String("reason", reason.Name(r)), zap.Bool("not_run", true))
 	return relay.Refused{Reason: r, NotRun: true, RetryAfter: refusedAfter}
 }
 
