--- a/internal/cmd/check.go
+++ b/internal/cmd/check.go
@@ -11,7 +11,9 @@
 
 	"github.com/fireflylanding/fireflylanding/internal/conf"
 	"github.com/fireflylanding/fireflylanding/internal/plans"
+	"github.com/fireflylanding/fireflylanding/internal/tier"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
+	site "github.com/fireflylanding/fireflylanding/platform"
 )
 
 func checkCommand(stdout io.Writer) *cli.Command {
@@ -22,9 +24,12 @@
 		Description: `Examples:
    fireflylanding check node.ini
    fireflylanding check --list plans plans.ini
-   fireflylanding check --list uses uses.ini`,
+   fireflylanding check --list uses uses.ini
+   fireflylanding check --platform settings local.json
+   fireflylanding check --platform routes config.json`,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "list", Usage: "check a list instead of settings: plans or uses"},
+			&cli.StringFlag{Name: "platform", Usage: "check a file of the users' platform instead: settings or routes"},
 		},
 		Action: func(_ context.Context, command *cli.Command) error {
 			if command.Args().Len() == 0 {
@@ -35,9 +40,14 @@
 			default:
 				return withCode(exitUsage, errors.Newf("--list must be %s or %s", plans.PlansKey, plans.UsesKey))
 			}
+			switch command.String("platform") {
+			case "", platformSettings, platformRoutes:
+			default:
+				return withCode(exitUsage, errors.Newf("--platform must be %s or %s", platformSettings, platformRoutes))
+			}
 			var faults conf.Faults
 			for _, file := range command.Args().Slice() {
-				if err := checkFile(command.String("list"), file); err != nil {
+				if err := checkFile(command.String("list"), command.String("platform"), file); err != nil {
 					faults = faults.With(err)
 					continue
 				}
@@ -48,12 +58,38 @@
 	}
 }
 
-func checkFile(list, file string) error {
+// Files of the users' platform that check knows.
+const (
+	platformSettings = "settings"
+	platformRoutes   = "routes"
+)
+
+// checkPlatform checks a file of the users' platform by the code that a node uses.
+func checkPlatform(kind, file string, data []byte) error {
+	var err error
+	if kind == platformRoutes {
+		_, err = site.DecodeRoutes(data)
+	} else {
+		var settings tier.Settings
+		if settings, err = site.DecodeSettings(data); err == nil {
+			err = settings.Validate()
+		}
+	}
+	if err != nil {
+		return conf.Faults{conf.NewFault(file, "", "", err.Error())}
+	}
+	return nil
+}
+
+func checkFile(list, platform, file string) error {
 	var data []byte
 	var err error
 	if data, err = os.ReadFile(file); err != nil {
 		return conf.Faults{conf.NewFault(file, "", "", err.Error())}
 	}
+	if platform != "" {
+		return checkPlatform(platform, file, data)
+	}
 	if list == "" {
 		_, err = conf.Load(file, data)
 		return err
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -186,9 +186,10 @@
 		s.codec.Merged(&ctx.Response.Header, id, answer.Proofs, answer.Missing)
 		ctx.Response.SetBodyRaw(answer.Records)
 	case relay.Refused:
-		ctx.SetStatusCode(status(answer))
+		code := status(answer)
+		ctx.SetStatusCode(code)
 		after := time.Duration(0)
-		if answer.NotRun {
+		if code == fasthttp.StatusServiceUnavailable {
 			after = answer.RetryAfter
 		}
 		s.codec.Refused(&ctx.Response.Header, id, after)
