Offer this zone's nodes to callers from other zones, and follow other regions closer

Change: a caller from another zone gets the nodes of this zone beside its own; regions exchange their own states each second; a far node is left out after 5 s. TestOfferPrefersNearNodes says what is offered: a caller from another zone now gets two addresses instead of one.

--- a/internal/roster/offer.go
+++ b/internal/roster/offer.go
@@ -14,13 +14,15 @@
 	activeShare = 0.3
 )
 
-// Offer returns the caller addresses of active nodes for a caller in a zone: those of its zone, or else of its region, or else all.
+// Offer returns the caller addresses of active nodes for a caller in a zone. A caller asks the nodes of its own zone first, so that a
+// caller from another zone most likely found none there: it gets the nodes of this zone beside those of its own. Where neither zone has
+// any, it gets those of its region, or else all.
 func (r *Roster) Offer(now time.Time, region, zone string) []string {
 	r.mu.Lock()
-	live := r.liveReady(now)
+	live, own := r.liveReady(now), r.self.Zone
 	r.mu.Unlock()
 	for _, near := range []func(State) bool{
-		func(s State) bool { return s.Zone == zone },
+		func(s State) bool { return s.Zone == zone || (s.Zone == own && zone != own) },
 		func(s State) bool { return s.Region == region },
 		func(State) bool { return true },
 	} {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -57,8 +57,10 @@
 	relayedFactor = 6
 	// defaultForgetAfter is the silence after which a node is no longer greeted, except by its seed address.
 	defaultForgetAfter = 2 * time.Minute
-	// farBeats is the least advance of a heartbeat count that is passed on between regions.
-	farBeats = 10
+	// farBeats is the least advance of a heartbeat count that is passed on between regions, and farSilence the silence after which a node
+	// of another region is not offered: a heartbeat waits for an exchange at both ends.
+	farBeats   = 2
+	farSilence = 4 * time.Second
 	// tableBytesPerS bounds the bytes for the table of a region that a node sends, and stateBytes is the size of one state in it.
 	tableBytesPerS = 1024
 	stateBytes     = 64
@@ -115,7 +117,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.self.Phase = phase
-	r.self.Beat += farBeats
+	r.self.Beat++
 }
 
 // Beat counts a heartbeat of this node, with its present load.
@@ -206,11 +208,10 @@
 		}
 		return now.Sub(latest) < r.settings.SuspectAfter
 	}
-	silence := relayedFactor * interval
 	if record.state.Region != r.self.Region {
-		silence += farBeats * farInterval
+		return now.Sub(record.advancedAt) < farSilence+interval
 	}
-	return now.Sub(record.advancedAt) < silence
+	return now.Sub(record.advancedAt) < relayedFactor*interval
 }
 
 // greeted returns the ids of the nodes that this node greets at each heartbeat.
@@ -317,7 +318,7 @@
 }
 
 // farInterval is the time between two exchanges of a zone's first nodes with other regions.
-const farInterval = 2 * time.Second
+const farInterval = time.Second
 
 // Greeting says whom to exchange states with, and which.
 type Greeting struct {
@@ -348,8 +349,8 @@
 	}
 	if r.leads() && now.Sub(r.farAt) >= farInterval {
 		r.farAt = now
-		if far, ok := r.random(func(s State) bool { return s.Region != r.self.Region }); ok {
-			greetings = append(greetings, Greeting{Address: far.PeerAddress, States: r.all()})
+		if far, ok := r.random(func(s State) bool { return !r.inRegion(s) }); ok {
+			greetings = append(greetings, Greeting{Address: far.PeerAddress, States: r.region()})
 		}
 	}
 	return append(greetings, r.greetSeeds(seeds)...)
@@ -407,6 +408,17 @@
 	return states
 }
 
+// region returns the states of the region.
+func (r *Roster) region() []State {
+	states := []State{r.self}
+	for _, record := range r.others {
+		if r.inRegion(record.state) {
+			states = append(states, record.state)
+		}
+	}
+	return states
+}
+
 func (r *Roster) all() []State {
 	states := []State{r.self}
 	for _, record := range r.others {
@@ -426,8 +438,10 @@
 	sender := greeting[0]
 	_, known := r.others[sender.ID]
 	switch {
-	case !known || sender.Region != r.self.Region:
+	case !known:
 		return r.all()
+	case sender.Region != r.self.Region:
+		return r.region()
 	case len(greeting) == 1:
 		return []State{r.self}
 	default:
