--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -35,6 +35,33 @@
 
 	mu         sync.Mutex
 	suspicions []suspicion
+	// told holds the fingerprints that other nodes were told of, with the time until which that holds.
+	told map[uint64]time.Time
+}
+
+const (
+	// tellAgain is the time after which other nodes are told of a request again.
+	tellAgain = 10 * time.Second
+	// maxTold bounds the fingerprints that others were told of.
+	maxTold = 1024
+)
+
+func newCrashes(marks *quar.Table) *crashes {
+	return &crashes{marks: marks, told: make(map[uint64]time.Time)}
+}
+
+// tell reports whether other nodes are to be told of a fingerprint now.
+func (c *crashes) tell(now time.Time, fingerprint uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Before(c.told[fingerprint]) {
+		return false
+	}
+	if len(c.told) >= maxTold {
+		clear(c.told)
+	}
+	c.told[fingerprint] = now.Add(tellAgain)
+	return true
 }
 
 // fingerprint names a request that comes again with another id.
@@ -77,25 +104,41 @@
 	c.suspicions = kept
 }
 
-// crashed marks the requests that a searcher worked on when it ended, and reports whether there were any.
-func (c *crashes) crashed(now time.Time, searcher fleet.Key) bool {
+// crashed marks the requests that a searcher worked on when it ended. It returns their fingerprints.
+func (c *crashes) crashed(now time.Time, searcher fleet.Key) []uint64 {
 	c.mu.Lock()
 	c.expire(now)
-	var confirmed []suspicion
+	var confirmed []uint64
 	kept := c.suspicions[:0]
 	for _, s := range c.suspicions {
 		if s.searcher == searcher {
-			confirmed = append(confirmed, s)
+			confirmed = append(confirmed, s.fingerprint)
 		} else {
 			kept = append(kept, s)
 		}
 	}
 	c.suspicions = kept
 	c.mu.Unlock()
-	for _, s := range confirmed {
-		c.marks.LostExclusive(now, s.fingerprint, s.searcher.ID)
+	for _, fingerprint := range confirmed {
+		c.marks.LostExclusive(now, fingerprint, searcher.ID)
+	}
+	return confirmed
+}
+
+// suspected reports whether a request has crashed a searcher before.
+func (c *crashes) suspected(now time.Time, fingerprint uint64) bool {
+	_, clear := c.marks.Check(now, fingerprint).(quar.Clear)
+	return !clear
+}
+
+// export returns the mark of a fingerprint.
+func (c *crashes) export(now time.Time, fingerprint uint64) []*wire.QuarantineMark {
+	for _, mark := range c.marks.Export(now) {
+		if mark.GetFingerprint() == fingerprint {
+			return []*wire.QuarantineMark{mark}
+		}
 	}
-	return len(confirmed) > 0
+	return nil
 }
 
 const (
@@ -128,24 +171,43 @@
 	return ok
 }
 
-// searcherEnded notes that a searcher is gone, and passes marks on when requests of this node may have crashed it.
+// searcherEnded notes that a searcher is gone. A crash marks all requests that ran there, most of which are not its cause, so that other
+// nodes are told only of those that crashed another one too.
 func (e *Engine) searcherEnded(now time.Time, searcher fleet.Key) {
-	if !e.crashes.crashed(now, searcher) {
+	confirmed := e.crashes.crashed(now, searcher)
+	if len(confirmed) == 0 {
 		return
 	}
-	e.logger.Log(wire.Event_EVENT_SEARCHER_LOST, zap.String("searcher", searcher.ID))
-	if marked := e.marked.Load(); marked != nil {
-		(*marked)()
+	e.logger.Log(wire.Event_EVENT_SEARCHER_LOST, zap.String("searcher", searcher.ID), zap.Int("requests", len(confirmed)))
+	for _, fingerprint := range confirmed {
+		if e.crashes.quarantined(now, fingerprint) {
+			e.logger.Log(wire.Event_EVENT_QUARANTINED, zap.Uint64("fingerprint", fingerprint))
+			e.tellOthers(now, fingerprint)
+		}
 	}
 }
 
-// OnMarked sets what is called after a request was found to crash searchers.
-func (e *Engine) OnMarked(marked func()) { e.marked.Store(&marked) }
+// tellOthers passes the mark of a request on, unless that happened lately.
+func (e *Engine) tellOthers(now time.Time, fingerprint uint64) {
+	tell := e.marked.Load()
+	if tell == nil || !e.crashes.tell(now, fingerprint) {
+		return
+	}
+	if marks := e.crashes.export(now, fingerprint); len(marks) > 0 {
+		(*tell)(marks)
+	}
+}
 
-// Marks returns the requests that crash searchers, for other nodes.
-func (e *Engine) Marks(now time.Time) []*wire.QuarantineMark { return e.crashes.marks.Export(now) }
+// OnMarked sets what passes marks on to other nodes.
+func (e *Engine) OnMarked(tell func(marks []*wire.QuarantineMark)) { e.marked.Store(&tell) }
 
-// MergeMarks takes in the marks of another node and reports whether any was new.
-func (e *Engine) MergeMarks(now time.Time, marks []*wire.QuarantineMark) bool {
-	return e.crashes.marks.Merge(now, marks)
+// MergeMarks takes in the marks of another node and returns those that were new.
+func (e *Engine) MergeMarks(now time.Time, marks []*wire.QuarantineMark) []*wire.QuarantineMark {
+	var news []*wire.QuarantineMark
+	for _, mark := range marks {
+		if e.crashes.marks.Merge(now, []*wire.QuarantineMark{mark}) {
+			news = append(news, mark)
+		}
+	}
+	return news
 }
--- /dev/null
+++ b/internal/relay/crash_test.go
@@ -0,0 +1,93 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/fireflylanding/fireflylanding/internal/events"
+	"github.com/fireflylanding/fireflylanding/internal/fleet"
+	"github.com/fireflylanding/fireflylanding/internal/quar"
+	"github.com/fireflylanding/fireflylanding/internal/reason"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func newEngine(now func() time.Time) *Engine {
+	registry := metrics.NewRegistry()
+	dial := func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }
+	budget := Budget{Share: 0.2, Allowance: 10, Window: 10 * time.Second}
+	return New(nil, budget, Place{}, quar.New(quar.Settings{}), dial, events.Discard(), reason.NewCounters(registry, "reasons"), registry, now)
+}
+
+func searcherKey(i int) fleet.Key { return fleet.Key{ID: fmt.Sprintf("i-%d", i)} }
+
+// Guards against marks of all requests that a crash took along: other nodes are told only of those that crash another searcher or come again.
+func TestMarksThatAreTold(t *testing.T) {
+	const poison, bystanders = uint64(1), 50
+	tests := map[string]struct {
+		losses []time.Duration
+		again  bool
+		want   int
+	}{
+		"one loss":                        {losses: []time.Duration{0}, want: 0},
+		"one loss, comes again":           {losses: []time.Duration{0}, again: true, want: 1},
+		"two losses":                      {losses: []time.Duration{0, time.Second}, want: 1},
+		"two losses, comes again at once": {losses: []time.Duration{0, time.Second}, again: true, want: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := start
+			e := newEngine(func() time.Time { return now })
+			told := 0
+			e.OnMarked(func(marks []*wire.QuarantineMark) {
+				told += len(marks)
+				if marks[0].GetFingerprint() != poison {
+					t.Errorf("got mark of %d, want %d", marks[0].GetFingerprint(), poison)
+				}
+			})
+			for i, after := range test.losses {
+				now = start.Add(after)
+				e.crashes.suspect(now, poison, searcherKey(i))
+				for j := range bystanders {
+					e.crashes.suspect(now, uint64(100+100*i+j), searcherKey(i))
+				}
+				e.searcherEnded(now, searcherKey(i))
+			}
+			if test.again && e.crashes.suspected(now, poison) {
+				e.tellOthers(now, poison)
+			}
+			if told != test.want {
+				t.Errorf("got %d marks told, want %d", told, test.want)
+			}
+		})
+	}
+}
+
+// Guards against marks that nodes pass on to each other without end.
+func TestMarksEndTheirWay(t *testing.T) {
+	a, b := newEngine(func() time.Time { return start }), newEngine(func() time.Time { return start })
+	for i := range 2 {
+		a.crashes.suspect(start, 1, searcherKey(i))
+		a.searcherEnded(start, searcherKey(i))
+	}
+	marks := a.crashes.export(start, 1)
+	if got := len(b.MergeMarks(start.Add(30*time.Millisecond), marks)); got != 1 {
+		t.Fatalf("first time: got %d new marks, want 1", got)
+	}
+	if !b.crashes.quarantined(start.Add(time.Second), 1) {
+		t.Error("at the other node: got no quarantine, want one")
+	}
+	back := b.crashes.export(start.Add(60*time.Millisecond), 1)
+	if got := len(a.MergeMarks(start.Add(90*time.Millisecond), back)); got != 0 {
+		t.Errorf("on the way back: got %d new marks, want 0", got)
+	}
+	if got := len(b.MergeMarks(start.Add(time.Second), marks)); got != 0 {
+		t.Errorf("again: got %d new marks, want 0", got)
+	}
+}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -36,8 +36,8 @@
 type Engine struct {
 	codec  Codec
 	budget atomic.Pointer[Budget]
-	// marked is called after a request was found to crash searchers.
-	marked   atomic.Pointer[func()]
+	// marked passes marks of requests that crash searchers on to other nodes.
+	marked   atomic.Pointer[func([]*wire.QuarantineMark)]
 	grid     *grid
 	crashes  *crashes
 	logger   *events.Logger
@@ -68,7 +68,7 @@
 	e := &Engine{
 		codec:     codec,
 		grid:      newGrid(place, dial),
-		crashes:   &crashes{marks: marks},
+		crashes:   newCrashes(marks),
 		logger:    logger,
 		counters:  counters,
 		clock:     clock,
@@ -132,6 +132,10 @@
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	f := newFlight(e, now, request)
+	if e.crashes.suspected(now, f.fingerprint) {
+		// A request that comes again after it lost a searcher is no bystander.
+		e.tellOthers(now, f.fingerprint)
+	}
 	if e.crashes.quarantined(now, f.fingerprint) {
 		return f.quarantine()
 	}
--- /dev/null
+++ b/internal/roster/greet.go
@@ -0,0 +1,205 @@
+package roster
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+// zoneLeaders is the number of nodes of a zone that are followed directly by all others of the zone, and regionLeaders that of a region
+// that are followed by the leaders of its zones.
+const (
+	zoneLeaders   = 3
+	regionLeaders = 2
+)
+
+// first returns the first n nodes in their order, among those that take part.
+func (r *Roster) first(n int, takesPart func(State) bool) []State {
+	states := r.known(takesPart)
+	if takesPart(r.self) {
+		states = append(states, r.self)
+	}
+	sort.Slice(states, func(i, j int) bool { return states[i].order() < states[j].order() })
+	return states[:min(len(states), n)]
+}
+
+// leads reports whether this node is one of its zone's leaders.
+func (r *Roster) leads() bool {
+	for _, s := range r.first(zoneLeaders, r.inZone) {
+		if s.ID == r.self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Roster) inZone(s State) bool   { return s.Zone == r.self.Zone }
+func (r *Roster) inRegion(s State) bool { return s.Region == r.self.Region }
+
+// closest returns the nodes that this node greets at each heartbeat, possibly itself among them.
+func (r *Roster) closest() []State {
+	near := r.first(zoneLeaders, r.inZone)
+	if !r.leads() {
+		return near
+	}
+	for _, s := range r.first(regionLeaders, r.inRegion) {
+		if !r.inZone(s) {
+			near = append(near, s)
+		}
+	}
+	return near
+}
+
+// First returns the first n live and ready nodes of this node's region in their order.
+func (r *Roster) First(now time.Time, n int) []State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	live := make(map[string]bool)
+	for _, s := range r.liveReady(now) {
+		live[s.ID] = true
+	}
+	return r.first(n, func(s State) bool { return r.inRegion(s) && live[s.ID] })
+}
+
+// farInterval is the time between two exchanges of a zone's first nodes with other regions.
+const farInterval = time.Second
+
+// Greeting says whom to exchange states with, and which.
+type Greeting struct {
+	// Address is a peer address.
+	Address string
+	// States are sent; the other end answers in kind.
+	States []State
+}
+
+// Greet returns the exchanges of one heartbeat: with the first nodes of the zone, which takes one state, now and then with a node of the
+// region, which takes the region's table, and, from the first nodes of a zone only, with another region. While nobody of the region is
+// known, seeds are greeted.
+func (r *Roster) Greet(now time.Time, seeds []string) []Greeting {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forget(now)
+	var greetings []Greeting
+	for _, s := range r.closest() {
+		if s.ID != r.self.ID {
+			greetings = append(greetings, Greeting{Address: s.PeerAddress, States: []State{r.self}})
+		}
+	}
+	if now.Sub(r.tableAt) >= r.tableInterval() {
+		r.tableAt = now
+		if mate, ok := r.random(r.inRegion); ok {
+			greetings = append(greetings, Greeting{Address: mate.PeerAddress, States: r.table(now)})
+		}
+	}
+	if r.leads() && now.Sub(r.farAt) >= farInterval {
+		r.farAt = now
+		if far, ok := r.random(func(s State) bool { return !r.inRegion(s) }); ok {
+			greetings = append(greetings, Greeting{Address: far.PeerAddress, States: r.region()})
+		}
+	}
+	return append(greetings, r.greetSeeds(seeds)...)
+}
+
+func (r *Roster) forget(now time.Time) {
+	for id, record := range r.others {
+		if now.Sub(record.advancedAt) > r.settings.ForgetAfter {
+			delete(r.others, id)
+		}
+	}
+}
+
+// greetSeeds returns an exchange with a seed that no known node has.
+func (r *Roster) greetSeeds(seeds []string) []Greeting {
+	known := make(map[string]bool)
+	for _, state := range r.all() {
+		known[state.PeerAddress] = true
+	}
+	var unknown []string
+	for _, seed := range seeds {
+		if !known[seed] {
+			unknown = append(unknown, seed)
+		}
+	}
+	if len(unknown) == 0 {
+		return nil
+	}
+	return []Greeting{{Address: unknown[rand.IntN(len(unknown))], States: []State{r.self}}}
+}
+
+// random returns a known node other than this one.
+func (r *Roster) random(fits func(State) bool) (State, bool) {
+	states := r.known(fits)
+	if len(states) == 0 {
+		return State{}, false
+	}
+	return states[rand.IntN(len(states))], true
+}
+
+// known returns the states of the other nodes that fit.
+func (r *Roster) known(fits func(State) bool) []State {
+	var states []State
+	for _, record := range r.others {
+		if fits(record.state) {
+			states = append(states, record.state)
+		}
+	}
+	return states
+}
+
+// table returns the states of the region, and those of other regions that moved lately.
+func (r *Roster) table(now time.Time) []State {
+	lately := 2 * r.tableInterval()
+	return r.withSelf(func(s State) bool { return r.inRegion(s) || now.Sub(r.others[s.ID].advancedAt) < lately })
+}
+
+// region returns the states of the region.
+func (r *Roster) region() []State { return r.withSelf(r.inRegion) }
+
+func (r *Roster) all() []State { return r.withSelf(func(State) bool { return true }) }
+
+// withSelf returns the state of this node and those of the others that fit.
+func (r *Roster) withSelf(fits func(State) bool) []State {
+	return append([]State{r.self}, r.known(fits)...)
+}
+
+// Reply returns the states that answer a greeting in kind: one state for one, the region's table for that of the same region, and all
+// for a stranger or another region.
+func (r *Roster) Reply(now time.Time, greeting []State) []State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(greeting) == 0 {
+		return []State{r.self}
+	}
+	sender := greeting[0]
+	_, known := r.others[sender.ID]
+	switch {
+	case !known:
+		return r.all()
+	case sender.Region != r.self.Region:
+		return r.region()
+	case len(greeting) == 1:
+		return []State{r.self}
+	default:
+		return r.table(now)
+	}
+}
+
+// Neighbours returns up to n peer addresses of random nodes of the region, which learn of a change at once.
+func (r *Roster) Neighbours(n int) []string { return r.sample(n, r.inRegion) }
+
+// Spread returns up to n peer addresses of random nodes of the region and as many of other regions.
+func (r *Roster) Spread(n int) []string {
+	return append(r.Neighbours(n), r.sample(n, func(s State) bool { return !r.inRegion(s) })...)
+}
+
+func (r *Roster) sample(n int, fits func(State) bool) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	states := r.known(fits)
+	rand.Shuffle(len(states), func(i, j int) { states[i], states[j] = states[j], states[i] })
+	addresses := make([]string, 0, n)
+	for _, state := range states[:min(n, len(states))] {
+		addresses = append(addresses, state.PeerAddress)
+	}
+	return addresses
+}
--- a/internal/tier/greet.go
+++ b/internal/tier/greet.go
@@ -36,8 +36,8 @@
 
 // Push is part of peer.Handler. It takes in marks of requests that crash searchers, and passes on what is new.
 func (h handler) Push(_ context.Context, push *wire.Push) {
-	if h.tier.engine.MergeMarks(h.tier.clock(), push.GetMarks()) {
-		h.tier.spreadMarks()
+	if news := h.tier.engine.MergeMarks(h.tier.clock(), push.GetMarks()); len(news) > 0 {
+		h.tier.spreadMarks(news)
 	}
 }
 
@@ -186,9 +186,9 @@
 	}()
 }
 
-// spreadMarks tells some nodes of the requests that crash searchers; they tell as many others.
-func (t *Tier) spreadMarks() {
-	push := wire.Push_builder{From: t.settings.Load().Node, Marks: t.engine.Marks(t.clock())}.Build()
+// spreadMarks tells some nodes of requests that crash searchers; those to which it is news tell as many others.
+func (t *Tier) spreadMarks(marks []*wire.QuarantineMark) {
+	push := wire.Push_builder{From: t.settings.Load().Node, Marks: marks}.Build()
 	for _, address := range t.roster.Spread(newsFanout) {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), greetTimeout)
