Greet few partners: distances of powers of two in the region, the first nodes of other regions

Cause: random partners made each node connect to all nodes of its region and of others: handshakes of several kilobytes each, and at 2,700 nodes connections to hundreds. A state of another region could count as silent on its way through two large regions. Change: mates at distances 1, 2, 4 ... in the order of ids, and one of the first two nodes of another region; the silence granted to far nodes goes by the exchanges that a state takes. TestGreet simulates 40 nodes: at most 16 partners each, all live after 20 s.

--- a/internal/roster/greet.go
+++ b/internal/roster/greet.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 )
@@ -87,13 +88,13 @@
 	}
 	if now.Sub(r.tableAt) >= r.tableInterval() {
 		r.tableAt = now
-		if mate, ok := r.random(r.inRegion); ok {
+		if mate, ok := r.mate(); ok {
 			greetings = append(greetings, Greeting{Address: mate.PeerAddress, States: r.table(now)})
 		}
 	}
 	if r.leads() && now.Sub(r.farAt) >= farInterval {
 		r.farAt = now
-		if far, ok := r.random(func(s State) bool { return !r.inRegion(s) }); ok {
+		if far, ok := r.far(); ok {
 			greetings = append(greetings, Greeting{Address: far.PeerAddress, States: r.region()})
 		}
 	}
@@ -126,13 +127,37 @@
 	return []Greeting{{Address: unknown[rand.IntN(len(unknown))], States: []State{r.self}}}
 }
 
-// random returns a known node other than this one.
-func (r *Roster) random(fits func(State) bool) (State, bool) {
-	states := r.known(fits)
-	if len(states) == 0 {
+// mate returns the node of the region for the next exchange of its table: those at distances 1, 2, 4 and so on in the order of their
+// ids, in turn. So a state reaches all in few exchanges, and a node keeps few connections.
+func (r *Roster) mate() (State, bool) {
+	states := r.region()
+	if len(states) < 2 {
+		return State{}, false
+	}
+	sort.Slice(states, func(i, j int) bool { return states[i].ID < states[j].ID })
+	self := slices.IndexFunc(states, func(s State) bool { return s.ID == r.self.ID })
+	distance := 1 << r.turn
+	if distance >= len(states) {
+		distance, r.turn = 1, 0
+	}
+	r.turn++
+	return states[(self+distance)%len(states)], true
+}
+
+// far returns one of the first nodes of another region.
+func (r *Roster) far() (State, bool) {
+	var regions []string
+	for _, s := range r.known(func(s State) bool { return !r.inRegion(s) }) {
+		if !slices.Contains(regions, s.Region) {
+			regions = append(regions, s.Region)
+		}
+	}
+	if len(regions) == 0 {
 		return State{}, false
 	}
-	return states[rand.IntN(len(states))], true
+	region := regions[rand.IntN(len(regions))]
+	first := r.first(regionLeaders, func(s State) bool { return s.Region == region })
+	return first[rand.IntN(len(first))], true
 }
 
 // known returns the states of the other nodes that fit.
--- a/internal/roster/live.go
+++ b/internal/roster/live.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"math/bits"
 	"sort"
 	"time"
 )
@@ -11,6 +12,9 @@
 	return max(minTableInterval, time.Duration(members*stateBytes)*time.Second/tableBytesPerS)
 }
 
+// hops returns the number of exchanges in which a state reaches all nodes of the region.
+func (r *Roster) hops() time.Duration { return time.Duration(bits.Len(uint(len(r.region())))) }
+
 // live reports whether a node was heard lately: directly, as those that this node greets at each heartbeat, or through others, which
 // takes longer.
 func (r *Roster) live(now time.Time, record *record, interval time.Duration, greeted map[string]bool) bool {
@@ -22,7 +26,7 @@
 		return now.Sub(latest) < r.settings.SuspectAfter
 	}
 	if record.state.Region != r.self.Region {
-		return now.Sub(record.advancedAt) < farSilence+interval
+		return now.Sub(record.advancedAt) < farSilence+2*r.hops()*interval
 	}
 	return now.Sub(record.advancedAt) < relayedFactor*interval
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -56,7 +56,7 @@
 	// defaultForgetAfter is the silence after which a node is no longer greeted, except by its seed address.
 	defaultForgetAfter = 2 * time.Minute
 	// farBeats is the least advance of a heartbeat count that is passed on between regions, and farSilence the silence after which a node
-	// of another region is not offered: a heartbeat waits for an exchange at both ends.
+	// of another region is not offered, beyond the time that a heartbeat takes through both regions.
 	farBeats   = 2
 	farSilence = 4 * time.Second
 	// tableBytesPerS bounds the bytes for the table of a region that a node sends, and stateBytes is the size of one state in it.
@@ -90,6 +90,8 @@
 	// tableAt is when the region's table was last sent, farAt when another region was last greeted.
 	tableAt time.Time
 	farAt   time.Time
+	// turn is the exponent of the next mate's distance.
+	turn int
 }
 
 // New returns a roster that knows only its own node.
