--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -22,7 +22,7 @@
 	endMargin = 500 * time.Millisecond
 	// drainPoll is how often a stopping node looks for requests in flight.
 	drainPoll = 10 * time.Millisecond
-	// quietTime is how long a stopping node must have had no connection before it ends early, and quietAfter the least time before.
+	// quietAfter is the time after which a stopping node without connections ends early.
 	quietAfter = 2500 * time.Millisecond
 )
 
