--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -121,12 +121,6 @@
 // InFlight returns the number of requests that wait for their answer.
 func (e *Engine) InFlight() int { return int(e.inFlight.Load()) }
 
-// Close closes the connections and waits for the attempts in flight. There must be no request in flight.
-func (e *Engine) Close() {
-	e.grid.close()
-	e.tasks.Wait()
-}
-
 // Serve runs a request and returns its answer, at the latest when the caller's patience or the route's time ends.
 func (e *Engine) Serve(now time.Time, request *Request) Answer {
 	e.inFlight.Add(1)
--- a/internal/relay/station.go
+++ b/internal/relay/station.go
@@ -216,9 +216,3 @@
 		s.pool.Trim(now)
 	}
 }
-
-func (g *grid) close() {
-	for _, s := range g.current.Load().byKey {
-		s.pool.Close()
-	}
-}
--- a/internal/tier/greet.go
+++ b/internal/tier/greet.go
@@ -115,7 +115,7 @@
 	if !t.pulling.CompareAndSwap(false, true) {
 		return
 	}
-	go func() {
+	t.background.Go(func() {
 		defer t.pulling.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 		defer cancel()
@@ -133,7 +133,7 @@
 		position := positionOf(push.GetSource())
 		position.Age += t.clock().Sub(asked)
 		t.follower.Receive(t.clock(), batch, position)
-	}()
+	})
 }
 
 func (t *Tier) entriesAfter(revision uint64) *wire.Push {
@@ -173,7 +173,7 @@
 
 // exchange swaps states with a node in a goroutine, so that a node that does not answer delays no other.
 func (t *Tier) exchange(ctx context.Context, address string, states []roster.State) {
-	go func() {
+	t.background.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, greetTimeout)
 		defer cancel()
 		answer, err := t.peers.Digest(ctx, shards.NewVM("", "", "", "", address), t.digest(t.clock(), states))
@@ -183,20 +183,20 @@
 			return
 		}
 		t.merge(t.clock(), answer)
-	}()
+	})
 }
 
 // spreadMarks tells some nodes of requests that crash searchers; those to which it is news tell as many others.
 func (t *Tier) spreadMarks(marks []*wire.QuarantineMark) {
 	push := wire.Push_builder{From: t.settings.Load().Node, Marks: marks}.Build()
 	for _, address := range t.roster.Spread(newsFanout) {
-		go func() {
+		t.background.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), greetTimeout)
 			defer cancel()
 			if err := t.peers.Push(ctx, shards.NewVM("", "", "", "", address), push); err != nil {
 				// As above: other nodes pass the marks on too.
 				t.peers.Forget(address)
 			}
-		}()
+		})
 	}
 }
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -124,10 +124,10 @@
 	}
 	t.logger.Log(wire.Event_EVENT_STOP_REFUSING)
 	closed := make(chan struct{})
-	go func() {
+	t.background.Go(func() {
 		defer close(closed)
 		t.report("callers", t.edge.Shutdown())
-	}()
+	})
 	timer := time.NewTimer(started.Add(stopTime - endMargin).Sub(t.clock()))
 	defer timer.Stop()
 	select {
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -76,6 +76,8 @@
 	pulling atomic.Bool
 	// shared counts the nodes that shared at the last tick; only maintain uses it.
 	shared relay.Nodes
+	// background holds the exchanges with other nodes and the end of service.
+	background conc.WaitGroup
 	// updates orders rebuilds.
 	updates sync.Mutex
 }
@@ -226,6 +228,10 @@
 	t.closeSockets()
 	tasks.Wait()
 	listeners.Wait()
+	if cut == 0 {
+		// Otherwise the end of service waits for the requests that are cut off.
+		t.background.Wait()
+	}
 	t.logger.Log(wire.Event_EVENT_STOP_DONE, zap.Int("cut", cut))
 	return cut
 }
