Rank searchers by the chance of a reply in time, and learn latency without own queues

Logs show requests sent to slow searchers with expected latencies of 300 to 490 ms although their goal is 100 to 150 ms, since a searcher that lost two answers of five cost 480 ms without bound: a sure late reply was preferred to a likely one in time. The expected latency also counted this node's queue twice, once in the mean and once by the requests outstanding.

Ruled out: the wait for connections (few attempts expired there) and the budget (553 hedges of the window replied).

Change: the cost of a searcher is its expected latency plus what a reply that fails or comes after the goal would lose, bounded by one second. The mean is learned without the wait behind requests of this node. Hedges whose reply would come after the goal wait. One reading of each record serves the choice and the typical latency, which read them twice.

Whole queries are still not admitted by what shards take.

--- a/internal/health/track.go
+++ b/internal/health/track.go
@@ -19,11 +19,16 @@
 	stallFactor = 3.0
 	minStall    = 20 * time.Millisecond
 	// stallCost is the expected rest of a stall.
-	stallCost = 150 * time.Millisecond
-	// failureCost is the cost of a searcher that fails each request. It goes with the square of the share that fails: a rare failure is
-	// made good by a repeat, but repeats of many would exceed their budget.
-	failureCost   = 3 * time.Second
+	stallCost     = 150 * time.Millisecond
 	failureWeight = 0.3
+	// lossCost is the cost of a request that surely brings no reply in time.
+	lossCost = time.Second
+	// failureFactor turns the square of the share of failures into the risk that no reply comes: a rare failure is made good by a
+	// repeat, but repeats of many would exceed their budget.
+	failureFactor = 3.0
+	// A reply is surely in time when its expected latency is below the share safeShare of the patience, and surely late above lateShare.
+	safeShare = 0.6
+	lateShare = 1.4
 	// firstAvoidance is how long a searcher that could not be reached is avoided; it doubles up to maxAvoidance.
 	firstAvoidance = 300 * time.Millisecond
 	maxAvoidance   = 4 * time.Second
@@ -61,16 +66,27 @@
 type pending struct {
 	ticket Ticket
 	sentAt time.Time
+	// queue is the number of rounds of service that were ahead when it was sent, and distance the round trip.
+	queue    float64
+	distance time.Duration
+}
+
+// unloaded returns the latency without the wait behind this node's own requests.
+func (p pending) unloaded(latency time.Duration) time.Duration {
+	return p.distance + time.Duration(float64(max(latency-p.distance, 0))/(1+p.queue))
 }
 
 // Track is the record of one searcher. It is safe for concurrent use.
 type Track struct {
+	// slots is the number of requests that the searcher runs at once.
+	slots int
+
 	mu sync.Mutex
 	// outstanding holds the requests without an outcome in the order of sending.
 	outstanding []pending
 	last        Ticket
 	repliedAt   time.Time
-	// mean is the mean latency in nanoseconds, 0 while unknown, as of sampledAt.
+	// mean is the mean latency without queues of this node in nanoseconds, 0 while unknown, as of sampledAt.
 	mean      float64
 	sampledAt time.Time
 	// failures is the recent share of failed requests as of failedAt.
@@ -80,15 +96,16 @@
 	avoidances int
 }
 
-// New returns an empty record.
-func New() *Track { return &Track{} }
+// New returns an empty record of a searcher that runs so many requests at once.
+func New(slots int) *Track { return &Track{slots: max(slots, 1)} }
 
-// Begin records that a request was sent.
-func (t *Track) Begin(now time.Time) Ticket {
+// Begin records that a request was sent over a distance, the round trip.
+func (t *Track) Begin(now time.Time, distance time.Duration) Ticket {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.last++
-	t.outstanding = append(t.outstanding, pending{ticket: t.last, sentAt: now})
+	queue := float64(len(t.outstanding)) / float64(t.slots)
+	t.outstanding = append(t.outstanding, pending{ticket: t.last, sentAt: now, queue: queue, distance: distance})
 	return t.last
 }
 
@@ -96,16 +113,17 @@
 func (t *Track) End(now time.Time, ticket Ticket, outcome Outcome) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sentAt, ok := t.remove(ticket)
+	p, ok := t.remove(ticket)
 	if !ok {
 		return
 	}
+	latency := p.unloaded(now.Sub(p.sentAt))
 	switch outcome.(type) {
 	case Replied:
 		t.repliedAt = now
 		t.avoidances = 0
 		t.avoidUntil = time.Time{}
-		t.learn(now, now.Sub(sentAt))
+		t.learn(now, latency)
 		t.fail(now, 0)
 	case Failed:
 		t.repliedAt = now
@@ -119,20 +137,20 @@
 		t.avoid(now)
 	case Abandoned:
 		// The request took at least this long.
-		if waited := now.Sub(sentAt); float64(waited) > t.mean {
-			t.learn(now, waited)
+		if float64(latency) > t.mean {
+			t.learn(now, latency)
 		}
 	}
 }
 
-func (t *Track) remove(ticket Ticket) (time.Time, bool) {
+func (t *Track) remove(ticket Ticket) (pending, bool) {
 	for i, p := range t.outstanding {
 		if p.ticket == ticket {
 			t.outstanding = append(t.outstanding[:i], t.outstanding[i+1:]...)
-			return p.sentAt, true
+			return p, true
 		}
 	}
-	return time.Time{}, false
+	return pending{}, false
 }
 
 func (t *Track) learn(now time.Time, latency time.Duration) {
@@ -170,35 +188,30 @@
 
 // Reading is the state of a track at a time.
 type Reading struct {
-	// Mean is the mean latency, 0 while unknown, and Age the time since its last sample.
+	// Mean is the mean latency without queues of this node, 0 while unknown, and Age the time since its last sample.
 	Mean time.Duration
 	Age  time.Duration
-	// Outstanding is the number of requests without a reply.
-	Outstanding int
-	// Penalty is what failures, a stall or unreachability add to the expected latency.
-	Penalty time.Duration
+	// Queue is the number of rounds of service that are ahead of another request.
+	Queue float64
+	// Failures is the recent share of failed requests.
+	Failures float64
+	// Stalled is set while nothing comes back, Avoided while the searcher could not be reached lately.
 	Stalled bool
+	Avoided bool
 }
 
 // Read returns the state at a time.
 func (t *Track) Read(now time.Time) Reading {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := Reading{
-		Mean:        time.Duration(t.mean),
-		Age:         now.Sub(t.sampledAt),
-		Outstanding: len(t.outstanding),
-		Stalled:     t.stalled(now),
-	}
-	failures := t.fadedFailures(now)
-	r.Penalty = time.Duration(failures * failures * float64(failureCost))
-	if r.Stalled {
-		r.Penalty += stallCost
-	}
-	if now.Before(t.avoidUntil) {
-		r.Penalty += avoidCost
+	return Reading{
+		Mean:     time.Duration(t.mean),
+		Age:      now.Sub(t.sampledAt),
+		Queue:    float64(len(t.outstanding)) / float64(t.slots),
+		Failures: t.fadedFailures(now),
+		Stalled:  t.stalled(now),
+		Avoided:  now.Before(t.avoidUntil),
 	}
-	return r
 }
 
 // stalled reports whether requests are outstanding and nothing came back for much longer than a reply takes.
@@ -214,15 +227,38 @@
 	return now.Sub(since) > silence
 }
 
-// Cost returns the expected latency of another request: distance is the round trip and typical the service time of searchers of
-// this kind, both of which stand in for what this track does not know, and slots what the searcher runs at once.
-func (r Reading) Cost(distance, typical time.Duration, slots int) time.Duration {
+// Latency returns the expected latency of another request: distance is the round trip and typical the service time of searchers of
+// this kind, both of which stand in for what this track does not know.
+func (r Reading) Latency(distance, typical time.Duration) time.Duration {
 	base := distance + typical
 	expected := base
 	if r.Mean > 0 {
 		expected += time.Duration(float64(r.Mean-base) * fade(r.Age))
 	}
 	service := max(expected-distance, 0)
-	queue := time.Duration(float64(service) * float64(r.Outstanding) / float64(max(slots, 1)))
-	return expected + queue + r.Penalty
+	expected += time.Duration(float64(service) * r.Queue)
+	if r.Stalled {
+		expected += stallCost
+	}
+	return expected
+}
+
+// Cost ranks a searcher for a request whose reply is of use within patience: the expected latency, and what a reply that fails or is late
+// would lose. A searcher that often fails is preferred to one that is sure to be late.
+func (r Reading) Cost(latency, patience time.Duration) time.Duration {
+	risk := min(r.Failures*r.Failures*failureFactor, 1)
+	cost := latency + time.Duration((1-(1-risk)*(1-lateness(latency, patience)))*float64(lossCost))
+	if r.Avoided {
+		cost += avoidCost
+	}
+	return cost
+}
+
+// lateness returns the chance that a reply of an expected latency comes too late.
+func lateness(latency, patience time.Duration) float64 {
+	if patience <= 0 {
+		return 1
+	}
+	share := float64(latency) / float64(patience)
+	return min(max((share-safeShare)/(lateShare-safeShare), 0), 1)
 }
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -36,11 +36,13 @@
 	deadline time.Time
 	// fingerprint names the request when it comes again.
 	fingerprint uint64
-	// cutAt is when an answer of the least coverage is sent without waiting for the other shards.
-	cutAt time.Time
-	least float64
-	ctx   context.Context
-	end   context.CancelFunc
+	// goalAt is when the answer loses most of its value. cutAt is when an answer of the least coverage is sent without waiting for the
+	// other shards.
+	goalAt time.Time
+	cutAt  time.Time
+	least  float64
+	ctx    context.Context
+	end    context.CancelFunc
 	// signal wakes the request's goroutine up.
 	signal chan struct{}
 
@@ -74,12 +76,13 @@
 		signal:      make(chan struct{}, 1),
 		attempts:    make(map[*attempt]struct{}),
 	}
+	f.goalAt = now.Add(terms.Goal - answerMargin)
 	f.cutAt = f.deadline
 	f.ctx, f.end = context.WithCancel(context.Background())
 	switch target := request.Route.Target().(type) {
 	case route.Gather:
 		f.least = target.LeastShare
-		f.cutAt = now.Add(terms.Goal - answerMargin)
+		f.cutAt = f.goalAt
 		f.parts = make([]part, len(target.Shards))
 		for i, shard := range target.Shards {
 			f.parts[i].service = shard
@@ -163,6 +166,14 @@
 	return !now.Before(f.cutAt) && f.enough()
 }
 
+// patience returns the time within which a reply is of use: until the goal, and after it until the deadline.
+func (f *flight) patience(now time.Time) time.Duration {
+	if now.Before(f.goalAt) {
+		return f.goalAt.Sub(now)
+	}
+	return f.deadline.Sub(now)
+}
+
 // enough reports whether the replies make up the least coverage.
 func (f *flight) enough() bool {
 	return f.good > 0 && float64(f.good) >= f.least*float64(len(f.parts))
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -24,7 +24,7 @@
 
 // start sends the next attempt of a part, or settles the part when there is nowhere to send it.
 func (f *flight) start(now time.Time, p *part, cause wire.Reason) bool {
-	chosen, ok := f.engine.grid.choose(now, p.service, p.triedStation)
+	chosen, ok := f.engine.grid.choose(now, p.service, f.patience(now), p.triedStation)
 	if !ok {
 		if p.inFlight == 0 {
 			f.settle(p, lastReason(p))
@@ -58,11 +58,11 @@
 		searcher: chosen.station.searcher.ID(),
 		cause:    cause,
 		at:       now.Sub(f.started),
-		expected: chosen.cost,
+		expected: chosen.latency,
 		stalled:  chosen.stalled,
 	}
 	f.trail = append(f.trail, a.step)
-	a.ticket = chosen.station.track.Begin(now)
+	a.ticket = chosen.station.track.Begin(now, chosen.distance)
 	p.tried = append(p.tried, chosen.station)
 	p.sent++
 	p.inFlight++
@@ -82,18 +82,18 @@
 
 // hedgeDelay returns the wait for a reply after which a second searcher is worth its cost.
 func (f *flight) hedgeDelay(chosen choice) time.Duration {
-	expected := min(time.Duration(float64(chosen.cost)*hedgeFactor), time.Duration(float64(f.request.Route.Terms().Goal)*maxHedgeShare))
+	expected := min(time.Duration(float64(chosen.latency)*hedgeFactor), time.Duration(float64(f.request.Route.Terms().Goal)*maxHedgeShare))
 	return max(expected, minHedge)
 }
 
 // hedge sends a second attempt for a part when a searcher that replies is at hand and the budget allows it.
 func (f *flight) hedge(now time.Time, p *part) {
-	chosen, ok := f.engine.grid.choose(now, p.service, p.triedStation)
+	chosen, ok := f.engine.grid.choose(now, p.service, f.patience(now), p.triedStation)
 	if !ok {
 		p.hedgeAt = time.Time{}
 		return
 	}
-	if now.Add(chosen.cost).After(f.deadline) {
+	if chosen.latency > f.patience(now) {
 		p.hedgeAt = now.Add(hedgePoll)
 		return
 	}
--- a/internal/relay/station.go
+++ b/internal/relay/station.go
@@ -80,7 +80,7 @@
 			known = &station{
 				searcher: s,
 				pool:     pool.New(s.Address(), limit, g.dial, func(took time.Duration) { g.learnDistance(region, took) }),
-				track:    health.New(),
+				track:    health.New(s.Slots()),
 			}
 		}
 		known.pool.SetLimit(limit)
@@ -171,38 +171,57 @@
 // choice is a station with the expected latency of a request there.
 type choice struct {
 	station *station
-	cost    time.Duration
-	stalled bool
+	latency time.Duration
+	// distance is the part of it for the way.
+	distance time.Duration
+	stalled  bool
 }
 
-// choose returns the station of a service with the least expected latency that skip does not exclude.
-func (g *grid) choose(now time.Time, service string, skip func(*station) bool) (choice, bool) {
-	candidates := g.current.Load().services[service]
-	typical := g.typical(now, candidates)
+// candidate is a station with what its record says at the time of a choice.
+type candidate struct {
+	station *station
+	reading health.Reading
+}
+
+// usualReplicas is the number of searchers of a service for which a choice needs no allocation.
+const usualReplicas = 8
+
+// choose returns the station of a service with the least cost, of those that skip does not exclude, for a request whose reply is of use
+// within patience.
+func (g *grid) choose(now time.Time, service string, patience time.Duration, skip func(*station) bool) (choice, bool) {
+	var room [usualReplicas]candidate
+	candidates := room[:0]
+	for _, s := range g.current.Load().services[service] {
+		candidates = append(candidates, candidate{station: s, reading: s.track.Read(now)})
+	}
+	typical := g.typical(candidates)
 	var best choice
-	for _, s := range candidates {
+	var least time.Duration
+	for _, c := range candidates {
+		s := c.station
 		if s.replaced.Load() || skip(s) {
 			continue
 		}
-		reading := s.track.Read(now)
-		cost := reading.Cost(g.distance(s.searcher.Zone()), typical, s.searcher.Slots())
+		distance := g.distance(s.searcher.Zone())
+		latency := c.reading.Latency(distance, typical)
+		cost := c.reading.Cost(latency, patience)
 		cost += time.Duration(float64(cost) * jitter * rand.Float64())
-		if best.station == nil || cost < best.cost {
-			best = choice{station: s, cost: cost, stalled: reading.Stalled}
+		if best.station == nil || cost < least {
+			least = cost
+			best = choice{station: s, latency: latency, distance: distance, stalled: c.reading.Stalled}
 		}
 	}
 	return best, best.station != nil
 }
 
 // typical returns the least mean service time of the stations, as an estimate for those that were not tried yet.
-func (g *grid) typical(now time.Time, candidates []*station) time.Duration {
+func (g *grid) typical(candidates []candidate) time.Duration {
 	least := time.Duration(0)
-	for _, s := range candidates {
-		mean := s.track.Read(now).Mean
-		if mean == 0 {
+	for _, c := range candidates {
+		if c.reading.Mean == 0 {
 			continue
 		}
-		service := max(mean-g.distance(s.searcher.Zone()), 0)
+		service := max(c.reading.Mean-g.distance(c.station.searcher.Zone()), 0)
 		if least == 0 || service < least {
 			least = service
 		}
