Notice connections that searchers forgot, and connections that they refuse

Cause: a searcher that forgets resting connections resets the next request on each of them.

Ruled out: longer confirmation of a crash (a second probe 300 ms later), by which a request would crash more searchers before it is known.

Change: a reset within the round trip of a connection that had rested closes it without a mark on the searcher, and for five seconds no connection rests half as long. A searcher to which another connection lives has not ended. The reused flag of connections, which only a test read, has this use now.

--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -19,8 +19,10 @@
 	reader *bufio.Reader
 	// reused is set when the connection carried a request before.
 	reused bool
-	// idleSince is when the last reply ended; usableUntil is when the searcher may close the idle connection.
+	// idleSince is when the last reply ended, and idleFor how long the connection had rested when it was taken; usableUntil is when the
+	// searcher may close the idle connection.
 	idleSince   time.Time
+	idleFor     time.Duration
 	usableUntil time.Time
 }
 
@@ -37,7 +39,7 @@
 // Reader returns the buffered reader of the connection. Bytes that stay in it after a reply belong to no request.
 func (c *Conn) Reader() *bufio.Reader { return c.reader }
 
-// Reused reports whether the connection carried a request before.
+// Reused reports whether the connection carried a request before, so that the searcher may have forgotten it meanwhile.
 func (c *Conn) Reused() bool { return c.reused }
 
 // clean reports whether an idle connection is open and holds no bytes, which would be taken for the next reply.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -18,6 +18,9 @@
 	defaultIdle = 4 * time.Second
 	// idleMargin is kept between the end of a connection's stated life and its last use, for the way there.
 	idleMargin = 300 * time.Millisecond
+	// leastRest is the least bound on the rest of idle connections, and restMemory the time for which it holds after the searcher forgot one.
+	leastRest  = 50 * time.Millisecond
+	restMemory = 5 * time.Second
 	// numRanks is the number of waiting lists; greater ranks share the last one.
 	numRanks = 3
 )
@@ -42,6 +45,9 @@
 	idle    []*Conn
 	waiting [numRanks][]*waiter
 	closed  bool
+	// restFor bounds the rest of an idle connection until restUntil, after the searcher forgot one that had rested longer.
+	restFor   time.Duration
+	restUntil time.Time
 }
 
 // waiter waits for a connection, or for the right to open one (nil).
@@ -61,15 +67,23 @@
 	p.limit = max(limit, 1)
 }
 
-// Busy returns the number of requests that use or wait for a connection.
-func (p *Pool) Busy() int {
+// Limit returns the number of connections that may be open.
+func (p *Pool) Limit() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	busy := p.open - len(p.idle)
-	for _, list := range p.waiting {
-		busy += len(list)
+	return p.limit
+}
+
+// Alive reports whether an idle connection is open at the other end too, which shows that the searcher's process lives.
+func (p *Pool) Alive() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.idle {
+		if Peek(conn.raw) != Closed {
+			return true
+		}
 	}
-	return busy
+	return false
 }
 
 // Get returns a clean connection: an idle one, a new one, or the first that another request returns. Its errors are that of ctx, that
@@ -136,7 +150,7 @@
 	for len(p.idle) > 0 {
 		conn := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if now.Before(conn.usableUntil) && conn.clean() {
+		if conn.idleFor = now.Sub(conn.idleSince); p.usable(conn, now) {
 			conn.reused = true
 			return conn
 		}
@@ -146,6 +160,27 @@
 	return nil
 }
 
+// usable reports whether an idle connection may carry another request.
+func (p *Pool) usable(conn *Conn, now time.Time) bool {
+	if now.Before(p.restUntil) && now.Sub(conn.idleSince) > p.restFor {
+		return false
+	}
+	return now.Before(conn.usableUntil) && conn.clean()
+}
+
+// Forgotten notes that the searcher had forgotten a connection by the time it was used again, and closes it. For a while no connection
+// rests so long.
+func (p *Pool) Forgotten(conn *Conn, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rest := max(conn.idleFor/2, leastRest)
+	if now.After(p.restUntil) || rest < p.restFor {
+		p.restFor = rest
+	}
+	p.restUntil = now.Add(restMemory)
+	p.discard(conn)
+}
+
 func (p *Pool) connect(ctx context.Context) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -270,9 +305,9 @@
 	p.dropIdle(func(conn *Conn) bool { return conn.idleSince.Before(since) })
 }
 
-// Trim closes the idle connections whose life has ended.
+// Trim closes the idle connections that may not carry another request.
 func (p *Pool) Trim(now time.Time) {
-	p.dropIdle(func(conn *Conn) bool { return !now.Before(conn.usableUntil) })
+	p.dropIdle(func(conn *Conn) bool { return !p.usable(conn, now) })
 }
 
 func (p *Pool) dropIdle(drop func(*Conn) bool) {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -222,3 +222,42 @@
 		t.Errorf("got %d open connections, want 1", p.open)
 	}
 }
+
+// Guards against one request after the other on connections that the searcher forgets while they rest, and against a bound that stays for
+// good.
+func TestForgotten(t *testing.T) {
+	tests := map[string]struct {
+		rest  time.Duration
+		after time.Duration
+		want  bool
+	}{
+		"rested as long as the forgotten one": {rest: 400 * time.Millisecond, after: time.Second},
+		"rested briefly":                      {rest: 100 * time.Millisecond, after: time.Second, want: true},
+		"long after":                          {rest: 400 * time.Millisecond, after: time.Minute, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(t, startServer(t).listener.Addr().String(), 2)
+			now := time.Now()
+			first := get(t, p)
+			p.Put(first, now, time.Hour)
+			now = now.Add(400 * time.Millisecond)
+			taken, err := p.Get(t.Context(), now, 0)
+			if err != nil || taken != first {
+				t.Fatalf("got connection %p, error %v, want the idle one", taken, err)
+			}
+			p.Forgotten(taken, now)
+			now = now.Add(test.after)
+			second := get(t, p)
+			p.Put(second, now, time.Hour)
+			again, err := p.Get(t.Context(), now.Add(test.rest), 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer p.Discard(again)
+			if got := again == second; got != test.want {
+				t.Errorf("used again after a rest of %v: got %v, want %v", test.rest, got, test.want)
+			}
+		})
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -20,6 +20,9 @@
 	leastRemaining = 2 * time.Millisecond
 	// maxStrays is the number of replies to other requests that are skipped on a connection before it is given up.
 	maxStrays = 2
+	// forgottenMargin is the time beyond the round trip within which a searcher resets a connection that it has forgotten. Requests that it
+	// runs take longer.
+	forgottenMargin = 1500 * time.Microsecond
 	// maxReplyBytes bounds a reply's body.
 	maxReplyBytes = 8 << 20
 )
@@ -30,6 +33,8 @@
 	station *station
 	sentAt  time.Time
 	ticket  health.Ticket
+	// distance is the round trip to the searcher.
+	distance time.Duration
 	// deadline ends the attempt; the searcher is told the time until then.
 	deadline time.Time
 	// step shows the attempt in the log; it is guarded by the flight's mu.
@@ -77,8 +82,10 @@
 	head     ReplyHead
 	// sent is set once a byte of the request may have reached the searcher.
 	sent bool
-	// abrupt is set when the searcher's connection broke after the request was sent.
-	abrupt bool
+	// abrupt is set when the searcher's connection broke after the request was sent. It is forgotten when the searcher seems not to have
+	// known the connection any more, which rested before.
+	abrupt    bool
+	forgotten bool
 }
 
 // notRun reports whether the searcher surely did not run the request.
@@ -119,7 +126,9 @@
 	message = append(message, request.Body...)
 	// A searcher may answer before it has read a long body, so the reply is read also after a failed write.
 	_, writeErr := conn.Write(message)
+	sentAt := e.clock()
 	r := e.read(conn, request)
+	r.forgotten = r.abrupt && conn.Reused() && e.clock().Sub(sentAt) < a.distance+forgottenMargin
 	a.unuse()
 	e.giveBack(a, conn, r, writeErr == nil)
 	return r
@@ -192,6 +201,10 @@
 
 // giveBack returns the connection for the next request, or closes it when the reply left it in doubt.
 func (e *Engine) giveBack(a *attempt, conn *pool.Conn, r result, wrote bool) {
+	if r.forgotten {
+		a.station.pool.Forgotten(conn, e.clock())
+		return
+	}
 	whole := wrote && r.response != nil && r.reason != wire.Reason_REASON_UNPROVEN
 	if !whole || r.head.Closing || r.response.Header.ConnectionClose() {
 		a.station.pool.Discard(conn)
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -160,11 +160,19 @@
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
 		if err := s.pool.Probe(ctx); err != nil {
-			e.searcherEnded(e.clock(), key)
+			e.unreachable(e.clock(), s)
 		}
 	})
 }
 
+// unreachable notes that no connection to a searcher could be opened. It has ended unless another connection lives: searchers also refuse
+// connections beyond the number that they accept.
+func (e *Engine) unreachable(now time.Time, s *station) {
+	if !s.pool.Alive() {
+		e.searcherEnded(now, s.searcher.Key())
+	}
+}
+
 // quarantined reports whether a request has crashed so many searchers that it may not run any more.
 func (c *crashes) quarantined(now time.Time, fingerprint uint64) bool {
 	_, ok := c.marks.Check(now, fingerprint).(quar.Quarantined)
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
+	"github.com/fireflylanding/fireflylanding/internal/health"
+	"github.com/fireflylanding/fireflylanding/internal/pool"
 	"github.com/fireflylanding/fireflylanding/internal/quar"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
@@ -91,3 +93,39 @@
 		t.Errorf("again: got %d new marks, want 0", got)
 	}
 }
+
+// Guards against a searcher that refuses further connections and is taken for one that a request crashed: after a restart of all nodes
+// requests were refused as quarantined that had done nothing.
+func TestRefusedConnectionIsNoCrash(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	e := newEngine(time.Now)
+	searcher := fleet.NewSearcher("i-0", "one", listener.Addr().String(), "z", 2, false, 1, 1)
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
+	s := &station{searcher: searcher, pool: pool.New(searcher.Address(), 2, dial, func(time.Duration) {}), track: health.New(2)}
+	defer s.pool.Close()
+	if err := s.pool.Probe(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const request = uint64(1)
+	e.crashes.suspect(time.Now(), request, searcher.Key())
+	e.unreachable(time.Now(), s)
+	if e.crashes.suspected(time.Now(), request) {
+		t.Error("while another connection lives: got a mark, want none")
+	}
+	accepted.Close()
+	time.Sleep(20 * time.Millisecond)
+	e.unreachable(time.Now(), s)
+	if !e.crashes.suspected(time.Now(), request) {
+		t.Error("after all connections closed: got no mark, want one")
+	}
+}
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -52,7 +52,7 @@
 }
 
 func (f *flight) launch(now time.Time, p *part, chosen choice, cause wire.Reason) {
-	a := &attempt{part: p, station: chosen.station, sentAt: now, deadline: f.deadline, ends: f.deadline}
+	a := &attempt{part: p, station: chosen.station, sentAt: now, deadline: f.deadline, ends: f.deadline, distance: chosen.distance}
 	a.step = &step{
 		service:  p.service,
 		searcher: chosen.station.searcher.ID(),
@@ -115,11 +115,11 @@
 	if r.reason == wire.Reason_REASON_WRONG_SEARCHER {
 		a.station.replaced.Store(true)
 	}
-	if r.abrupt {
+	if r.abrupt && !r.forgotten {
 		f.engine.suspect(now, f.fingerprint, a.station)
 	}
 	if r.reason == wire.Reason_REASON_CONNECT_FAILED {
-		f.engine.searcherEnded(now, a.station.searcher.Key())
+		f.engine.unreachable(now, a.station)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -145,6 +145,9 @@
 
 // outcome tells the searcher's record how an attempt ended.
 func outcome(r result) health.Outcome {
+	if r.forgotten {
+		return health.Abandoned{}
+	}
 	switch r.reason {
 	case wire.Reason_REASON_UNSPECIFIED:
 		return health.Replied{}
