Make heartbeats linear in the fleet, and take few connections until other nodes are known

Each new state also built all searchers' records anew, and each node of a zone greeted all three leaders.

Ruled out: the work of exchanges themselves (they are few on idle nodes).

Change: the roster keeps an immutable view of the live nodes for 100 ms and counts the region once; shares of connections change without building the searchers' records; nodes greet the leaders of their zone in turn, which answer for each other; at most 16 connections are opened in advance at a tick, the own region's first; in its first 1.5 s a node takes two connections to a searcher. Code without a use is gone (health paths, a route's prefix, lookups by id), with the names that said so.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -63,12 +63,6 @@
 // Service returns the searchers of a service that take new work, sorted by id. The caller must not change the result.
 func (s *Snapshot) Service(name string) []*Searcher { return s.services[name] }
 
-// Lookup returns a searcher by id.
-func (s *Snapshot) Lookup(id string) (*Searcher, bool) {
-	found, ok := s.byID[id]
-	return found, ok
-}
-
 // All returns the searchers by id. The caller must not change the result.
 func (s *Snapshot) All() map[string]*Searcher { return s.byID }
 
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -81,15 +81,20 @@
 	return e
 }
 
-// Update makes the engine use the searchers of a snapshot, with this node's share of their connections.
-func (e *Engine) Update(snapshot *fleet.Snapshot, table *route.Table, nodes Nodes) {
-	e.nodes.Store(int64(max(nodes.Active, 1)))
-	e.active.Store(nodes.SelfActive)
-	for _, gone := range e.grid.update(snapshot, table, nodes) {
+// Update makes the engine use the searchers of a snapshot and the services of a table.
+func (e *Engine) Update(snapshot *fleet.Snapshot, table *route.Table) {
+	for _, gone := range e.grid.update(snapshot, table) {
 		e.searcherEnded(e.clock(), gone)
 	}
 }
 
+// Share gives this node its share of the searchers' connections and of the budget of repeats.
+func (e *Engine) Share(nodes Nodes) {
+	e.nodes.Store(int64(max(nodes.Active, 1)))
+	e.active.Store(nodes.SelfActive && !nodes.Unmet)
+	e.grid.share(nodes)
+}
+
 // SetBudget changes the share and the allowance of repeats; the window stays.
 func (e *Engine) SetBudget(b Budget) { e.budget.Store(&b) }
 
--- a/internal/relay/station.go
+++ b/internal/relay/station.go
@@ -31,6 +31,7 @@
 type stations struct {
 	byKey    map[fleet.Key]*station
 	services map[string][]*station
+	table    *route.Table
 }
 
 // Place says where a node stands and how far regions are.
@@ -57,6 +58,8 @@
 	place   Place
 	dial    pool.Dial
 	current atomic.Pointer[stations]
+	// nodes are those that share the connections.
+	nodes atomic.Pointer[Nodes]
 	// distances maps a region to the least time in nanoseconds that opening a connection took.
 	distances sync.Map
 }
@@ -64,16 +67,17 @@
 func newGrid(place Place, dial pool.Dial) *grid {
 	g := &grid{place: place, dial: dial}
 	g.current.Store(&stations{})
+	g.nodes.Store(&Nodes{Unmet: true})
 	return g
 }
 
 // update makes stations for the searchers of a snapshot, and closes and returns those of processes that are gone.
-func (g *grid) update(snapshot *fleet.Snapshot, table *route.Table, nodes Nodes) []fleet.Key {
-	old := g.current.Load()
-	next := &stations{byKey: make(map[fleet.Key]*station), services: make(map[string][]*station)}
+func (g *grid) update(snapshot *fleet.Snapshot, table *route.Table) []fleet.Key {
+	old, nodes := g.current.Load(), *g.nodes.Load()
+	next := &stations{byKey: make(map[fleet.Key]*station), services: make(map[string][]*station), table: table}
 	for _, s := range snapshot.All() {
 		key := s.Key()
-		limit := g.share(s, table, nodes)
+		limit := g.limit(s, table, nodes)
 		known, ok := old.byKey[key]
 		if !ok {
 			region := g.place.Regions[s.Zone()]
@@ -109,35 +113,65 @@
 	ByRegion map[string]int
 	// SelfActive is set when callers are sent to this node.
 	SelfActive bool
+	// Unmet is set while this node may not know the others yet.
+	Unmet bool
 }
 
 // Equal reports whether the counts are the same.
 func (n Nodes) Equal(other Nodes) bool {
-	return n.Active == other.Active && n.SelfActive == other.SelfActive && maps.Equal(n.ByRegion, other.ByRegion)
+	return n.Active == other.Active && n.SelfActive == other.SelfActive && n.Unmet == other.Unmet && maps.Equal(n.ByRegion, other.ByRegion)
 }
 
-// share returns this node's share of a searcher's connections, at least 1. Nodes that callers are not sent to take 1.
-func (g *grid) share(s *fleet.Searcher, table *route.Table, nodes Nodes) int {
+// unmetShare is the number of connections to one searcher that a node takes while it may not know the others yet.
+const unmetShare = 2
+
+// share sets this node's share of all searchers' connections.
+func (g *grid) share(nodes Nodes) {
+	g.nodes.Store(&nodes)
+	current := g.current.Load()
+	for _, s := range current.byKey {
+		s.pool.SetLimit(g.limit(s.searcher, current.table, nodes))
+	}
+}
+
+// limit returns this node's share of a searcher's connections, at least 1. Nodes that callers are not sent to take 1.
+func (g *grid) limit(s *fleet.Searcher, table *route.Table, nodes Nodes) int {
 	service, ok := table.Service(s.Service())
 	if !ok || !nodes.SelfActive {
 		return 1
 	}
 	region := g.place.Regions[s.Zone()]
 	near := max(nodes.ByRegion[region], 1)
-	if region == g.place.Region {
-		return max(1, int(nearShare*float64(service.MaxConns())/float64(near)))
+	share := nearShare * float64(service.MaxConns()) / float64(near)
+	if region != g.place.Region {
+		share = farShare * float64(service.MaxConns()) / float64(max(nodes.Active-near, 1))
+	}
+	if nodes.Unmet {
+		share = min(share, unmetShare)
 	}
-	far := max(nodes.Active-near, 1)
-	return max(1, int(farShare*float64(service.MaxConns())/float64(far)))
+	return max(1, int(share))
 }
 
-// warm opens a connection to each searcher of the routes that has none, so that a request need not wait for one.
+// warmAtOnce bounds the connections that are opened in advance at one tick, so that opening them does not delay requests when there are
+// many searchers.
+const warmAtOnce = 16
+
+// warm opens a connection to searchers of the routes that have none, so that a request need not wait for one; those of the node's own
+// region come first.
 func (g *grid) warm(ctx context.Context, now time.Time, start func(func())) {
-	for _, group := range g.current.Load().services {
-		for _, s := range group {
-			if s.pool.Empty() && !now.Before(s.warmAt) {
-				s.warmAt = now.Add(warmInterval)
-				start(func() { s.pool.Warm(ctx) })
+	left := warmAtOnce
+	for _, own := range []bool{true, false} {
+		for _, group := range g.current.Load().services {
+			for _, s := range group {
+				if left == 0 {
+					return
+				}
+				near := g.place.Regions[s.searcher.Zone()] == g.place.Region
+				if near == own && s.pool.Empty() && !now.Before(s.warmAt) {
+					left--
+					s.warmAt = now.Add(warmInterval)
+					start(func() { s.pool.Warm(ctx) })
+				}
 			}
 		}
 	}
--- a/internal/roster/greet.go
+++ b/internal/roster/greet.go
@@ -16,12 +16,16 @@
 
 // first returns the first n nodes in their order, among those that take part.
 func (r *Roster) first(n int, takesPart func(State) bool) []State {
-	states := r.known(takesPart)
+	var found firsts
 	if takesPart(r.self) {
-		states = append(states, r.self)
+		found.add(r.self, n)
 	}
-	sort.Slice(states, func(i, j int) bool { return states[i].order() < states[j].order() })
-	return states[:min(len(states), n)]
+	for _, record := range r.others {
+		if takesPart(record.state) {
+			found.add(record.state, n)
+		}
+	}
+	return found
 }
 
 // leads reports whether this node is one of its zone's leaders.
@@ -37,7 +41,7 @@
 func (r *Roster) inZone(s State) bool   { return s.Zone == r.self.Zone }
 func (r *Roster) inRegion(s State) bool { return s.Region == r.self.Region }
 
-// closest returns the nodes that this node greets at each heartbeat, possibly itself among them.
+// closest returns the nodes that this node greets, possibly itself among them.
 func (r *Roster) closest() []State {
 	near := r.first(zoneLeaders, r.inZone)
 	if !r.leads() {
@@ -51,15 +55,20 @@
 	return near
 }
 
-// First returns the first n live and ready nodes of this node's region in their order.
-func (r *Roster) First(now time.Time, n int) []State {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	live := make(map[string]bool)
-	for _, s := range r.liveReady(now) {
-		live[s.ID] = true
+// meetBeats is the number of heartbeats after the start in which a node greets all leaders of its zone and answers with all that it knows
+// of the region, so that nodes that start together soon agree on the leaders.
+const meetBeats = 6
+
+// greeted returns the nodes to greet at this heartbeat. Leaders greet all that are closest to them. The other nodes of a zone, which may
+// be many, greet its leaders in turn; each answers for all of them.
+func (r *Roster) greeted() []State {
+	near := r.closest()
+	r.beats++
+	if r.beats <= meetBeats || r.leads() {
+		return near
 	}
-	return r.first(n, func(s State) bool { return r.inRegion(s) && live[s.ID] })
+	at := r.beats % len(near)
+	return near[at : at+1]
 }
 
 // farInterval is the time between two exchanges of a zone's first nodes with other regions.
@@ -73,7 +82,7 @@
 	States []State
 }
 
-// Greet returns the exchanges of one heartbeat: with the first nodes of the zone, which takes one state, now and then with a node of the
+// Greet returns the exchanges of one heartbeat: with first nodes of the zone, which takes one state, now and then with a node of the
 // region, which takes the region's table, and, from the first nodes of a zone only, with another region. While nobody of the region is
 // known, seeds are greeted.
 func (r *Roster) Greet(now time.Time, seeds []string) []Greeting {
@@ -81,12 +90,12 @@
 	defer r.mu.Unlock()
 	r.forget(now)
 	var greetings []Greeting
-	for _, s := range r.closest() {
+	for _, s := range r.greeted() {
 		if s.ID != r.self.ID {
 			greetings = append(greetings, Greeting{Address: s.PeerAddress, States: []State{r.self}})
 		}
 	}
-	if now.Sub(r.tableAt) >= r.tableInterval() {
+	if r.beats > meetBeats && now.Sub(r.tableAt) >= r.tableInterval() {
 		r.tableAt = now
 		if mate, ok := r.mate(); ok {
 			greetings = append(greetings, Greeting{Address: mate.PeerAddress, States: r.table(now)})
@@ -111,13 +120,9 @@
 
 // greetSeeds returns an exchange with a seed that no known node has.
 func (r *Roster) greetSeeds(seeds []string) []Greeting {
-	known := make(map[string]bool)
-	for _, state := range r.all() {
-		known[state.PeerAddress] = true
-	}
 	var unknown []string
 	for _, seed := range seeds {
-		if !known[seed] {
+		if !r.knows(seed) {
 			unknown = append(unknown, seed)
 		}
 	}
@@ -127,6 +132,19 @@
 	return []Greeting{{Address: unknown[rand.IntN(len(unknown))], States: []State{r.self}}}
 }
 
+// knows reports whether a node has a peer address.
+func (r *Roster) knows(address string) bool {
+	if r.self.PeerAddress == address {
+		return true
+	}
+	for _, record := range r.others {
+		if record.state.PeerAddress == address {
+			return true
+		}
+	}
+	return false
+}
+
 // mate returns the node of the region for the next exchange of its table: those at distances 1, 2, 4 and so on in the order of their
 // ids, in turn. So a state reaches all in few exchanges, and a node keeps few connections.
 func (r *Roster) mate() (State, bool) {
@@ -187,8 +205,8 @@
 	return append([]State{r.self}, r.known(fits)...)
 }
 
-// Reply returns the states that answer a greeting in kind: one state for one, the region's table for that of the same region, and all
-// for a stranger or another region.
+// Reply returns the states that answer a greeting in kind: those of the zone's leaders for one state, the region's table for that of the
+// same region, and all for a stranger or another region. While the nodes meet, one state is answered by the table too.
 func (r *Roster) Reply(now time.Time, greeting []State) []State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -202,13 +220,24 @@
 		return r.all()
 	case sender.Region != r.self.Region:
 		return r.region()
-	case len(greeting) == 1:
-		return []State{r.self}
+	case len(greeting) == 1 && r.beats > meetBeats:
+		return r.leaders()
 	default:
 		return r.table(now)
 	}
 }
 
+// leaders returns the state of this node and those of the other leaders of its zone.
+func (r *Roster) leaders() []State {
+	states := []State{r.self}
+	for _, s := range r.first(zoneLeaders, r.inZone) {
+		if s.ID != r.self.ID {
+			states = append(states, s)
+		}
+	}
+	return states
+}
+
 // Neighbours returns up to n peer addresses of random nodes of the region, which learn of a change at once.
 func (r *Roster) Neighbours(n int) []string { return r.sample(n, r.inRegion) }
 
--- a/internal/roster/offer.go
+++ b/internal/roster/offer.go
@@ -1,9 +1,6 @@
 package roster
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 const (
 	// maxOffered is the number of addresses in an answer to a caller.
@@ -19,7 +16,7 @@
 // any, it gets those of its region, or else all.
 func (r *Roster) Offer(now time.Time, region, zone string) []string {
 	r.mu.Lock()
-	live, own := r.liveReady(now), r.self.Zone
+	v, own := r.look(now), r.self.Zone
 	r.mu.Unlock()
 	for _, near := range []func(State) bool{
 		func(s State) bool { return s.Zone == zone || (s.Zone == own && zone != own) },
@@ -27,31 +24,19 @@
 		func(State) bool { return true },
 	} {
 		var group []State
-		for _, state := range live {
-			if near(state) {
-				group = append(group, state)
+		for _, active := range v.active {
+			// The nodes of a zone are in one region.
+			if near(active[0]) {
+				group = append(group, active...)
 			}
 		}
 		if len(group) > 0 {
-			return addresses(activeByZone(group))
+			return addresses(group)
 		}
 	}
 	return nil
 }
 
-// activeByZone returns the active nodes of each zone in a group.
-func activeByZone(group []State) []State {
-	zones := make(map[string][]State)
-	for _, state := range group {
-		zones[state.Zone] = append(zones[state.Zone], state)
-	}
-	var active []State
-	for _, zone := range zones {
-		active = append(active, activeOf(zone)...)
-	}
-	return active
-}
-
 func addresses(states []State) []string {
 	list := make([]string, 0, len(states))
 	for _, state := range states {
@@ -62,24 +47,66 @@
 	return list
 }
 
-// activeOf returns the nodes of a zone that callers are sent to: the first ones whose processors carry the load of all. Few busy nodes
-// learn more of each searcher than many idle ones and keep their connections in use.
-func activeOf(group []State) []State {
-	ordered := append([]State(nil), group...)
-	sort.Slice(ordered, func(i, j int) bool { return ordered[i].order() < ordered[j].order() })
+// activeOf returns the nodes of a zone that callers are sent to: the first ones, in their order, whose processors carry the load of all.
+// Few busy nodes learn more of each searcher than many idle ones and keep their connections in use.
+func activeOf(zone []State) []State {
 	load := 0.0
-	for _, state := range ordered {
+	for _, state := range zone {
 		load += state.Load
 	}
 	cores := 0.0
-	for i, state := range ordered {
+	for i, state := range zone {
 		cores += state.Cores
 		if i+1 >= minActive && cores*activeShare >= load {
-			return ordered[:i+1]
+			return zone[:i+1]
 		}
 	}
-	return ordered
+	return zone
 }
 
 // Active returns the nodes of all zones that callers are sent to.
-func (r *Roster) Active(now time.Time) []State { return activeByZone(r.Live(now)) }
+func (r *Roster) Active(now time.Time) []State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var active []State
+	for _, states := range r.look(now).active {
+		active = append(active, states...)
+	}
+	return active
+}
+
+// Sharers counts, by region, the nodes that share what all nodes use together: those that callers are sent to, and those with some load
+// in cores, since a node that is out of reach still uses the share that it had.
+func (r *Roster) Sharers(now time.Time, leastLoad float64) map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := make(map[string]int)
+	active := make(map[string]bool)
+	for _, states := range r.look(now).active {
+		for _, state := range states {
+			active[state.ID] = true
+			counts[state.Region]++
+		}
+	}
+	if !active[r.self.ID] && r.self.Load >= leastLoad {
+		counts[r.self.Region]++
+	}
+	for id, record := range r.others {
+		if !active[id] && record.state.Load >= leastLoad {
+			counts[record.state.Region]++
+		}
+	}
+	return counts
+}
+
+// IsActive reports whether callers are sent to this node.
+func (r *Roster) IsActive(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, state := range r.look(now).active[r.self.Zone] {
+		if state.ID == r.self.ID {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -35,6 +35,8 @@
 	// Cores is the processor share of the VM, and Load the part of a core that its requests take.
 	Cores float64
 	Load  float64
+	// order is the place of the node among those of its zone. It is a hash of the id, so that all nodes agree.
+	order uint64
 }
 
 func (s State) after(other State) bool {
@@ -44,8 +46,11 @@
 	return s.Beat > other.Beat
 }
 
-// order is the place of a node among those of its zone. It does not depend on who asks, so that all nodes agree.
-func (s State) order() uint64 { return xxhash.Sum64String(s.ID) }
+// ordered returns the state with its place.
+func (s State) ordered() State {
+	s.order = xxhash.Sum64String(s.ID)
+	return s
+}
 
 const (
 	// defaultSuspectAfter is the silence after which a node is not offered to callers, for nodes that are heard directly.
@@ -90,8 +95,12 @@
 	// tableAt is when the region's table was last sent, farAt when another region was last greeted.
 	tableAt time.Time
 	farAt   time.Time
-	// turn is the exponent of the next mate's distance.
-	turn int
+	// turn is the exponent of the next mate's distance, and beats counts the heartbeats that began exchanges.
+	turn  int
+	beats int
+	// view is the last look at the live nodes; changed is set when a node, its phase or its process changed since.
+	view    *view
+	changed bool
 }
 
 // New returns a roster that knows only its own node.
@@ -102,7 +111,7 @@
 	if s.ForgetAfter <= 0 {
 		s.ForgetAfter = defaultForgetAfter
 	}
-	return &Roster{settings: s, self: self, others: make(map[string]*record)}
+	return &Roster{settings: s, self: self.ordered(), others: make(map[string]*record)}
 }
 
 // Self returns what this node says of itself.
@@ -118,6 +127,7 @@
 	defer r.mu.Unlock()
 	r.self.Phase = phase
 	r.self.Beat++
+	r.changed = true
 }
 
 // Beat counts a heartbeat of this node, with its present load.
@@ -136,6 +146,7 @@
 		record.advancedAt = now
 		record.heardAt = now
 	}
+	r.changed = true
 }
 
 // Heard records contact with a node itself.
@@ -147,11 +158,10 @@
 	}
 }
 
-// Merge takes in what another node knows. Merging is idempotent and commutative. It reports whether a phase or the set of nodes changed.
-func (r *Roster) Merge(now time.Time, states []State) bool {
+// Merge takes in what another node knows. Merging is idempotent and commutative.
+func (r *Roster) Merge(now time.Time, states []State) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed := false
 	for _, state := range states {
 		if state.ID == r.self.ID {
 			r.outlive(state)
@@ -159,8 +169,8 @@
 		}
 		known, ok := r.others[state.ID]
 		if !ok {
-			r.others[state.ID] = &record{state: state, advancedAt: now}
-			changed = true
+			r.others[state.ID] = &record{state: state.ordered(), advancedAt: now}
+			r.changed = true
 			continue
 		}
 		if !state.after(known.state) {
@@ -170,11 +180,11 @@
 		if !turned && state.Region != r.self.Region && state.Beat < known.state.Beat+farBeats {
 			continue
 		}
-		changed = changed || turned
+		r.changed = r.changed || turned
+		state.order = known.state.order
 		known.state = state
 		known.advancedAt = now
 	}
-	return changed
 }
 
 // outlive makes this process the latest of its VM when a predecessor's state still goes round.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -239,3 +239,113 @@
 		t.Errorf("got %v, want %v", got, want)
 	}
 }
+
+// zoneOf returns rosters of the nodes of one zone that all know each other.
+func zoneOf(nodes int) []*Roster {
+	var states []State
+	for i := range nodes {
+		states = append(states, state(fmt.Sprintf("n%03d", i), Ready, 1, 1))
+	}
+	var rosters []*Roster
+	for _, s := range states {
+		r := New(s, Settings{})
+		r.Merge(start, states)
+		rosters = append(rosters, r)
+	}
+	return rosters
+}
+
+// Guards against heartbeats whose work grows with the square of the fleet: at 300 nodes they took 4% of a core of each node.
+func TestBeatStaysCheap(t *testing.T) {
+	const nodes, want = 400, 400
+	self := state("self", Ready, 1, 0)
+	self.Region = "r0"
+	r := New(self, Settings{})
+	var states []State
+	for i := range nodes {
+		s := state(fmt.Sprintf("n%03d", i), Ready, 1, 1)
+		s.Region, s.Zone = fmt.Sprintf("r%d", i%3), fmt.Sprintf("z%d", i%9)
+		states = append(states, s)
+	}
+	r.Merge(start, states)
+	now := start
+	got := testing.AllocsPerRun(5, func() {
+		now = now.Add(200 * time.Millisecond)
+		r.Greet(now, []string{"seed:1"})
+		r.Live(now)
+		r.First(now, 2)
+		r.Active(now)
+	})
+	if got > want {
+		t.Errorf("got %v allocations for a heartbeat with %d nodes, want at most %d", got, nodes, want)
+	}
+}
+
+// Guards against leaders of a zone that all its nodes greet at each heartbeat.
+func TestLeadersOfALargeZoneAreNotOverrun(t *testing.T) {
+	const nodes, settled, beats, want = 60, 10, 6, 30
+	rosters := zoneOf(nodes)
+	greetings := make(map[string]int)
+	now := start
+	for beat := range settled + beats {
+		now = now.Add(500 * time.Millisecond)
+		for _, r := range rosters {
+			r.Beat(0)
+			for _, greeting := range r.Greet(now, nil) {
+				if beat >= settled && len(greeting.States) == 1 {
+					greetings[greeting.Address]++
+				}
+			}
+		}
+	}
+	for address, count := range greetings {
+		if got := count / beats; got > want {
+			t.Errorf("%s: got %d greetings a heartbeat, want at most %d of %d nodes", address, got, want, nodes)
+		}
+	}
+}
+
+// Guards against a leader that others take for dead since they greet it only in turn, and against one that is dead and still offered.
+func TestLeadersAreFollowedThroughEachOther(t *testing.T) {
+	const nodes = 12
+	rosters := zoneOf(nodes)
+	byAddress := make(map[string]*Roster)
+	for _, r := range rosters {
+		byAddress[r.Self().PeerAddress] = r
+	}
+	leaders := rosters[0].first(zoneLeaders, rosters[0].inZone)
+	now := start
+	run := func(d time.Duration, dead string) {
+		for end := now.Add(d); now.Before(end); now = now.Add(500 * time.Millisecond) {
+			for address, r := range byAddress {
+				if address == dead {
+					continue
+				}
+				r.Beat(0)
+				for _, greeting := range r.Greet(now, nil) {
+					if other := byAddress[greeting.Address]; greeting.Address != dead {
+						other.Merge(now, greeting.States)
+						other.Heard(now, r.Self().ID)
+						r.Merge(now, other.Reply(now, greeting.States))
+						r.Heard(now, other.Self().ID)
+					}
+				}
+			}
+			for address, r := range byAddress {
+				if got := len(r.Live(now)); dead == "" && got != nodes {
+					t.Fatalf("%s: got %d live nodes, want all %d", address, got, nodes)
+				}
+			}
+		}
+	}
+	run(20*time.Second, "")
+	dead := leaders[0].PeerAddress
+	run(3*time.Second, dead)
+	for address, r := range byAddress {
+		for _, s := range r.Live(now) {
+			if address != dead && s.PeerAddress == dead {
+				t.Errorf("%s: got %s live 3s after its end", address, dead)
+			}
+		}
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -104,9 +104,6 @@
 // Host returns the host that the route serves.
 func (r *Route) Host() string { return r.host }
 
-// Prefix returns the path prefix, which begins and ends with a slash.
-func (r *Route) Prefix() string { return r.prefix }
-
 // Target returns where requests go.
 func (r *Route) Target() Target { return r.target }
 
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -20,22 +20,18 @@
 
 // Service is a group of searchers that answer alike. A shard is a service of its own.
 type Service struct {
-	name       string
-	healthPath string
-	maxConns   int
+	name     string
+	maxConns int
 }
 
 // NewService returns a service whose searchers accept maxConns connections each from all callers together.
-func NewService(name, healthPath string, maxConns int) Service {
-	return Service{name: name, healthPath: healthPath, maxConns: maxConns}
+func NewService(name string, maxConns int) Service {
+	return Service{name: name, maxConns: maxConns}
 }
 
 // Name returns the name that searchers register under.
 func (s Service) Name() string { return s.name }
 
-// HealthPath returns the path of the searchers' health check.
-func (s Service) HealthPath() string { return s.healthPath }
-
 // MaxConns returns the number of connections that a searcher accepts from all nodes together.
 func (s Service) MaxConns() int { return s.maxConns }
 
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -19,7 +19,7 @@
 func TestFind(t *testing.T) {
 	service := Single{Service: "s"}
 	routes := []*Route{mustRoute(t, "short", "/a/", service), mustRoute(t, "long", "/a/b/", service), mustRoute(t, "other", "/c/", service)}
-	table, err := New(1, routes, []Service{NewService("s", "/health", 10)}, Limits{})
+	table, err := New(1, routes, []Service{NewService("s", 10)}, Limits{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -56,7 +56,7 @@
 
 // Guards against a table in force that names an unknown service, or two routes of which chance decides.
 func TestTableRefuses(t *testing.T) {
-	services := []Service{NewService("s", "/health", 10)}
+	services := []Service{NewService("s", 10)}
 	tests := map[string][]*Route{
 		"unknown service": {mustRoute(t, "r", "/a/", Single{Service: "other"})},
 		"unknown shard":   {mustRoute(t, "r", "/a/", Gather{Shards: []string{"s", "other"}, Top: 1, LeastShare: 0.5})},
--- a/internal/tier/greet.go
+++ b/internal/tier/greet.go
@@ -99,11 +99,8 @@
 			Load:          float64(n.GetLoad()),
 		}
 	}
-	changed := t.roster.Merge(now, states)
+	t.roster.Merge(now, states)
 	t.roster.Heard(now, digest.GetId())
-	if changed {
-		t.rebuild()
-	}
 	if len(states) > 0 && states[0].Region == t.roster.Self().Region && t.follower.Hear(now, positionOf(digest.GetSource())) {
 		t.pull(states[0].PeerAddress)
 	}
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -49,7 +49,9 @@
 	t.engine.Tick(ctx, now)
 	if nodes := t.nodes(now); !nodes.Equal(t.shared) {
 		t.shared = nodes
-		t.rebuild()
+		t.updates.Lock()
+		t.engine.Share(nodes)
+		t.updates.Unlock()
 	}
 }
 
@@ -60,7 +62,7 @@
 		return
 	}
 	t.updates.Lock()
-	t.engine.Update(t.fleet.Snapshot(), table, t.nodes(t.clock()))
+	t.engine.Update(t.fleet.Snapshot(), table)
 	t.updates.Unlock()
 	if t.ready.CompareAndSwap(false, true) {
 		t.roster.SetPhase(roster.Ready)
@@ -72,24 +74,18 @@
 // nodes counts the nodes that share the connections of searchers and the budget of repeats.
 func (t *Tier) nodes(now time.Time) relay.Nodes {
 	self := t.roster.Self()
-	nodes := relay.Nodes{ByRegion: make(map[string]int)}
-	active := make(map[string]bool)
-	for _, state := range t.roster.Active(now) {
-		active[state.ID] = true
-	}
-	// A node that is out of reach still uses the share that it had.
-	for _, state := range t.roster.Members() {
-		if !active[state.ID] && state.Load < leastLoad {
-			continue
-		}
-		nodes.ByRegion[state.Region]++
-		nodes.Active++
+	nodes := relay.Nodes{ByRegion: t.roster.Sharers(now, leastLoad), Unmet: now.Sub(t.startedAt) < meetTime}
+	for _, count := range nodes.ByRegion {
+		nodes.Active += count
 	}
 	// A stopping node and one that others still send callers to keep their share while they serve.
-	nodes.SelfActive = active[self.ID] || self.Load >= leastLoad || self.Phase == roster.Stopping
+	nodes.SelfActive = t.roster.IsActive(now) || self.Load >= leastLoad || self.Phase == roster.Stopping
 	return nodes
 }
 
+// meetTime is the time after its start in which a node may not know the others yet.
+const meetTime = 1500 * time.Millisecond
+
 // leastLoad is the load in cores from which a node counts among those that share, though callers are not sent to it.
 const leastLoad = 0.01
 
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -74,11 +74,12 @@
 	ready    atomic.Bool
 	// pulling is set while entries of another node are taken in.
 	pulling atomic.Bool
-	// shared counts the nodes that shared at the last tick; only maintain uses it.
-	shared relay.Nodes
+	// startedAt is when the process started. shared counts the nodes that shared at the last tick; only maintain uses it.
+	startedAt time.Time
+	shared    relay.Nodes
 	// background holds the exchanges with other nodes and the end of service.
 	background conc.WaitGroup
-	// updates orders rebuilds.
+	// updates orders the changes of searchers, routes and shares that the engine gets.
 	updates sync.Mutex
 }
 
@@ -96,12 +97,13 @@
 		return nil, err
 	}
 	t := &Tier{
-		adapter:  adapter,
-		logger:   logger.With(zap.String("node", settings.Node)),
-		clock:    clock,
-		registry: metrics.NewRegistry(),
-		fleet:    fleet.New(),
-		detector: wake.New(wake.Settings{Expected: tickInterval}),
+		adapter:   adapter,
+		logger:    logger.With(zap.String("node", settings.Node)),
+		clock:     clock,
+		registry:  metrics.NewRegistry(),
+		fleet:     fleet.New(),
+		detector:  wake.New(wake.Settings{Expected: tickInterval}),
+		startedAt: clock(),
 	}
 	t.settings.Store(&settings)
 	t.counters = reason.NewCounters(t.registry, "reasons")
