Let queries over shards in by a learned limit, urgent ones first

Queries entered without a bound, so that the queues of all searchers grew until every reply was late, and hedges added to them.

Change: package intake bounds the queries that a node has in flight for each group of routes that share shards. The bound falls while more than a quarter of a rank's queries are late and the bound is in use, and grows while less than a tenth are. A fifth is kept for rank 0, and ranks enter in order. A query waits at most a tenth of its goal and is then refused as not run, with a time to come back. No hedge is sent while the bound is reached (reason hedge_saturated). Refusals are logged with the limit, what is in flight and the late share.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -15,6 +15,7 @@
 	"github.com/fireflylanding/fireflylanding/internal/budget"
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
+	"github.com/fireflylanding/fireflylanding/internal/intake"
 	"github.com/fireflylanding/fireflylanding/internal/quar"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/route"
@@ -46,6 +47,8 @@
 
 	// windows holds the budget of each service that this node used.
 	windows sync.Map
+	// limiters holds the limiter of each group of routes over shards.
+	limiters sync.Map
 	// nodes is the number of nodes that share the budget.
 	nodes atomic.Int64
 	// active is set when callers are sent to this node.
@@ -83,6 +86,7 @@
 
 // Update makes the engine use the searchers of a snapshot and the services of a table.
 func (e *Engine) Update(snapshot *fleet.Snapshot, table *route.Table) {
+	e.forgetLimiters(table)
 	for _, gone := range e.grid.update(snapshot, table) {
 		e.searcherEnded(e.clock(), gone)
 	}
@@ -136,9 +140,38 @@
 		e.tellOthers(now, f.fingerprint)
 	}
 	if e.crashes.quarantined(now, f.fingerprint) {
-		return f.quarantine()
+		return f.turnAway(wire.Reason_REASON_QUARANTINED)
 	}
-	return f.run()
+	if f.limiter == nil {
+		return f.run()
+	}
+	return f.runLimited()
+}
+
+// limiter returns the limiter of the queries that share shards with those of a route, nil for a route to one service.
+func (e *Engine) limiter(r *route.Route) *intake.Limiter {
+	if _, ok := r.Target().(route.Gather); !ok {
+		return nil
+	}
+	if l, ok := e.limiters.Load(r.Group()); ok {
+		return l.(*intake.Limiter)
+	}
+	l, _ := e.limiters.LoadOrStore(r.Group(), intake.New())
+	return l.(*intake.Limiter)
+}
+
+// forgetLimiters drops the limiters of groups that a table no longer has.
+func (e *Engine) forgetLimiters(table *route.Table) {
+	groups := make(map[string]bool)
+	for _, r := range table.Routes() {
+		groups[r.Group()] = true
+	}
+	e.limiters.Range(func(group, _ any) bool {
+		if !groups[group.(string)] {
+			e.limiters.Delete(group)
+		}
+		return true
+	})
 }
 
 func (e *Engine) window(service string) *budget.Window {
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/fireflylanding/fireflylanding/internal/intake"
 	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -33,16 +36,31 @@
 	return answer
 }
 
-// quarantine refuses a request that crashed searchers before it runs again.
-func (f *flight) quarantine() Answer {
+// turnAway refuses a request of which nothing was sent. The fields say what decided it.
+func (f *flight) turnAway(r wire.Reason, fields ...zap.Field) Answer {
 	f.end()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	answer := f.refused(wire.Reason_REASON_QUARANTINED)
-	f.log(f.started, answer)
+	answer := f.refused(r)
+	f.log(f.engine.clock(), answer, fields...)
 	return answer
 }
 
+// outcome tells the intake how a query ended.
+func (f *flight) outcome(answer Answer) intake.Outcome {
+	switch answer := answer.(type) {
+	case Merged:
+		if f.engine.clock().Before(f.goalAt.Add(answerMargin)) {
+			return intake.InTime{}
+		}
+	case Refused:
+		if answer.Reason == wire.Reason_REASON_CALLER_GONE {
+			return intake.Other{}
+		}
+	}
+	return intake.Late{}
+}
+
 func (f *flight) answer(now time.Time) Answer {
 	if f.gone {
 		return f.refused(wire.Reason_REASON_CALLER_GONE)
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/fireflylanding/fireflylanding/internal/intake"
 	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -30,7 +33,9 @@
 
 // flight is one request on its way. Its fields are guarded by mu, since replies settle parts from their own goroutines.
 type flight struct {
-	engine   *Engine
+	engine *Engine
+	// limiter bounds the queries of the route's group, nil for a request to one service.
+	limiter  *intake.Limiter
 	request  *Request
 	started  time.Time
 	deadline time.Time
@@ -68,6 +73,7 @@
 	}
 	f := &flight{
 		engine:      e,
+		limiter:     e.limiter(request.Route),
 		request:     request,
 		started:     now,
 		deadline:    now.Add(patience),
@@ -95,13 +101,31 @@
 	return f
 }
 
+// intakeShare is the part of a route's goal for which a query waits to enter. A caller that is refused so early may come again in time.
+const intakeShare = 0.1
+
+// runLimited runs a query when the limiter lets it enter, and refuses it otherwise.
+func (f *flight) runLimited() Answer {
+	terms := f.request.Route.Terms()
+	entry := f.limiter.Enter(terms.Rank)
+	if entry == nil || !f.limiter.Wait(entry, time.Duration(float64(terms.Goal)*intakeShare)) {
+		state := f.limiter.State()
+		return f.turnAway(wire.Reason_REASON_ADMISSION, zap.Int("limit", state.Limit), zap.Int("in_flight", state.InFlight),
+			zap.Int("waiting", state.Waiting), zap.Float64("late", state.Late))
+	}
+	answer := f.run()
+	f.limiter.Leave(entry, f.outcome(answer))
+	return answer
+}
+
 // run sends the request and returns its answer.
 func (f *flight) run() Answer {
 	defer f.end()
 	f.mu.Lock()
+	now := f.engine.clock()
 	for i := range f.parts {
-		f.engine.window(f.parts[i].service).First(f.started)
-		f.start(f.started, &f.parts[i], wire.Reason_REASON_UNSPECIFIED)
+		f.engine.window(f.parts[i].service).First(now)
+		f.start(now, &f.parts[i], wire.Reason_REASON_UNSPECIFIED)
 	}
 	f.mu.Unlock()
 	timer := time.NewTimer(gonePoll)
--- /dev/null
+++ b/internal/relay/flight_test.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/fireflylanding/fireflylanding/internal/intake"
+	"github.com/fireflylanding/fireflylanding/internal/route"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// gatherFlight returns a flight over one service, and its engine whose searchers cannot be reached.
+func gatherFlight(t *testing.T) (*Engine, *flight) {
+	t.Helper()
+	e := newEngine(func() time.Time { return start })
+	e.grid = gridOf(t, 4, 26, func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	terms := route.Terms{Idempotent: true, Timeout: time.Second, Goal: 150 * time.Millisecond, Rank: 1, MaxAttempts: 2}
+	r, err := route.NewRoute("r", "h", "/r/", route.Gather{Shards: []string{"one"}, Top: 1, LeastShare: 1}, terms)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := route.New(1, []*route.Route{r}, []route.Service{route.NewService("one", 26)}, route.Limits{}); err != nil {
+		t.Fatal(err)
+	}
+	f := newFlight(e, start, &Request{ID: "1", Route: r, Head: []byte("GET /r/ HTTP/1.1\r\n"), Gone: func() bool { return false }})
+	t.Cleanup(f.end)
+	return e, f
+}
+
+// fill lets queries in until the limiter is full.
+func fill(l *intake.Limiter) {
+	for range l.State().Limit {
+		l.Enter(0)
+	}
+}
+
+// Guards against hedges that take capacity from other queries while the searchers are overrun.
+func TestNoHedgeWhileSaturated(t *testing.T) {
+	tests := map[string]struct {
+		saturated  bool
+		wantHedges int64
+	}{
+		"room":      {wantHedges: 1},
+		"saturated": {saturated: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e, f := gatherFlight(t)
+			if test.saturated {
+				fill(f.limiter)
+			}
+			f.mu.Lock()
+			f.hedge(start.Add(50*time.Millisecond), &f.parts[0])
+			f.mu.Unlock()
+			if got := e.hedges.Count(); got != test.wantHedges {
+				t.Errorf("got %d hedges, want %d", got, test.wantHedges)
+			}
+		})
+	}
+}
+
+// Guards against a query that is refused for lack of capacity and has run, and against one that is held until its goal.
+func TestQueryBeyondTheLimitIsRefusedAtOnce(t *testing.T) {
+	e, f := gatherFlight(t)
+	fill(f.limiter)
+	began := time.Now()
+	answer, ok := f.runLimited().(Refused)
+	if !ok || answer.Reason != wire.Reason_REASON_ADMISSION || !answer.NotRun || answer.RetryAfter <= 0 {
+		t.Errorf("got %+v, want a refusal as not run for lack of capacity, with a time to come back", answer)
+	}
+	if took := time.Since(began); took > 100*time.Millisecond {
+		t.Errorf("refused after %v, want well before the goal of 150ms", took)
+	}
+	if got := e.attempts.Count(); got != 0 {
+		t.Errorf("got %d attempts, want none", got)
+	}
+}
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -97,6 +97,11 @@
 		p.hedgeAt = now.Add(hedgePoll)
 		return
 	}
+	if f.limiter != nil && f.limiter.Saturated() {
+		f.engine.count(wire.Reason_REASON_HEDGE_SATURATED)
+		p.hedgeAt = now.Add(hedgePoll)
+		return
+	}
 	if !f.engine.extra(now, p.service) {
 		f.engine.count(wire.Reason_REASON_HEDGE_BUDGET)
 		p.hedgeAt = now.Add(hedgePoll)
--- a/internal/relay/trail.go
+++ b/internal/relay/trail.go
@@ -87,7 +87,7 @@
 }
 
 // log writes one line for an answer that is not whole or took more than one attempt at a shard. The caller holds mu.
-func (f *flight) log(now time.Time, answer Answer) {
+func (f *flight) log(now time.Time, answer Answer, fields ...zap.Field) {
 	event := wire.Event_EVENT_REQUEST_REPEATED
 	result := wire.Reason_REASON_UNSPECIFIED
 	missing := 0
@@ -107,7 +107,7 @@
 	if event == wire.Event_EVENT_REQUEST_REPEATED && !f.trail.troubled() {
 		return
 	}
-	f.engine.logger.Log(event,
+	f.engine.logger.Log(event, append(fields,
 		zap.String("request", f.request.ID),
 		zap.String("route", f.request.Route.Name()),
 		zap.Uint64("version", f.request.Version),
@@ -120,5 +120,5 @@
 		zap.Int("attempts_sent", len(f.trail)),
 		zap.Strings("services_missing", f.missing()),
 		zap.Array("attempts", f.trail),
-	)
+	)...)
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -16,6 +16,8 @@
 	prefix string
 	target Target
 	terms  Terms
+	// group names the routes that share services with this one, directly or through others; a table sets it.
+	group string
 	// turn counts the requests of a split route. It starts at a random number, so that nodes do not choose in step.
 	turn atomic.Uint64
 }
@@ -110,6 +112,9 @@
 // Terms returns what may be done with requests.
 func (r *Route) Terms() Terms { return r.terms }
 
+// Group names the routes of the table that share services with this one, directly or through others.
+func (r *Route) Group() string { return r.group }
+
 // Services returns the services that the route may use.
 func (r *Route) Services() []string {
 	switch target := r.target.(type) {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -72,9 +72,35 @@
 		}
 		prefixes[r.prefix] = r
 	}
+	t.group()
 	return t, nil
 }
 
+// group gives the routes that share services, directly or through others, one group: the name of the least of these services.
+func (t *Table) group() {
+	// parents leads from a service to another one of its group, and to itself at the end.
+	parents := make(map[string]string)
+	var root func(service string) string
+	root = func(service string) string {
+		parent, ok := parents[service]
+		if !ok || parent == service {
+			return service
+		}
+		parents[service] = root(parent)
+		return parents[service]
+	}
+	for _, r := range t.routes {
+		services := r.Services()
+		for _, service := range services[1:] {
+			one, other := root(services[0]), root(service)
+			parents[max(one, other)] = min(one, other)
+		}
+	}
+	for _, r := range t.routes {
+		r.group = root(r.Services()[0])
+	}
+}
+
 // Version returns the operator's version of the table.
 func (t *Table) Version() uint64 { return t.version }
 
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -127,3 +127,30 @@
 		})
 	}
 }
+
+// Guards against routes that load the same shards and are not limited together, and against others that are.
+func TestGroups(t *testing.T) {
+	gather := func(name string, shards ...string) *Route {
+		r, err := NewRoute(name, "h", "/"+name+"/", Gather{Shards: shards, Top: 1}, Terms{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	a, b, c, d := gather("a", "s3", "s1"), gather("b", "s2", "s3"), gather("c", "s4"), gather("d", "s2")
+	var services []Service
+	for _, name := range []string{"s1", "s2", "s3", "s4"} {
+		services = append(services, NewService(name, 1))
+	}
+	if _, err := New(1, []*Route{a, b, c, d}, services, Limits{}); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range []*Route{a, b, d} {
+		if got := r.Group(); got != "s1" {
+			t.Errorf("%s: got group %q, want s1", r.Name(), got)
+		}
+	}
+	if got := c.Group(); got != "s4" {
+		t.Errorf("c: got group %q, want s4", got)
+	}
+}
