Take changes from other regions while the own one hears nothing from the store

Change: a node whose region has heard nothing for half of the time in which a change must be in force fetches what a node of another region knows. One that knows nothing yet does so only while its own calls fail.

The gain is in the promise that changes take hold within seconds.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -74,6 +74,9 @@
 	idlePoll = 250 * time.Millisecond
 	// staleShare is the part of the time for a change to come into force after which a node that heard nothing reads the source itself.
 	staleShare = 0.7
+	// farShare is the part of the time for a change to come into force after which a node whose region heard nothing takes changes from
+	// other regions. It comes before the node's own call, which may be in vain.
+	farShare = 0.5
 	// staleJitter spreads the nodes that begin to read.
 	staleJitter = 0.1
 )
@@ -110,6 +113,8 @@
 
 	mu      sync.Mutex
 	entries *entries
+	// away is set while calls to the source fail.
+	away bool
 	// doubtUntil is the time until which removed entries may be of living searchers.
 	doubtUntil time.Time
 }
@@ -168,6 +173,20 @@
 	return p.Revision > f.entries.revision
 }
 
+// HearFar takes in the position of a node of another region, which counts only when this node's region hears nothing from the source:
+// bytes between regions are dear. It reports whether that node knows later entries that this one needs.
+func (f *Follower) HearFar(now time.Time, p Position) bool {
+	own := f.Position(now)
+	f.mu.Lock()
+	away := f.away
+	f.mu.Unlock()
+	stale := own.Age > time.Duration(farShare*float64(f.settings.ApplyWithin))
+	if !stale || (own.Revision == 0 && !away) {
+		return false
+	}
+	return f.Hear(now, p)
+}
+
 // After returns the entries after a revision, for another node.
 func (f *Follower) After(revision uint64) Batch {
 	f.mu.Lock()
@@ -255,6 +274,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.away = true
 	f.doubt(now.Add(returnTime))
 	return min(firstBackoff<<min(f.failures-1, 8), maxBackoff)
 }
@@ -264,6 +284,7 @@
 	if f.failures > 0 {
 		f.logger.Log(wire.Event_EVENT_PLATFORM_UP, zap.Int("failed_calls", f.failures))
 		f.mu.Lock()
+		f.away = false
 		f.doubt(now.Add(returnTime))
 		f.mu.Unlock()
 	}
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -253,3 +253,38 @@
 		previous = wait
 	}
 }
+
+// Guards against a region that is cut off from the source and keeps old routes while other regions know later ones, and against nodes that
+// fetch from other regions what their own tells them.
+func TestHearFar(t *testing.T) {
+	later := Position{Revision: 9}
+	tests := map[string]struct {
+		revision uint64
+		silence  time.Duration
+		away     bool
+		want     bool
+	}{
+		"up to date":                   {revision: 5, silence: time.Second},
+		"nothing heard for long":       {revision: 5, silence: 2 * time.Second, want: true},
+		"knows nothing yet":            {silence: time.Hour},
+		"knows nothing, source away":   {silence: time.Hour, away: true, want: true},
+		"knows later entries than far": {revision: 10, silence: time.Hour, away: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1_700_000_000, 0)
+			source := &script{}
+			f, _ := newFollower(source, true, &now)
+			if test.revision > 0 {
+				f.Receive(now, Batch{Revision: test.revision, Complete: true}, Position{Revision: test.revision})
+			}
+			now = now.Add(test.silence)
+			if test.away {
+				f.step(t.Context())
+			}
+			if got := f.HearFar(now, later); got != test.want {
+				t.Errorf("needs entries of another region: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/tier/greet.go
+++ b/internal/tier/greet.go
@@ -101,12 +101,20 @@
 	}
 	t.roster.Merge(now, states)
 	t.roster.Heard(now, digest.GetId())
-	if len(states) > 0 && states[0].Region == t.roster.Self().Region && t.follower.Hear(now, positionOf(digest.GetSource())) {
+	if len(states) > 0 && t.hear(now, states[0], positionOf(digest.GetSource())) {
 		t.pull(states[0].PeerAddress)
 	}
 	return states
 }
 
+// hear takes in how far another node follows the source, and reports whether it knows entries that this node needs.
+func (t *Tier) hear(now time.Time, sender roster.State, position follow.Position) bool {
+	if sender.Region == t.roster.Self().Region {
+		return t.follower.Hear(now, position)
+	}
+	return t.follower.HearFar(now, position)
+}
+
 // pull takes the entries that another node knows. One transfer runs at a time; what it leaves out the next heartbeat shows.
 func (t *Tier) pull(address string) {
 	if !t.pulling.CompareAndSwap(false, true) {
