Show what a node on the platform believes with the status command

Cause: on-call engineers saw the platform path's beliefs only as metrics; the status command read the administration address of serve.

A gauge shows the least bound.

--- a/internal/cmd/status.go
+++ b/internal/cmd/status.go
@@ -18,7 +18,8 @@
 		Name:  "status",
 		Usage: "show a node's view: configuration revisions, members, searchers, limits, refusals by reason",
 		Description: `Example:
-   fireflylanding status --admin 127.0.0.1:8082`,
+   fireflylanding status --admin 127.0.0.1:8082
+   fireflylanding status --admin 10.1.0.39:9464    # a node on the platform, by its metrics address`,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "admin", Usage: "administration `ADDRESS` of the node", Required: true},
 			&cli.BoolFlag{Name: "metrics", Usage: "show metrics instead"},
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -20,6 +20,20 @@
 	Stopping
 )
 
+// String returns the name of a phase.
+func (p Phase) String() string {
+	switch p {
+	case Starting:
+		return "starting"
+	case Ready:
+		return "ready"
+	case Stopping:
+		return "stopping"
+	default:
+		return "unknown"
+	}
+}
+
 // State is what a node says of itself. The greater (Generation, Beat) is the later.
 type State struct {
 	ID            string
--- a/internal/tier/metrics.go
+++ b/internal/tier/metrics.go
@@ -7,16 +7,22 @@
 	"github.com/fireflylanding/fireflylanding/internal/expo"
 )
 
-// metricsPath is where a node shows its metrics.
-const metricsPath = "/metrics"
+// metricsPath is where a node shows its metrics, and adminMetricsPath where the status command looks for them.
+const (
+	metricsPath      = "/metrics"
+	adminMetricsPath = "/v1/metrics"
+)
 
-// metricsApp serves the metrics of the registry.
+// metricsApp serves the metrics of the registry, and the report.
 func (t *Tier) metricsApp() *fiber.App {
 	app := fiber.New()
-	app.Get(metricsPath, func(c fiber.Ctx) error {
-		c.Set(fiber.HeaderContentType, "text/plain; version=0.0.4")
-		return expo.Write(c, t.registry)
-	})
+	for _, path := range []string{metricsPath, adminMetricsPath} {
+		app.Get(path, func(c fiber.Ctx) error {
+			c.Set(fiber.HeaderContentType, "text/plain; version=0.0.4")
+			return expo.Write(c, t.registry)
+		})
+	}
+	app.Get(statusPath, func(c fiber.Ctx) error { return c.JSON(t.Report(t.clock())) })
 	return app
 }
 
@@ -36,9 +42,21 @@
 		"nodes.known":         func() int64 { return int64(len(t.roster.Members())) },
 		"nodes.live":          func() int64 { return int64(len(t.roster.Live(t.clock()))) },
 		"nodes.active":        func() int64 { return int64(len(t.roster.Active(t.clock()))) },
+		"intake.limit":        func() int64 { return t.leastLimit() },
 		"requests.in_flight":  func() int64 { return int64(t.engine.InFlight()) },
 		"callers.connections": func() int64 { return int64(t.edge.Connections()) },
 	} {
 		_ = t.registry.Register(name, metrics.NewFunctionalGauge(read))
 	}
 }
+
+// leastLimit returns the least bound on queries in flight of all groups of routes, 0 before the first query.
+func (t *Tier) leastLimit() int64 {
+	least := 0
+	for _, limit := range t.engine.Limits() {
+		if least == 0 || limit.Limit < least {
+			least = limit.Limit
+		}
+	}
+	return int64(least)
+}
