Make one piece of what stood twice: waits, free addresses and expected records

Change: package delay holds the wait, platform/stand the address and the records. The budget's window has a test for a time that steps back.

--- a/internal/budget/window_test.go
+++ b/internal/budget/window_test.go
@@ -58,3 +58,19 @@
 		t.Errorf("extra attempt in the next window: got %v, want true", got)
 	}
 }
+
+// Guards against extra attempts beyond the bound when a node's time steps back.
+func TestWindowWhenTimeStepsBack(t *testing.T) {
+	w := NewWindow(10 * time.Second)
+	now := time.Unix(1_700_000_000, 0)
+	w.First(now)
+	got := 0
+	for i := range 20 {
+		if w.Extra(now.Add(time.Duration(5-i)*time.Second), 0, 5) {
+			got++
+		}
+	}
+	if got != 5 {
+		t.Errorf("got %d extra attempts, want the allowance of 5", got)
+	}
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/fireflylanding/fireflylanding/internal/delay"
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
 	"github.com/fireflylanding/fireflylanding/internal/route"
@@ -210,7 +211,7 @@
 		if f.expire() {
 			f.hooks.Changed()
 		}
-		sleep(ctx, wait)
+		delay.For(ctx, wait)
 	}
 }
 
@@ -354,15 +355,3 @@
 	f.table.Store(table)
 	f.logger.Log(wire.Event_EVENT_ROUTES_IN_FORCE, zap.Uint64("version", table.Version()), zap.Int("routes", len(table.Routes())))
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fireflylanding/fireflylanding/internal/delay"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/wake"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
@@ -97,7 +98,7 @@
 	n.logger.Log(wire.Event_EVENT_STOP_BEGUN)
 	n.engine.SetStopping()
 	valid := n.settings.GetDirectory().GetValid().AsDuration() + 2*n.settings.GetPeers().GetDigestInterval().AsDuration()
-	if !pause(kill, valid) {
+	if !delay.For(kill, valid) {
 		return n.cutOff()
 	}
 	n.phase.set(phaseRefusing)
@@ -105,12 +106,12 @@
 	limit, cancel := context.WithTimeout(kill, n.settings.GetLimits().GetStop().AsDuration())
 	defer cancel()
 	for n.inFlight() > 0 || n.exchanges.Load() > 0 {
-		if !pause(limit, drainPoll) {
+		if !delay.For(limit, drainPoll) {
 			return n.cutOff()
 		}
 	}
 	// Closing a connection discards what the transport has not sent yet.
-	_ = pause(kill, deliveryTime)
+	_ = delay.For(kill, deliveryTime)
 	return 0
 }
 
@@ -126,18 +127,6 @@
 	return cut
 }
 
-// pause waits and reports whether ctx did not end meanwhile.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // closeListeners ends the requests that are left and closes the listeners and the connections to peers.
 func (n *Node) closeListeners() {
 	n.phase.set(phaseRefusing)
--- a/internal/proof/process_test.go
+++ b/internal/proof/process_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +18,7 @@
 	"github.com/fireflylanding/fireflylanding/internal/fakes"
 	"github.com/fireflylanding/fireflylanding/internal/shards"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
+	"github.com/fireflylanding/fireflylanding/platform/stand"
 )
 
 // exitCut is the exit code of a shutdown that cut off requests.
@@ -74,23 +74,13 @@
 	return binary
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
 func freeAddress(t *testing.T, network string) string {
 	t.Helper()
-	if network == "udp" {
-		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer socket.Close()
-		return socket.LocalAddr().String()
-	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := stand.FreeAddress(network)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // startProcess starts a node and waits until its directory answers.
--- a/internal/sizing/links.go
+++ b/internal/sizing/links.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/fireflylanding/fireflylanding/internal/certs"
+	"github.com/fireflylanding/fireflylanding/internal/delay"
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/peer"
 	"github.com/fireflylanding/fireflylanding/internal/shards"
@@ -115,13 +116,13 @@
 	}
 	result.cpu = float64(processCPU()-beforeCPU) / microsecond
 	result.handshake = s.traffic.wireBytes()
-	if !sleep(ctx, linkSettle) {
+	if !delay.For(ctx, linkSettle) {
 		return result, ctx.Err()
 	}
 	result.memory = heap() - before
 	beforeBytes := s.traffic.wireBytes()
 	beforeCPU = processCPU()
-	if !sleep(ctx, linkWindow) {
+	if !delay.For(ctx, linkWindow) {
 		return result, ctx.Err()
 	}
 	result.idleBytes = (s.traffic.wireBytes() - beforeBytes) / linkWindow.Seconds()
@@ -149,15 +150,3 @@
 		NewSlope("link_idle_cpu", "CPU of an idle connection in a second, both ends", "µs/s", "connection", linkCounts, values[4]),
 	}, nil
 }
-
-// sleep waits and reports whether ctx did not end meanwhile.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/sizing/queries.go
+++ b/internal/sizing/queries.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/fireflylanding/fireflylanding/internal/delay"
 	"github.com/fireflylanding/fireflylanding/internal/fakes"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 	"github.com/fireflylanding/fireflylanding/pkg/client"
@@ -121,7 +122,7 @@
 		return nil, err
 	}
 	defer r.close()
-	if !sleep(ctx, loadSettle) {
+	if !delay.For(ctx, loadSettle) {
 		return nil, ctx.Err()
 	}
 	var costs []queryCost
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -163,24 +163,11 @@
 	if float64(len(services)) < s.least*float64(len(s.shards)) {
 		report("coverage", "request %s was served from %d of %d shards", s.request.ID, len(services), len(s.shards))
 	}
-	if s.answer.Body != greatest(s.request.ID, s.top, services) {
+	if s.answer.Body != stand.Greatest(s.request.ID, s.top, services...) {
 		report("records", "request %s got records that are not the greatest of its parts", s.request.ID)
 	}
 }
 
-// greatest returns the top greatest records of the parts of services.
-func greatest(id string, top int, services []string) string {
-	const recordBytes = 16
-	var records [][]byte
-	for _, service := range services {
-		for part := stand.Part(service, id); len(part) >= recordBytes; part = part[recordBytes:] {
-			records = append(records, part[:recordBytes])
-		}
-	}
-	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
-	return string(bytes.Join(records[:min(top, len(records))], nil))
-}
-
 // checkDrain looks for new work at searchers that left, in calm times.
 func checkDrain(e evidence, report reporter) {
 	for _, l := range e.left {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -43,7 +43,7 @@
 		request: stand.Request{ID: id, Method: http.MethodGet, Path: "/gather/1"},
 		shards:  []string{"a", "b", "c"}, top: 5, least: 0.6,
 		answer: stand.Answer{
-			Status: 200, Missing: 1, Body: greatest(id, 5, []string{"a", "b"}),
+			Status: 200, Missing: 1, Body: stand.Greatest(id, 5, "a", "b"),
 			Proofs: []string{stand.Stamp("i_a_1", id), stand.Stamp("i_b_2", id)},
 		},
 	}}}
@@ -74,7 +74,7 @@
 		"a shard of no route":   {evidence: merged, plant: func(e *evidence) { e.sent[0].answer.Proofs[1] = stand.Stamp("i_z_1", id) }, want: "coverage"},
 		"proof of another id":   {evidence: merged, plant: func(e *evidence) { e.sent[0].answer.Proofs[1] = stand.Stamp("i_b_2", "x") }, want: "coverage"},
 		"too few shards":        {evidence: merged, plant: func(e *evidence) { e.sent[0].least = 0.9 }, want: "coverage"},
-		"records of other part": {evidence: merged, plant: func(e *evidence) { e.sent[0].answer.Body = greatest(id, 5, []string{"a", "c"}) }, want: "records"},
+		"records of other part": {evidence: merged, plant: func(e *evidence) { e.sent[0].answer.Body = stand.Greatest(id, 5, "a", "c") }, want: "records"},
 		"new work after leaving": {evidence: single, plant: func(e *evidence) {
 			e.left = []left{{searcher: searcher, at: start.Add(-4 * time.Second)}}
 			e.calm = []span{{from: start.Add(-10 * time.Second), to: start.Add(10 * time.Second)}}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/fireflylanding/fireflylanding/internal/delay"
 	"github.com/fireflylanding/fireflylanding/platform/stand"
 )
 
@@ -182,16 +183,16 @@
 		k.faults = append(k.faults, f.name)
 		k.mu.Unlock()
 		undo = append(undo, f.inject(k))
-		wait(ctx, trouble/time.Duration(n))
+		delay.For(ctx, trouble/time.Duration(n))
 	}
 	for i := len(undo) - 1; i >= 0; i-- {
 		undo[i]()
 	}
-	wait(ctx, contact)
+	delay.For(ctx, contact)
 	from := time.Now()
 	k.stopCalmly(ctx)
 	k.probe(ctx)
-	wait(ctx, calm)
+	delay.For(ctx, calm)
 	k.mu.Lock()
 	k.evidence.calm = append(k.evidence.calm, span{from: from, to: time.Now()})
 	k.mu.Unlock()
@@ -217,7 +218,7 @@
 	}
 	k.mu.Unlock()
 	k.restart(p)
-	wait(ctx, time.Second)
+	delay.For(ctx, time.Second)
 }
 
 // probe asks each node on the routes that the latest configuration added and moved: it must be in force everywhere.
@@ -237,10 +238,3 @@
 		}
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fireflylanding/fireflylanding/internal/delay"
 	"github.com/fireflylanding/fireflylanding/internal/member"
 	"github.com/fireflylanding/fireflylanding/internal/shards"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
@@ -30,7 +31,7 @@
 // exchangeLoop exchanges a digest with the next neighbour in each interval, and probes nodes that membership doubts.
 func (e *Engine) exchangeLoop(ctx context.Context) {
 	next := e.clock().Add(e.random.between(1, e.settings.DigestInterval))
-	for sleepOr(ctx, next.Sub(e.clock()), e.stopped) {
+	for delay.Until(ctx, next.Sub(e.clock()), e.stopped) {
 		now := e.clock()
 		if now.Before(next) {
 			e.exchangeWith(e.fleet.view().neighbours) // The node began to stop.
--- a/internal/spread/random.go
+++ b/internal/spread/random.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -48,28 +47,6 @@
 	return order
 }
 
-// sleep waits and reports whether the time passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	return sleepOr(ctx, d, nil)
-}
-
-// sleepOr waits until the time passed or the channel received, and returns false when ctx ended. Without time to wait it starts no
-// timer: under synctest, the race detector of Go 1.26 crashes when several goroutines receive from timers that are already due.
-func sleepOr(ctx context.Context, d time.Duration, early <-chan struct{}) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-	case <-early:
-	}
-	return ctx.Err() == nil
-}
-
 // backoff doubles a delay with each failure.
 type backoff struct {
 	least time.Duration
--- a/internal/spread/recover.go
+++ b/internal/spread/recover.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fireflylanding/fireflylanding/internal/delay"
 	"github.com/fireflylanding/fireflylanding/internal/shards"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -28,7 +29,7 @@
 // recover fills an empty store: from the VM list of the own region, then from peers, and from the configuration
 // service only what no peer has.
 func (e *Engine) recover(ctx context.Context) {
-	if !sleep(ctx, e.random.between(0, e.settings.StartSpread)) {
+	if !delay.For(ctx, e.random.between(0, e.settings.StartSpread)) {
 		return
 	}
 	for _, region := range e.regionsOwnFirst() {
@@ -70,7 +71,7 @@
 		if !slices.Contains(e.keys.missing(e.store), key) {
 			break
 		}
-		if !sleepOr(ctx, delays.delay(e.random), e.keys.changed) {
+		if !delay.Until(ctx, delays.delay(e.random), e.keys.changed) {
 			return false
 		}
 	}
@@ -124,13 +125,13 @@
 func (e *Engine) pace(ctx context.Context) bool {
 	nodes := e.fleet.view().size(len(e.settings.Regions))
 	mean := time.Duration(nodes) * time.Second / time.Duration(e.settings.PlatformCallsPerSecond)
-	return sleep(ctx, e.random.between(mean/2, mean+mean/2))
+	return delay.For(ctx, e.random.between(mean/2, mean+mean/2))
 }
 
 // awaitMissing waits until documents are missing, and between two attempts to get them. It returns false when ctx ended.
 func (e *Engine) awaitMissing(ctx context.Context, delays *backoff) bool {
 	if len(e.keys.missing(e.store)) > 0 {
-		return sleep(ctx, delays.delay(e.random))
+		return delay.For(ctx, delays.delay(e.random))
 	}
 	delays.reset()
 	for len(e.keys.missing(e.store)) == 0 {
@@ -146,7 +147,7 @@
 // fallbackLoop reads all documents from the service while all peers are silent.
 func (e *Engine) fallbackLoop(ctx context.Context) {
 	reported := false
-	for sleep(ctx, e.settings.DigestInterval) {
+	for delay.For(ctx, e.settings.DigestInterval) {
 		if !e.mustFallBack() {
 			reported = false
 			continue
@@ -156,7 +157,7 @@
 			e.log.Log(wire.Event_EVENT_FALLBACK_READ, zap.Duration("silence", e.silence(e.clock())))
 		}
 		e.readAll(ctx)
-		if !sleep(ctx, e.random.between(fallbackLeast, fallbackMost)) {
+		if !delay.For(ctx, e.random.between(fallbackLeast, fallbackMost)) {
 			return
 		}
 	}
--- a/internal/spread/watch.go
+++ b/internal/spread/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/fireflylanding/fireflylanding/internal/delay"
 	"github.com/fireflylanding/fireflylanding/internal/place"
 )
 
@@ -36,7 +37,7 @@
 func (e *Engine) watchLoop(ctx context.Context) {
 	cancels := make(map[string]context.CancelFunc)
 	var last duties
-	for sleep(ctx, e.tick()) {
+	for delay.For(ctx, e.tick()) {
 		if !e.recovered.Load() {
 			continue
 		}
@@ -102,7 +103,7 @@
 		begun := e.clock()
 		result := e.platform.watch(ctx, key)
 		early := e.clock().Sub(begun) < e.settings.WatchWait/2
-		if !sleep(ctx, e.watchDelay(result, early, &failure, &overRate)) {
+		if !delay.For(ctx, e.watchDelay(result, early, &failure, &overRate)) {
 			return
 		}
 	}
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflylanding/fireflylanding/internal/conf"
+	"github.com/fireflylanding/fireflylanding/internal/delay"
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/member"
 	"github.com/fireflylanding/fireflylanding/internal/plat"
@@ -99,7 +100,7 @@
 // Read implements Source.
 func (p *testPlatform) Read(ctx context.Context, key string) (plat.Value, error) {
 	p.count(key, true)
-	if !sleep(ctx, time.Millisecond) {
+	if !delay.For(ctx, time.Millisecond) {
 		return plat.Value{}, plat.NewUnavailableError(key, ctx.Err())
 	}
 	value, _, err := p.get(key)
@@ -459,13 +460,13 @@
 	w.mu.Lock()
 	target, running := w.nodes[to.ID()]
 	lost := w.side[n.id] != w.side[to.ID()] || w.random.IntN(100) < w.lossPercent
-	delay := time.Duration(w.random.Int64N(int64(w.maxDelay)))
+	lag := time.Duration(w.random.Int64N(int64(w.maxDelay)))
 	w.mu.Unlock()
 	if lost {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	if !sleep(ctx, delay) {
+	if !delay.For(ctx, lag) {
 		return nil, ctx.Err()
 	}
 	if !running {
