Greet leaders of large zones and other regions less often

Change: the time between two greetings of a node that does not lead grows with its zone, so that a leader gets 40 a second; silence is granted in proportion. Tables go to other regions as seldom as to the own.

Test: TestLeadersOfALargeZoneAreNotOverrun with 300 nodes.

--- a/internal/roster/greet.go
+++ b/internal/roster/greet.go
@@ -61,17 +61,36 @@
 
 // greeted returns the nodes to greet at this heartbeat. Leaders greet all that are closest to them. The other nodes of a zone, which may
 // be many, greet its leaders in turn; each answers for all of them.
-func (r *Roster) greeted() []State {
+func (r *Roster) greeted(now time.Time) []State {
 	near := r.closest()
 	r.beats++
 	if r.beats <= meetBeats || r.leads() {
 		return near
 	}
-	at := r.beats % len(near)
+	if now.Sub(r.greetedAt) < r.greetGap() {
+		return nil
+	}
+	r.greetedAt = now
+	r.greetings++
+	at := r.greetings % len(near)
 	return near[at : at+1]
 }
 
-// farInterval is the time between two exchanges of a zone's first nodes with other regions.
+// leaderGreetings bounds the greetings a second that a leader gets from the other nodes of its zone.
+const leaderGreetings = 40
+
+// greetGap is the least time between two greetings of a node that is no leader; it grows with the zone.
+func (r *Roster) greetGap() time.Duration {
+	size := 1
+	for _, record := range r.others {
+		if r.inZone(record.state) {
+			size++
+		}
+	}
+	return time.Duration(size) * time.Second / (zoneLeaders * leaderGreetings)
+}
+
+// farInterval is the least time between two exchanges of a zone's first nodes with other regions, which take the region's table.
 const farInterval = time.Second
 
 // Greeting says whom to exchange states with, and which.
@@ -90,7 +109,7 @@
 	defer r.mu.Unlock()
 	r.forget(now)
 	var greetings []Greeting
-	for _, s := range r.greeted() {
+	for _, s := range r.greeted(now) {
 		if s.ID != r.self.ID {
 			greetings = append(greetings, Greeting{Address: s.PeerAddress, States: []State{r.self}})
 		}
@@ -101,7 +120,7 @@
 			greetings = append(greetings, Greeting{Address: mate.PeerAddress, States: r.table(now)})
 		}
 	}
-	if r.leads() && now.Sub(r.farAt) >= farInterval {
+	if r.leads() && now.Sub(r.farAt) >= max(farInterval, r.tableInterval()) {
 		r.farAt = now
 		if far, ok := r.far(); ok {
 			greetings = append(greetings, Greeting{Address: far.PeerAddress, States: r.region()})
--- a/internal/roster/live.go
+++ b/internal/roster/live.go
@@ -24,6 +24,9 @@
 	return size
 }
 
+// directFactor is the multiple of the time between two greetings after which a leader counts as silent: one of them may be lost.
+const directFactor = 3
+
 // silence holds how long a node may be silent before it does not count as live.
 type silence struct {
 	// greeted holds the ids of the nodes that this node greets, for which direct applies. The others are heard through others, which
@@ -40,7 +43,7 @@
 	hops := time.Duration(bits.Len(uint(r.regionSize())))
 	s := silence{
 		greeted: make(map[string]bool),
-		direct:  r.settings.SuspectAfter,
+		direct:  max(r.settings.SuspectAfter, directFactor*r.greetGap()),
 		relayed: relayedFactor * interval,
 		far:     farSilence + 2*hops*interval,
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -112,6 +112,9 @@
 	// turn is the exponent of the next mate's distance, and beats counts the heartbeats that began exchanges.
 	turn  int
 	beats int
+	// greetedAt is when a leader was last greeted by this node in its turn, and greetings counts such greetings.
+	greetedAt time.Time
+	greetings int
 	// view is the last look at the live nodes; changed is set when a node, its phase or its process changed since.
 	view    *view
 	changed bool
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -283,7 +283,13 @@
 
 // Guards against leaders of a zone that all its nodes greet at each heartbeat.
 func TestLeadersOfALargeZoneAreNotOverrun(t *testing.T) {
-	const nodes, settled, beats, want = 60, 10, 6, 30
+	for _, nodes := range []int{60, 300} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) { testLeadersOfAZone(t, nodes) })
+	}
+}
+
+func testLeadersOfAZone(t *testing.T, nodes int) {
+	const settled, beats, want = 10, 12, 30
 	rosters := zoneOf(nodes)
 	greetings := make(map[string]int)
 	now := start
