Count the queue for this node's connections in a searcher's expected latency

Change: the record of a searcher knows how many of this node's requests it runs at once, its slots or the node's connections.

Test: TestQueueForConnections.

--- a/internal/health/track.go
+++ b/internal/health/track.go
@@ -78,10 +78,9 @@
 
 // Track is the record of one searcher. It is safe for concurrent use.
 type Track struct {
-	// slots is the number of requests that the searcher runs at once.
-	slots int
-
 	mu sync.Mutex
+	// parallel is the number of this node's requests that the searcher runs at once.
+	parallel int
 	// outstanding holds the requests without an outcome in the order of sending.
 	outstanding []pending
 	last        Ticket
@@ -96,15 +95,23 @@
 	avoidances int
 }
 
-// New returns an empty record of a searcher that runs so many requests at once.
-func New(slots int) *Track { return &Track{slots: max(slots, 1)} }
+// New returns an empty record of a searcher that runs so many requests of this node at once.
+func New(parallel int) *Track { return &Track{parallel: max(parallel, 1)} }
+
+// SetParallel changes the number of this node's requests that the searcher runs at once: its slots, or this node's connections to it when
+// they are fewer.
+func (t *Track) SetParallel(parallel int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.parallel = max(parallel, 1)
+}
 
 // Begin records that a request was sent over a distance, the round trip.
 func (t *Track) Begin(now time.Time, distance time.Duration) Ticket {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.last++
-	queue := float64(len(t.outstanding)) / float64(t.slots)
+	queue := float64(len(t.outstanding)) / float64(t.parallel)
 	t.outstanding = append(t.outstanding, pending{ticket: t.last, sentAt: now, queue: queue, distance: distance})
 	return t.last
 }
@@ -207,7 +214,7 @@
 	return Reading{
 		Mean:     time.Duration(t.mean),
 		Age:      now.Sub(t.sampledAt),
-		Queue:    float64(len(t.outstanding)) / float64(t.slots),
+		Queue:    float64(len(t.outstanding)) / float64(t.parallel),
 		Failures: t.fadedFailures(now),
 		Stalled:  t.stalled(now),
 		Avoided:  now.Before(t.avoidUntil),
--- a/internal/health/track_test.go
+++ b/internal/health/track_test.go
@@ -152,3 +152,21 @@
 		})
 	}
 }
+
+// Guards against a searcher that is taken for quick while this node's requests queue for its few connections.
+func TestQueueForConnections(t *testing.T) {
+	track := New(4)
+	now := served(track, start, 20, service)
+	for range 4 {
+		track.Begin(now, 0)
+	}
+	wide := track.Read(now).Latency(0, service)
+	track.SetParallel(1)
+	narrow := track.Read(now).Latency(0, service)
+	if want := 2 * service; wide != want {
+		t.Errorf("four slots: got latency %v, want %v", wide, want)
+	}
+	if want := 5 * service; narrow != want {
+		t.Errorf("one connection: got latency %v, want %v", narrow, want)
+	}
+}
--- a/internal/relay/station.go
+++ b/internal/relay/station.go
@@ -27,6 +27,12 @@
 	replaced atomic.Bool
 }
 
+// setLimit changes the number of connections that this node may open.
+func (s *station) setLimit(limit int) {
+	s.pool.SetLimit(limit)
+	s.track.SetParallel(min(s.searcher.Slots(), limit))
+}
+
 // stations is an immutable set of stations by service.
 type stations struct {
 	byKey    map[fleet.Key]*station
@@ -87,7 +93,7 @@
 				track:    health.New(s.Slots()),
 			}
 		}
-		known.pool.SetLimit(limit)
+		known.setLimit(limit)
 		next.byKey[key] = known
 	}
 	for _, service := range table.ServiceNames() {
@@ -130,7 +136,7 @@
 	g.nodes.Store(&nodes)
 	current := g.current.Load()
 	for _, s := range current.byKey {
-		s.pool.SetLimit(g.limit(s.searcher, current.table, nodes))
+		s.setLimit(g.limit(s.searcher, current.table, nodes))
 	}
 }
 
