--- a/internal/relay/station.go
+++ b/internal/relay/station.go
@@ -129,7 +129,7 @@
 }
 
 // unmetShare is the number of connections to one searcher that a node takes while it may not know the others yet.
-const unmetShare = 2
+const unmetShare = 1
 
 // share sets this node's share of all searchers' connections.
 func (g *grid) share(nodes Nodes) {
--- a/internal/relay/station_test.go
+++ b/internal/relay/station_test.go
@@ -38,7 +38,7 @@
 		wantNear, wantFar int
 	}{
 		"before the first look":   {wantNear: 1, wantFar: 1},
-		"knows no other yet":      {nodes: Nodes{Active: 1, ByRegion: map[string]int{"near": 1}, SelfActive: true, Unmet: true}, wantNear: 2, wantFar: 2},
+		"knows no other yet":      {nodes: Nodes{Active: 1, ByRegion: map[string]int{"near": 1}, SelfActive: true, Unmet: true}, wantNear: 1, wantFar: 1},
 		"really alone":            {nodes: Nodes{Active: 1, ByRegion: map[string]int{"near": 1}, SelfActive: true}, wantNear: 13, wantFar: 11},
 		"three of eight are near": {nodes: Nodes{Active: 8, ByRegion: map[string]int{"near": 3, "far": 5}, SelfActive: true}, wantNear: 4, wantFar: 3},
 		"callers are not sent":    {nodes: Nodes{Active: 8, ByRegion: map[string]int{"near": 3, "far": 5}}, wantNear: 1, wantFar: 1},
