Look a request token up before a resend is judged

Cause: an entry forwarded a query whose time was spent with a deadline of zero or less. Its issuer refused that as malformed, not run, before it looked the token up, though an earlier presentation of the token had run. The same order let any malformed resend of a token be told that it had not run.

Change: a non-idempotent query with a token is looked up first and validated only on the first presentation. An entry that has no time left to ask the issuer answers DEADLINE, outcome unknown, and forwards nothing.

Other paths that could turn unknown into not run: the gate, lists, quarantine and admission are checked after Begin, on the first presentation only; a token whose MAC is wrong names no request of this issuer; a forward that fails or is refused twice ends as TOKEN_ISSUER_GONE, unknown; a body that does not decode has no token that could be read.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -152,12 +152,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(e.closeCtx, cancel)()
-	if refusal := e.validate(query); refusal != nil {
-		return e.refuse(refusal)
-	}
 	if query.GetNonIdempotent() {
 		return e.serveNonIdempotent(ctx, now, query, forwarded)
 	}
+	return e.validateAndRun(ctx, now, query)
+}
+
+func (e *Entry) validateAndRun(ctx context.Context, now time.Time, query *wire.Query) *wire.Answer {
+	if refusal := e.validate(query); refusal != nil {
+		return e.refuse(refusal)
+	}
 	return e.run(ctx, now, query)
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -376,6 +376,9 @@
 		forwarded bool
 		actions   map[string][]action
 		gate      *reason.Refusal
+		// queued is how long ago the query arrived.
+		queued time.Duration
+		change func(*wire.Query)
 
 		wantRun    wire.RunState
 		wantReason wire.Reason
@@ -400,7 +403,13 @@
 		"unlisted issuer":     {token: func(*harness) string { return token.New("10.0.0.9:22", 9, []byte("key")).Issue(1)[0] }, wantRun: unknown, wantReason: wire.Reason_REASON_TOKEN_ISSUER_GONE},
 		"other issuer":        {token: elsewhere, wantRun: run, wantForwards: 1},
 		"issuer unreachable":  {token: elsewhere, forward: errors.New("no route"), wantRun: unknown, wantReason: wire.Reason_REASON_TOKEN_ISSUER_GONE, wantForwards: 1},
-		"forwarded twice":     {token: elsewhere, forwarded: true, wantRun: unknown, wantReason: wire.Reason_REASON_TOKEN_ISSUER_GONE},
+		// An issuer refuses a deadline of zero or less as malformed and not run, though an earlier presentation may have run.
+		"other issuer, late":        {token: elsewhere, queued: testDeadline, wantRun: unknown, wantReason: wire.Reason_REASON_DEADLINE},
+		"completed, malformed":      {token: spent(token.Completed), change: func(q *wire.Query) { q.SetDeadline(durationpb.New(0)) }, wantRun: run, wantReason: wire.Reason_REASON_TOKEN_COMPLETED},
+		"unknown, malformed":        {token: spent(token.Unknown), change: func(q *wire.Query) { q.SetKey("") }, wantRun: unknown, wantReason: wire.Reason_REASON_TOKEN_UNKNOWN},
+		"issued, malformed":         {token: own, change: func(q *wire.Query) { q.SetDeadline(durationpb.New(0)) }, wantRun: notRun, wantReason: wire.Reason_REASON_BAD_REQUEST, wantFresh: true, wantResend: wire.Reason_REASON_TOKEN_NOT_RUN},
+		"other issuer, no deadline": {token: elsewhere, change: func(q *wire.Query) { q.SetDeadline(durationpb.New(0)) }, wantRun: unknown, wantReason: wire.Reason_REASON_DEADLINE},
+		"forwarded twice":           {token: elsewhere, forwarded: true, wantRun: unknown, wantReason: wire.Reason_REASON_TOKEN_ISSUER_GONE},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -420,7 +429,10 @@
 				query.SetNonIdempotent(true)
 				query.SetKey("order")
 				query.SetToken(test.token(h))
-				answer := h.entry.serve(t.Context(), time.Now(), query, test.forwarded)
+				if test.change != nil {
+					test.change(query)
+				}
+				answer := h.entry.serve(t.Context(), time.Now().Add(-test.queued), query, test.forwarded)
 				h.entry.Close()
 				if answer.GetRun() != test.wantRun || answer.GetReason() != test.wantReason {
 					t.Errorf("got %v with %v, want %v with %v", answer.GetRun(), answer.GetReason(), test.wantRun, test.wantReason)
--- a/internal/entry/nonidempotent.go
+++ b/internal/entry/nonidempotent.go
@@ -13,9 +13,13 @@
 )
 
 // serveNonIdempotent runs a non-idempotent query at most once. Only the node incarnation that issued the request token runs it, and only
-// on the first presentation of the token.
+// on the first presentation of the token. The token is looked up before the query is validated: a refusal of a malformed resend says that
+// the query has not run, which an earlier presentation may have done.
 func (e *Entry) serveNonIdempotent(ctx context.Context, now time.Time, query *wire.Query, forwarded bool) *wire.Answer {
 	if query.GetToken() == "" {
+		if refusal := e.validate(query); refusal != nil {
+			return e.refuse(refusal)
+		}
 		return e.withFreshToken(e.refuse(reason.New(wire.Reason_REASON_TOKEN_MISSING, "")))
 	}
 	switch verdict := e.policies.Issuer.Begin(query.GetToken()).(type) {
@@ -37,7 +41,7 @@
 	// The state is also recorded on a panic. A token left in the running state would promise an outcome that never comes.
 	state := token.Unknown
 	defer func() { e.policies.Issuer.Finish(sequence, state) }()
-	answer := e.run(ctx, now, query)
+	answer := e.validateAndRun(ctx, now, query)
 	switch answer.GetRun() {
 	case wire.RunState_RUN_STATE_RUN:
 		state = token.Completed
@@ -68,11 +72,15 @@
 	if forwarded || to.Address() == e.self.PeerAddress() || !e.isListedPeer(to.Address()) {
 		return e.refuse(reason.New(wire.Reason_REASON_TOKEN_ISSUER_GONE, ""))
 	}
-	budget := e.deadline(query)
-	ctx, cancel := context.WithTimeout(ctx, budget)
+	remaining := e.deadline(query) - e.hooks.Clock().Sub(now)
+	if remaining <= 0 {
+		// Only the issuer knows whether an earlier presentation ran, and there is no time left to ask it.
+		return e.refuse(reason.New(wire.Reason_REASON_DEADLINE, "the issuer of the token was not asked"))
+	}
+	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	outgoing := proto.Clone(query).(*wire.Query)
-	outgoing.SetDeadline(durationpb.New(budget - e.hooks.Clock().Sub(now)))
+	outgoing.SetDeadline(durationpb.New(remaining))
 	var answer *wire.Answer
 	var err error
 	if answer, err = e.issuers.Forward(ctx, to.Address(), outgoing); err != nil {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -68,10 +68,10 @@
 	logger    *events.Logger
 	tasks     conc.WaitGroup
 
-	sentBytes     metrics.Counter
-	receivedBytes metrics.Counter
-	refused       metrics.Counter
-	dials         metrics.Counter
+	sent     traffic
+	received traffic
+	refused  metrics.Counter
+	dials    metrics.Counter
 
 	mu    sync.Mutex
 	conns map[string]*connection
@@ -90,14 +90,14 @@
 // New returns a transport that listens on socket. Serve must be called to accept exchanges.
 func New(socket net.PacketConn, serverTLS, clientTLS *tls.Config, logger *events.Logger, registry metrics.Registry) (*Transport, error) {
 	t := &Transport{
-		quic:          &quic.Transport{Conn: socket},
-		clientTLS:     clientTLS,
-		logger:        logger,
-		conns:         make(map[string]*connection),
-		sentBytes:     metrics.NewRegisteredCounter("peer.sent_bytes", registry),
-		receivedBytes: metrics.NewRegisteredCounter("peer.received_bytes", registry),
-		refused:       metrics.NewRegisteredCounter("peer.refused", registry),
-		dials:         metrics.NewRegisteredCounter("peer.dials", registry),
+		quic:      &quic.Transport{Conn: socket},
+		clientTLS: clientTLS,
+		logger:    logger,
+		conns:     make(map[string]*connection),
+		sent:      newTraffic("peer.sent", registry),
+		received:  newTraffic("peer.received", registry),
+		refused:   metrics.NewRegisteredCounter("peer.refused", registry),
+		dials:     metrics.NewRegisteredCounter("peer.dials", registry),
 	}
 	t.quic.ConnContext = t.countRefusedHandshakes
 	var err error
@@ -251,7 +251,7 @@
 
 func (t *Transport) send(stream *quic.Stream, message proto.Message) error {
 	n, err := protodelim.MarshalTo(stream, message)
-	t.sentBytes.Inc(int64(n))
+	t.sent.add(message, int64(n))
 	return err
 }
 
@@ -260,7 +260,7 @@
 	if err := options.UnmarshalFrom(reader, message); err != nil {
 		return err
 	}
-	t.receivedBytes.Inc(int64(proto.Size(message)))
+	t.received.add(message, int64(proto.Size(message)))
 	return nil
 }
 
