Spread quarantine marks over few connections, and acquit answered requests

At 7 s searchers of all shards fall silent at once: every query that was running on two of them was quarantined as if it had crashed them, each mark went to eight random nodes, and each node that learned it told eight others. 295 nodes so opened a connection between nearly any two of them. The handshakes, not the marks, were the bytes between regions, the processor time and the memory.

Ruled out: the store that turns nodes away at 2.5 s (27 dials and 0.1 MB until 7 s), pulls of entries (142 KB a node until 9 s), heartbeats (0.2 MB).

Change: a request that any searcher has answered is no crasher, since a crasher takes each searcher that runs it. Marks go to the nodes at the distances 1, 2, 4 of the region's ring, with which connections exist, and from zone leaders to the leaders of other regions. Changes of state go to ring partners for the same reason.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -94,6 +95,14 @@
 	}
 }
 
+// acquit drops the suspicions against a request that a searcher has answered. A request that crashes searchers crashes each one that runs it,
+// while a request over many shards is often running on several of those that a common cause took away.
+func (c *crashTracker) acquit(fingerprint uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspicions = slices.DeleteFunc(c.suspicions, func(s suspicion) bool { return s.fingerprint == fingerprint })
+}
+
 func (c *crashTracker) expire(now time.Time) {
 	kept := c.suspicions[:0]
 	for _, s := range c.suspicions {
@@ -148,10 +157,8 @@
 	probeTimeout = 500 * time.Millisecond
 )
 
-// suspectCrash records that a connection broke while the searcher was running a request, and probes whether the searcher is alive.
-func (e *Engine) suspectCrash(now time.Time, fingerprint uint64, ep *endpoint) {
-	key := ep.searcher.Key()
-	e.crashes.suspect(now, fingerprint, key)
+// probeSearcher checks whether a searcher is alive after a connection to it broke.
+func (e *Engine) probeSearcher(ep *endpoint) {
 	if !ep.probing.CompareAndSwap(false, true) {
 		return
 	}
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -131,3 +132,54 @@
 		t.Error("after all connections closed: request is not marked, want a mark")
 	}
 }
+
+// Guards against a harmless request over many shards that is quarantined because it was running on several searchers that a common cause
+// took away. On a fleet of 295 nodes such marks flooded the network between the nodes.
+func TestAnsweredRequestIsNoCrasher(t *testing.T) {
+	tests := map[string]struct {
+		// answered is when another shard's searcher answers: before the connections break, before the searchers are known to have ended, or
+		// never.
+		answeredBefore, answeredAfter bool
+		wantQuarantined               bool
+	}{
+		"no answer":                          {wantQuarantined: true},
+		"answered before connections broke":  {answeredBefore: true},
+		"answered before the crash is known": {answeredAfter: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e, f := newGatherFanout(t)
+			f.parts = append(f.parts, part{service: "two"})
+			f.pending = len(f.parts)
+			answer := func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.settle(&f.parts[1], wire.Reason_REASON_UNSPECIFIED)
+			}
+			if test.answeredBefore {
+				answer()
+			}
+			var lost []*endpoint
+			for range 2 {
+				chosen, ok := e.balancer.choose(start, "one", time.Second, func(ep *endpoint) bool { return slices.Contains(lost, ep) })
+				if !ok {
+					t.Fatal("got no searcher")
+				}
+				lost = append(lost, chosen.endpoint)
+				a := &attempt{part: &f.parts[0], endpoint: chosen.endpoint, sentAt: start, deadline: f.deadline, record: &attemptRecord{}}
+				a.ticket = chosen.endpoint.tracker.Begin(start, 0)
+				f.parts[0].inFlight += 2
+				f.attemptEnded(a, result{reason: wire.Reason_REASON_CONNECTION_LOST, sent: true, abrupt: true})
+			}
+			if test.answeredAfter {
+				answer()
+			}
+			for _, ep := range lost {
+				e.searcherEnded(start, ep.searcher.Key())
+			}
+			if got := e.crashes.quarantined(start, f.fingerprint); got != test.wantQuarantined {
+				t.Errorf("got quarantined %v, want %v", got, test.wantQuarantined)
+			}
+		})
+	}
+}
--- a/internal/relay/fanout.go
+++ b/internal/relay/fanout.go
@@ -219,6 +219,9 @@
 	f.pending--
 	if r == wire.Reason_REASON_UNSPECIFIED {
 		f.succeeded++
+		if f.succeeded == 1 {
+			f.engine.crashes.acquit(f.fingerprint)
+		}
 	}
 	if f.pending == 0 || !f.coverageReachable() || (f.coverageMet() && !f.engine.clock().Before(f.partialAt)) {
 		f.wake()
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -121,7 +121,10 @@
 		a.endpoint.replaced.Store(true)
 	}
 	if r.abrupt {
-		f.engine.suspectCrash(now, f.fingerprint, a.endpoint)
+		if !f.answered() {
+			f.engine.crashes.suspect(now, f.fingerprint, a.endpoint.searcher.Key())
+		}
+		f.engine.probeSearcher(a.endpoint)
 	}
 	if r.reason == wire.Reason_REASON_CONNECT_FAILED {
 		f.engine.searcherUnreachable(now, a.endpoint)
@@ -148,6 +151,13 @@
 	f.attemptFailed(now, a, r)
 }
 
+// answered reports whether a searcher has answered the request.
+func (f *fanout) answered() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.succeeded > 0
+}
+
 // healthOutcome classifies the result of an attempt for the searcher's health record.
 func healthOutcome(r result) health.Outcome {
 	if r.staleConn {
--- a/internal/roster/exchange.go
+++ b/internal/roster/exchange.go
@@ -1,9 +1,9 @@
 package roster
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -164,31 +164,32 @@
 	return false
 }
 
-// nextTablePartner returns the node of the region to exchange the region's table with. It cycles through the nodes at distances 1, 2, 4
-// and so on in the order of ids, so that a state reaches all nodes in few exchanges and a node keeps few connections.
+// nextTablePartner returns the node of the region to exchange the region's table with. It cycles through the ring partners, so that a state
+// reaches all nodes in few exchanges and a node keeps few connections.
 func (r *Roster) nextTablePartner() (State, bool) {
-	states := r.regionStates()
-	if len(states) < 2 {
+	partners := r.ringPartners()
+	if len(partners) == 0 {
 		return State{}, false
 	}
-	sort.Slice(states, func(i, j int) bool { return states[i].ID < states[j].ID })
+	r.tableExchanges++
+	return partners[r.tableExchanges%len(partners)], true
+}
+
+// ringPartners returns the nodes of the region at the distances 1, 2, 4 and so on from this node in the order of ids.
+func (r *Roster) ringPartners() []State {
+	states := r.regionStates()
+	slices.SortFunc(states, func(a, b State) int { return cmp.Compare(a.ID, b.ID) })
 	self := slices.IndexFunc(states, func(s State) bool { return s.ID == r.self.ID })
-	distance := 1 << r.partnerExponent
-	if distance >= len(states) {
-		distance, r.partnerExponent = 1, 0
+	var partners []State
+	for distance := 1; distance < len(states); distance *= 2 {
+		partners = append(partners, states[(self+distance)%len(states)])
 	}
-	r.partnerExponent++
-	return states[(self+distance)%len(states)], true
+	return partners
 }
 
 // randomRemotePeer returns a random leader of a random other region.
 func (r *Roster) randomRemotePeer() (State, bool) {
-	var regions []string
-	for _, s := range r.otherStates(func(s State) bool { return !r.inRegion(s) }) {
-		if !slices.Contains(regions, s.Region) {
-			regions = append(regions, s.Region)
-		}
-	}
+	regions := r.otherRegions()
 	if len(regions) == 0 {
 		return State{}, false
 	}
@@ -197,6 +198,17 @@
 	return first[rand.IntN(len(first))], true
 }
 
+// otherRegions returns the names of the other regions with known nodes.
+func (r *Roster) otherRegions() []string {
+	var regions []string
+	for _, s := range r.otherStates(func(s State) bool { return !r.inRegion(s) }) {
+		if !slices.Contains(regions, s.Region) {
+			regions = append(regions, s.Region)
+		}
+	}
+	return regions
+}
+
 // otherStates returns the states of the other nodes that match.
 func (r *Roster) otherStates(match func(State) bool) []State {
 	var states []State
@@ -258,22 +270,35 @@
 	return states
 }
 
-// SampleRegion returns the peer addresses of up to n random nodes of the region, for immediate propagation of a change.
-func (r *Roster) SampleRegion(n int) []string { return r.sample(n, r.inRegion) }
-
-// SampleAllRegions returns the peer addresses of up to n random nodes of the region and of up to n random nodes of other regions.
-func (r *Roster) SampleAllRegions(n int) []string {
-	return append(r.SampleRegion(n), r.sample(n, func(s State) bool { return !r.inRegion(s) })...)
+// ChangeTargets returns the peer addresses of up to n nodes of the region that are told of a change of this node immediately. They are
+// drawn from the ring partners, with which this node has connections anyway: random nodes would cost a handshake each.
+func (r *Roster) ChangeTargets(n int) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	partners := r.ringPartners()
+	rand.Shuffle(len(partners), func(i, j int) { partners[i], partners[j] = partners[j], partners[i] })
+	return peerAddresses(partners[:min(n, len(partners))])
 }
 
-func (r *Roster) sample(n int, match func(State) bool) []string {
+// MarkTargets returns the peer addresses of the nodes that are told of quarantine marks: the ring partners and, from zone leaders, the
+// leaders of the other regions. A node that forwards each new mark once to its targets reaches all nodes in as many steps as the ring has
+// distances, over a number of connections a node that grows with the logarithm of the region.
+func (r *Roster) MarkTargets() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	states := r.otherStates(match)
-	rand.Shuffle(len(states), func(i, j int) { states[i], states[j] = states[j], states[i] })
-	addresses := make([]string, 0, n)
-	for _, state := range states[:min(n, len(states))] {
-		addresses = append(addresses, state.PeerAddress)
+	targets := r.ringPartners()
+	if r.isZoneLeader() {
+		for _, region := range r.otherRegions() {
+			targets = append(targets, r.firstNodes(regionLeaders, func(s State) bool { return s.Region == region })...)
+		}
+	}
+	return peerAddresses(targets)
+}
+
+func peerAddresses(states []State) []string {
+	list := make([]string, len(states))
+	for i, state := range states {
+		list[i] = state.PeerAddress
 	}
-	return addresses
+	return list
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -110,8 +110,8 @@
 	// tableAt is when the region's table was last sent, and crossRegionAt when an exchange with another region was last started.
 	tableAt       time.Time
 	crossRegionAt time.Time
-	// partnerExponent is the exponent of the distance of the next table partner, and heartbeatRounds counts the calls of NextExchanges.
-	partnerExponent int
+	// tableExchanges counts the exchanges of the region's table, and heartbeatRounds the calls of NextExchanges.
+	tableExchanges  int
 	heartbeatRounds int
 	// leaderExchangeAt is when this node, as a non-leader, last contacted a leader, and leaderExchanges counts these exchanges.
 	leaderExchangeAt time.Time
--- a/internal/tier/exchange.go
+++ b/internal/tier/exchange.go
@@ -14,8 +14,8 @@
 const (
 	// heartbeatInterval is the time between two heartbeats.
 	heartbeatInterval = 500 * time.Millisecond
-	// changeFanout is the number of random nodes that a node tells of a change immediately. Those that learn a new revision or mark tell
-	// as many others. This node's state goes to nodes of the region, marks also to as many nodes of other regions.
+	// changeFanout is the number of nodes of the region that a node tells of a change immediately. Those that learn a new revision tell as
+	// many others.
 	changeFanout    = 4
 	exchangeTimeout = 800 * time.Millisecond
 	// pullTimeout bounds a transfer of entries between nodes.
@@ -172,7 +172,7 @@
 // propagateState sends this node's state to some nodes of the region immediately.
 func (t *Tier) propagateState() {
 	self := []roster.State{t.roster.Self()}
-	for _, address := range t.roster.SampleRegion(changeFanout) {
+	for _, address := range t.roster.ChangeTargets(changeFanout) {
 		t.exchange(context.Background(), address, self)
 	}
 }
@@ -192,10 +192,20 @@
 	})
 }
 
-// propagateMarks sends quarantine marks to some nodes; those to which a mark is new forward it in turn.
+// propagateMarks sends quarantine marks to other nodes as the outbox allows; those to which a mark is new forward it in turn.
 func (t *Tier) propagateMarks(marks []*wire.QuarantineMark) {
-	push := wire.Push_builder{From: t.settings.Load().Node, Marks: marks}.Build()
-	for _, address := range t.roster.SampleAllRegions(changeFanout) {
+	t.marks.Add(marks)
+	t.sendMarks(t.clock())
+}
+
+// sendMarks sends the marks that are due.
+func (t *Tier) sendMarks(now time.Time) {
+	due := t.marks.Take(now)
+	if len(due) == 0 {
+		return
+	}
+	push := wire.Push_builder{From: t.settings.Load().Node, Marks: due}.Build()
+	for _, address := range t.roster.MarkTargets() {
 		t.background.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 			defer cancel()
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -47,6 +47,7 @@
 		t.follower.Resumed()
 	}
 	t.engine.Tick(ctx, now)
+	t.sendMarks(now)
 	if nodes := t.nodeCounts(now); !nodes.Equal(t.lastNodeCounts) {
 		t.lastNodeCounts = nodes
 		t.engineUpdates.Lock()
--- a/internal/tier/metrics.go
+++ b/internal/tier/metrics.go
@@ -42,6 +42,7 @@
 		"nodes.known":         func() int64 { return int64(len(t.roster.Members())) },
 		"nodes.live":          func() int64 { return int64(len(t.roster.Live(t.clock()))) },
 		"nodes.active":        func() int64 { return int64(len(t.roster.Active(t.clock()))) },
+		"quarantine.dropped":  func() int64 { return int64(t.marks.Dropped()) },
 		"intake.limit":        func() int64 { return t.minLimit() },
 		"requests.in_flight":  func() int64 { return int64(t.engine.InFlight()) },
 		"callers.connections": func() int64 { return int64(t.edge.Connections()) },
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -69,6 +69,7 @@
 	edge     *edge.Server
 	peers    *peer.Transport
 	detector *wake.Detector
+	marks    *quar.Outbox
 	sockets  sockets
 	// stopping is set on SIGTERM. refusingRequests would make the node refuse every request, but nothing sets it.
 	stopping         atomic.Bool
@@ -105,6 +106,7 @@
 		registry:  metrics.NewRegistry(),
 		fleet:     fleet.New(),
 		detector:  wake.New(wake.Settings{TickInterval: tickInterval}),
+		marks:     quar.NewOutbox(),
 		startedAt: clock(),
 	}
 	t.settings.Store(&settings)
