Bound replies that have no end

Cause: a body in chunks or without a length was read up to 8 MiB before it was refused, with 25 to 33 MB allocated an attempt.

Ruled out: heads, lines, 1xx replies, chunk extensions and trailers without end, and lengths of terabytes are refused by fasthttp already; bytes that trickle end with the attempt, since the deadline of its connection is absolute.

Change: package meter bounds the bytes of each reply by an allowance and all replies that a node reads by a budget, 5% of its memory, that gives up the reply which has grown the most beyond what was expected. A part may be eight times as large as its shard's largest so far, 64 KiB at least; the allowance doubles when eight in a row are cut and none arrives whole, so that a shard whose parts have grown is served again. A single reply keeps the limit of 8 MiB. A cut reply closes its connection at once, counts as reply_too_long and as a failure of its searcher, and is no sign of a crash.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -23,8 +23,6 @@
 	// staleConnMargin is the time beyond the round trip within which a searcher resets a connection that it no longer knows. A request that
 	// the searcher runs takes longer.
 	staleConnMargin = 1500 * time.Microsecond
-	// maxReplyBytes bounds the body of a reply.
-	maxReplyBytes = 8 << 20
 )
 
 // attempt is one request to one searcher.
@@ -127,7 +125,7 @@
 	// A searcher may reply before it has read a long body, so the reply is read even after a failed write.
 	_, writeErr := conn.Write(message)
 	sentAt := e.clock()
-	r := e.readReply(conn, request)
+	r := e.readReply(conn, a.part.service, request)
 	r.staleConn = r.abrupt && conn.Reused() && e.clock().Sub(sentAt) < a.roundTrip+staleConnMargin
 	a.detachConn()
 	e.releaseConn(a, conn, r, writeErr == nil)
@@ -144,15 +142,34 @@
 	return wire.Reason_REASON_CONNECT_FAILED
 }
 
-// readReply reads the reply to the request and skips late replies to other requests.
-func (e *Engine) readReply(conn *pool.Conn, request *Request) result {
+// readReply reads the reply of a service to the request and records its size.
+func (e *Engine) readReply(conn *pool.Conn, service string, request *Request) result {
+	size := e.replySizeOf(service)
+	expected, allowance := size.bounds(request.Route.Target())
+	end := beginReply(conn, expected, allowance)
+	r := e.readMatchingReply(conn, request)
+	if end() {
+		r.release()
+		size.recordCut()
+		return result{reason: wire.Reason_REASON_REPLY_TOO_LONG, sent: true}
+	}
+	if r.reason == wire.Reason_REASON_UNSPECIFIED {
+		size.recordWhole(int64(len(r.response.Body())))
+	}
+	return r
+}
+
+// readMatchingReply reads the reply to the request and skips late replies to other requests.
+func (e *Engine) readMatchingReply(conn *pool.Conn, request *Request) result {
 	response := fasthttp.AcquireResponse()
 	response.SkipBody = request.HeadOnly
 	response.Header.DisableNormalizing()
 	for range maxMismatchedReplies + 1 {
 		if err := response.ReadLimitBody(conn.Reader(), maxReplyBytes); err != nil {
 			fasthttp.ReleaseResponse(response)
-			return result{reason: readReason(err), sent: true, abrupt: !isTimeout(err)}
+			r := result{reason: readReason(err), sent: true}
+			r.abrupt = r.reason == wire.Reason_REASON_CONNECTION_LOST
+			return r
 		}
 		head := e.codec.ParseReply(&response.Header)
 		if head.RequestID == "" || head.RequestID == request.ID {
@@ -176,10 +193,15 @@
 }
 
 func readReason(err error) wire.Reason {
-	if isTimeout(err) {
+	var headTooLong *fasthttp.ErrSmallBuffer
+	switch {
+	case isTimeout(err):
 		return wire.Reason_REASON_CONNECTION_SILENT
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &headTooLong):
+		return wire.Reason_REASON_REPLY_TOO_LONG
+	default:
+		return wire.Reason_REASON_CONNECTION_LOST
 	}
-	return wire.Reason_REASON_CONNECTION_LOST
 }
 
 // replyReason classifies a complete reply. REASON_UNSPECIFIED is a success with proof of its origin.
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -16,6 +16,7 @@
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
 	"github.com/fireflylanding/fireflylanding/internal/intake"
+	"github.com/fireflylanding/fireflylanding/internal/meter"
 	"github.com/fireflylanding/fireflylanding/internal/quar"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/route"
@@ -48,6 +49,9 @@
 
 	// budgetWindows maps each service that this node has used to its budget window.
 	budgetWindows sync.Map
+	// replies bounds the bytes of the replies in reading; replySizes maps each service to the size of its replies.
+	replies    *meter.Budget
+	replySizes sync.Map
 	// limiters maps each group of routes over shards to its limiter.
 	limiters sync.Map
 	// nodes is the number of nodes that share the budget.
@@ -71,7 +75,7 @@
 	logger *events.Logger, counters *reason.Counters, registry metrics.Registry, clock func() time.Time) *Engine {
 	e := &Engine{
 		codec:     codec,
-		balancer:  newBalancer(location, dial),
+		replies:   meter.NewBudget(defaultReplyMemory),
 		crashes:   newCrashTracker(marks),
 		logger:    logger,
 		counters:  counters,
@@ -80,11 +84,21 @@
 		attempts:  metrics.NewRegisteredCounter("relay.attempts", registry),
 		hedges:    metrics.NewRegisteredCounter("relay.hedges", registry),
 	}
+	e.balancer = newBalancer(location, e.replies.Dialer(dial))
 	e.budget.Store(&b)
 	e.nodes.Store(1)
 	return e
 }
 
+// defaultReplyMemory is the number of bytes that the replies in reading may take on a node whose memory is not known.
+const defaultReplyMemory = 32 << 20
+
+// SetReplyMemory sets the number of bytes that all replies in reading may take.
+func (e *Engine) SetReplyMemory(bytes int64) { e.replies.SetLimit(bytes) }
+
+// ReplyMemory returns the number of bytes that the replies in reading take.
+func (e *Engine) ReplyMemory() int64 { return e.replies.Used() }
+
 // Update installs the searchers of a snapshot and the services of a route table.
 func (e *Engine) Update(snapshot *fleet.Snapshot, table *route.Table) {
 	e.pruneLimiters(table)
--- a/internal/tier/metrics.go
+++ b/internal/tier/metrics.go
@@ -44,6 +44,7 @@
 		"nodes.active":        func() int64 { return int64(len(t.roster.Active(t.clock()))) },
 		"quarantine.dropped":  func() int64 { return int64(t.marks.Dropped()) },
 		"intake.limit":        func() int64 { return t.minLimit() },
+		"replies.bytes":       func() int64 { return t.engine.ReplyMemory() },
 		"requests.in_flight":  func() int64 { return int64(t.engine.InFlight()) },
 		"callers.connections": func() int64 { return int64(t.edge.Connections()) },
 	} {
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -53,6 +53,10 @@
 // and the C library.
 const gcTargetShare = 0.6
 
+// replyMemoryShare is the share of the machine's memory that replies may take while they are read. Buffers grow by doubling, so that up to
+// four times as much is allocated.
+const replyMemoryShare = 0.05
+
 // Tier is one node: the whole process.
 type Tier struct {
 	settings atomic.Pointer[Settings]
@@ -214,6 +218,7 @@
 	}
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(gcTargetShare * float64(s.MemoryBytes)))
+		t.engine.SetReplyMemory(int64(replyMemoryShare * float64(s.MemoryBytes)))
 	}
 	t.logger.Log(wire.Event_EVENT_NODE_STARTED, zap.Uint64("generation", t.roster.Self().Generation))
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
