Direct callers to the largest nodes of a zone, and say not run of what only waited

Cause: the active nodes of a zone were the first by hash whatever their size. On the large site a zone has three nodes of 0.8 cores and 44 of 0.192; a query over 90 shards takes a small one tens of milliseconds of its processor.

Change: the active nodes are the largest first, in hash order within a size. An attempt notes under its lock that it begins to send; one that is ended before that sends nothing any more, and its request is refused as not run (503).

Figures: TestActivePrefersLargeNodes and TestWaitingAttemptHasNotRun failed before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -42,20 +42,33 @@
 	// conn is the connection in use, nil before and after. cutoff is when the connection is given up, at the latest at deadline.
 	conn   *pool.Conn
 	cutoff time.Time
+	// sending is set before the first byte is sent, and ended when endBy came before that. At most one of them is set.
+	sending bool
+	ended   bool
 }
 
-// endBy makes the attempt end at the given time at the latest. The searcher stops work when its connection closes.
-func (a *attempt) endBy(at time.Time) {
+// endBy makes the attempt end at the given time at the latest, and reports whether its searcher may have the request. The searcher stops
+// work when its connection closes.
+func (a *attempt) endBy(at time.Time) (sent bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if at.Before(a.cutoff) {
 		a.cutoff = at
 	}
-	if a.conn == nil {
-		return
+	if a.conn != nil {
+		// An error is ignored: the reader of the connection gets the same error.
+		_ = a.conn.SetDeadline(a.cutoff)
 	}
-	// An error is ignored: the reader of the connection gets the same error.
-	_ = a.conn.SetDeadline(a.cutoff)
+	a.ended = !a.sending
+	return a.sending
+}
+
+// beginSending reports whether the request may be sent, which is not so any more after endBy.
+func (a *attempt) beginSending() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sending = !a.ended
+	return a.sending
 }
 
 // attachConn sets the connection of the attempt and applies its cutoff.
@@ -98,13 +111,6 @@
 	}
 }
 
-// endsEarly reports whether endBy has moved the end of the attempt before its deadline.
-func (a *attempt) endsEarly() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.cutoff.Before(a.deadline)
-}
-
 // perform sends the request to the searcher and reads the reply. ctx bounds the wait for a connection.
 func (e *Engine) perform(ctx context.Context, a *attempt, request *Request) result {
 	conn, err := a.endpoint.pool.Get(ctx, e.clock(), request.Route.Policy().Rank)
@@ -113,7 +119,7 @@
 	}
 	a.attachConn(conn)
 	remaining := a.deadline.Sub(e.clock())
-	if remaining < minRemaining || a.endsEarly() {
+	if remaining < minRemaining || !a.beginSending() {
 		a.detachConn()
 		a.endpoint.pool.Put(conn, e.clock(), 0)
 		return result{reason: wire.Reason_REASON_EXPIRED}
--- a/internal/relay/fanout_test.go
+++ b/internal/relay/fanout_test.go
@@ -81,3 +81,36 @@
 		t.Errorf("got %d attempts, want none", got)
 	}
 }
+
+// Guards against a request that is said to have possibly run although its attempts only waited for a connection, so that the caller of a
+// non-idempotent one could not send it again, and against an attempt that is sent after that.
+func TestWaitingAttemptHasNotRun(t *testing.T) {
+	tests := map[string]struct {
+		sending bool
+		want    bool
+	}{
+		"waiting for a connection": {want: true},
+		"being sent":               {sending: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, f := newGatherFanout(t)
+			f.mu.Lock()
+			f.startAttempt(start, &f.parts[0], wire.Reason_REASON_UNSPECIFIED)
+			var a *attempt
+			for a = range f.attempts {
+			}
+			f.mu.Unlock()
+			if test.sending && !a.beginSending() {
+				t.Fatal("got an attempt that may not be sent before its request is finished")
+			}
+			answer, ok := f.finish(f.deadline.Add(-minRemaining)).(Refused)
+			if !ok || answer.NotRun != test.want {
+				t.Errorf("got %+v, want a refusal with not run %v", answer, test.want)
+			}
+			if !test.sending && a.beginSending() {
+				t.Error("got an attempt that may be sent after its request was refused as not run")
+			}
+		})
+	}
+}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -20,10 +20,10 @@
 		cutoff = now
 	}
 	for a := range f.attempts {
-		if !a.part.settled {
+		// An attempt that still waits for a connection has not run and will not.
+		if sent := a.endBy(cutoff); sent && !a.part.settled {
 			f.mayHaveRun = true
 		}
-		a.endBy(cutoff)
 	}
 	answer := f.answer(now)
 	for i := range f.parts {
--- a/internal/roster/active.go
+++ b/internal/roster/active.go
@@ -1,6 +1,10 @@
 package roster
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// maxCallerAddresses is the maximum number of addresses in a directory answer.
@@ -47,22 +51,25 @@
 	return list
 }
 
-// activeNodes returns the nodes of a zone that callers are directed to: the shortest prefix in hash order, of minActive nodes at least,
-// whose CPU carries the load of the whole zone. A few busy nodes collect more statistics on each searcher than many idle ones, and they
-// keep their connections in use.
+// activeNodes returns the nodes of a zone that callers are directed to: the fewest of the largest, of minActive nodes at least, whose CPU
+// carries the load of the whole zone. A few busy nodes collect more statistics on each searcher than many idle ones, and they keep their
+// connections in use. The largest go first, since a query over a hundred shards takes a small VM tens of milliseconds. The zone is in hash
+// order, which decides between nodes of the same size.
 func activeNodes(zone []State) []State {
 	load := 0.0
 	for _, state := range zone {
 		load += state.Load
 	}
+	bySize := slices.Clone(zone)
+	slices.SortStableFunc(bySize, func(a, b State) int { return cmp.Compare(b.Cores, a.Cores) })
 	cores := 0.0
-	for i, state := range zone {
+	for i, state := range bySize {
 		cores += state.Cores
 		if i+1 >= minActive && cores*maxActiveUtilization >= load {
-			return zone[:i+1]
+			return bySize[:i+1]
 		}
 	}
-	return zone
+	return bySize
 }
 
 // Active returns the nodes of all zones that callers are directed to.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -227,6 +227,52 @@
 	}
 }
 
+// Guards against queries over many shards that are directed to small nodes of a zone while large ones are idle, and against a zone that is
+// left with too few nodes when its large ones are lost.
+func TestActivePrefersLargeNodes(t *testing.T) {
+	large := []string{"n3:1", "n8:1", "n9:1"}
+	tests := map[string]struct {
+		load float64
+		lost int
+		want int
+		// wantLarge is the number of large nodes among the active ones.
+		wantLarge int
+	}{
+		"idle":             {want: 2, wantLarge: 2},
+		"busy":             {load: 0.6, want: 3, wantLarge: 3},
+		"beyond the large": {load: 0.8, want: 5, wantLarge: 3},
+		"two lost":         {lost: 2, want: 2, wantLarge: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var states []State
+			for i := range 12 {
+				s := state(fmt.Sprintf("n%d", i), Ready, 1, 1)
+				s.Cores = 0.192
+				if at := slices.Index(large, s.CallerAddress); at >= 0 {
+					s.Cores, s.Load = 0.8, test.load/3
+					if at < test.lost {
+						s.Phase = Stopping
+					}
+				}
+				states = append(states, s)
+			}
+			r := New(states[0], Settings{})
+			r.Merge(start, states)
+			got := r.CallerAddresses(start, "r", "z")
+			gotLarge := 0
+			for _, address := range got {
+				if slices.Contains(large, address) {
+					gotLarge++
+				}
+			}
+			if len(got) != test.want || gotLarge != test.wantLarge {
+				t.Errorf("got %d active nodes, %d of them large, want %d and %d", len(got), gotLarge, test.want, test.wantLarge)
+			}
+		})
+	}
+}
+
 // Guards against views that depend on the order in which states arrive.
 func TestMergeIsCommutative(t *testing.T) {
 	updates := []State{state("b", Ready, 1, 5), state("b", Stopping, 1, 6), state("b", Starting, 2, 0), state("c", Ready, 1, 1)}
