--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -129,6 +129,8 @@
 	if s.RemoveAfter <= 0 {
 		s.RemoveAfter = defaultRemoveAfter
 	}
+	// The size is published with 32 bits, and nodes of the same size must compare as equal everywhere.
+	self.Cores = float64(float32(self.Cores))
 	return &Roster{settings: s, self: self.withHashOrder(), others: make(map[string]*record)}
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -273,6 +273,31 @@
 	}
 }
 
+// Guards against nodes of the same size that disagree on which of them are active. A size is published as a number of 32 bits, so that a node
+// took the others for slightly larger than itself.
+func TestActiveAgreesAcrossNodes(t *testing.T) {
+	var own, published []State
+	for i := range 5 {
+		s := state(fmt.Sprintf("n%d", i), Ready, 1, 1)
+		s.Cores = 0.4
+		own = append(own, s)
+		s.Cores = float64(float32(s.Cores))
+		published = append(published, s)
+	}
+	var want []string
+	for i, s := range own {
+		r := New(s, Settings{})
+		r.Merge(start, published)
+		got := r.CallerAddresses(start, "r", "z")
+		if i == 0 {
+			want = got
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("%s: got %v, want %v as at %s", s.ID, got, want, own[0].ID)
+		}
+	}
+}
+
 // Guards against views that depend on the order in which states arrive.
 func TestMergeIsCommutative(t *testing.T) {
 	updates := []State{state("b", Ready, 1, 5), state("b", Stopping, 1, 6), state("b", Starting, 2, 0), state("c", Ready, 1, 1)}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -27,6 +28,9 @@
 // noUndo is the undo function of a fault that needs none.
 func noUndo() {}
 
+// endlessReply is a reply whose body has no end.
+var endlessReply = stand.EndlessReply{Start: "%s\r\n", Repeat: strings.Repeat("x", 16<<10)}
+
 // faults are the kinds of faults from which a round chooses at random. Their names appear in reports.
 var faults = []fault{
 	{name: "kill a node", inject: func(r *runner) func() {
@@ -90,7 +94,7 @@
 		return noUndo
 	}},
 	{name: "answers spoilt", inject: func(r *runner) func() {
-		answerFaults := []stand.Fault{stand.DropReply{}, stand.TruncateReply{}, stand.InternalError{}, stand.Shed{}, stand.ExtraReply{}, stand.UnframedReply{}, stand.Hang{}}
+		answerFaults := []stand.Fault{stand.DropReply{}, stand.TruncateReply{}, stand.InternalError{}, stand.Shed{}, stand.ExtraReply{}, stand.UnframedReply{}, stand.Hang{}, endlessReply}
 		chosen := answerFaults[r.random.IntN(len(answerFaults))]
 		searchers := r.randomSearchers()
 		for _, s := range searchers {
