--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -60,9 +60,11 @@
 	return s.Heartbeat > other.Heartbeat
 }
 
-// withHashOrder returns the state with its hash order set.
-func (s State) withHashOrder() State {
+// normalized returns the state with its hash order set and its size rounded to the 32 bits with which it is published, so that nodes of the
+// same size compare as equal at each of them.
+func (s State) normalized() State {
 	s.hashOrder = xxhash.Sum64String(s.ID)
+	s.Cores = float64(float32(s.Cores))
 	return s
 }
 
@@ -129,9 +131,7 @@
 	if s.RemoveAfter <= 0 {
 		s.RemoveAfter = defaultRemoveAfter
 	}
-	// The size is published with 32 bits, and nodes of the same size must compare as equal everywhere.
-	self.Cores = float64(float32(self.Cores))
-	return &Roster{settings: s, self: self.withHashOrder(), others: make(map[string]*record)}
+	return &Roster{settings: s, self: self.normalized(), others: make(map[string]*record)}
 }
 
 // Self returns the state of this node.
@@ -189,7 +189,7 @@
 		}
 		known, ok := r.others[state.ID]
 		if !ok {
-			r.others[state.ID] = &record{state: state.withHashOrder(), advancedAt: now}
+			r.others[state.ID] = &record{state: state.normalized(), advancedAt: now}
 			r.changed = true
 			continue
 		}
