Log held removals, and how long attempts wait for a connection

Events 506 and 507 name the searchers that are held and that are dropped; an attempt logs its wait from 1 ms on, and explain prints it. Decisions are as before.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -98,17 +98,21 @@
 	}
 }
 
-// Apply first adds or updates the registered searchers, then removes those with the ids in removed.
-func (r *Registry) Apply(now time.Time, registered []*Searcher, removed []string) {
+// Apply first adds or updates the registered searchers, then removes those with the ids in removed. It returns the ids whose removal is
+// deferred.
+func (r *Registry) Apply(now time.Time, registered []*Searcher, removed []string) (deferred []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range registered {
 		r.upsert(s)
 	}
 	for _, id := range removed {
-		r.remove(now, id)
+		if r.remove(now, id) {
+			deferred = append(deferred, id)
+		}
 	}
 	r.publish()
+	return deferred
 }
 
 func (r *Registry) upsert(s *Searcher) {
@@ -119,36 +123,39 @@
 	delete(r.pendingRemovals, s.id)
 }
 
-func (r *Registry) remove(now time.Time, id string) {
+// remove removes a searcher, or defers its removal and returns true.
+func (r *Registry) remove(now time.Time, id string) (deferred bool) {
 	if _, ok := r.byID[id]; !ok {
-		return
+		return false
 	}
 	if now.Before(r.deferRemovalsUntil) {
 		if _, ok := r.pendingRemovals[id]; !ok {
 			r.pendingRemovals[id] = r.deferRemovalsUntil
 		}
-		return
+		return true
 	}
 	delete(r.byID, id)
 	delete(r.pendingRemovals, id)
+	return false
 }
 
-// Expire drops the searchers whose removal was deferred and that did not register again in time.
-func (r *Registry) Expire(now time.Time) {
+// Expire drops the searchers whose removal was deferred and that did not register again in time. It returns their ids.
+func (r *Registry) Expire(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed := false
+	var expired []string
 	for id, until := range r.pendingRemovals {
 		if now.Before(until) {
 			continue
 		}
 		delete(r.byID, id)
 		delete(r.pendingRemovals, id)
-		changed = true
+		expired = append(expired, id)
 	}
-	if changed {
+	if len(expired) > 0 {
 		r.publish()
 	}
+	return expired
 }
 
 // publish stores a new snapshot. If several registrations have the same address, only the latest one identifies the process there.
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -235,10 +235,14 @@
 	return reading
 }
 
+// expireRemovals drops the searchers whose hold has ended, and reports whether there were any.
 func (f *Follower) expireRemovals() bool {
-	before := f.registry.Snapshot()
-	f.registry.Expire(f.clock())
-	return f.registry.Snapshot() != before
+	expired := f.registry.Expire(f.clock())
+	if len(expired) == 0 {
+		return false
+	}
+	f.logger.Log(wire.Event_EVENT_HELD_REMOVED, zap.Strings("searchers", expired))
+	return true
 }
 
 // poll makes one call to the source and returns the delay before the next one.
@@ -345,7 +349,10 @@
 	if len(registered)+len(removed) == 0 {
 		return
 	}
-	f.registry.Apply(now, registered, removed)
+	if held := f.registry.Apply(now, registered, removed); len(held) > 0 {
+		f.logger.Log(wire.Event_EVENT_REMOVALS_HELD, zap.Strings("searchers", held), zap.Duration("hold", f.removalHoldUntil.Sub(now)),
+			zap.Bool("source_down", f.sourceDown))
+	}
 	f.logger.Log(wire.Event_EVENT_SEARCHERS_CHANGED, zap.Int("seen", len(registered)), zap.Int("gone", len(removed)),
 		zap.Uint64("revision", f.entries.revision))
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -97,6 +97,8 @@
 	// before and the searcher seems not to know it any more.
 	abrupt    bool
 	staleConn bool
+	// waited is the time that the attempt waited for a connection.
+	waited time.Duration
 }
 
 // notRun reports whether it is certain that the searcher did not run the request.
@@ -114,15 +116,16 @@
 // perform sends the request to the searcher and reads the reply. ctx bounds the wait for a connection.
 func (e *Engine) perform(ctx context.Context, a *attempt, request *Request) result {
 	conn, err := a.endpoint.pool.Get(ctx, e.clock(), request.Route.Policy().Rank)
+	waited := e.clock().Sub(a.sentAt)
 	if err != nil {
-		return result{reason: connectReason(err)}
+		return result{reason: connectReason(err), waited: waited}
 	}
 	a.attachConn(conn)
 	remaining := a.deadline.Sub(e.clock())
 	if remaining < minRemaining || !a.beginSending() {
 		a.detachConn()
 		a.endpoint.pool.Put(conn, e.clock(), 0)
-		return result{reason: wire.Reason_REASON_EXPIRED}
+		return result{reason: wire.Reason_REASON_EXPIRED, waited: waited}
 	}
 	message := make([]byte, 0, len(request.Head)+len(request.Body)+attemptHeadBytes)
 	message = append(message, request.Head...)
@@ -132,6 +135,7 @@
 	_, writeErr := conn.Write(message)
 	sentAt := e.clock()
 	r := e.readReply(conn, a.part.service, request)
+	r.waited = waited
 	r.staleConn = r.abrupt && conn.Reused() && e.clock().Sub(sentAt) < a.roundTrip+staleConnMargin
 	a.detachConn()
 	e.releaseConn(a, conn, r, writeErr == nil)
--- a/internal/relay/attempt_log.go
+++ b/internal/relay/attempt_log.go
@@ -16,11 +16,12 @@
 	searcher string
 	// cause is why the attempt was sent; REASON_UNSPECIFIED marks a first attempt.
 	cause wire.Reason
-	// at is the time from the start of the request to sending, expected the latency that was predicted, and took the time from sending to
-	// the end.
+	// at is the time from the start of the request to the choice of the searcher, expected the latency that was predicted, waited the time
+	// from the choice until there was a connection, and took the time from the choice to the end.
 	at       time.Duration
 	expected time.Duration
 	stalled  bool
+	waited   time.Duration
 	took     time.Duration
 	ended    bool
 	result   wire.Reason
@@ -38,6 +39,9 @@
 	if r.stalled {
 		encoder.AddBool("stalled", true)
 	}
+	if r.waited >= minLoggedWait {
+		encoder.AddDuration("waited", r.waited)
+	}
 	switch {
 	case !r.ended:
 		encoder.AddString("result", "open")
@@ -54,6 +58,9 @@
 // attemptLog holds the attempts of a request in the order of sending.
 type attemptLog []*attemptRecord
 
+// minLoggedWait is the shortest wait for a connection that the log shows.
+const minLoggedWait = time.Millisecond
+
 // maxLoggedAttempts bounds the attempts in a log line.
 const maxLoggedAttempts = 24
 
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -133,6 +133,7 @@
 	defer f.mu.Unlock()
 	delete(f.attempts, a)
 	a.record.ended, a.record.took, a.record.result = true, now.Sub(a.sentAt), r.reason
+	a.record.waited = r.waited
 	p := a.part
 	p.inFlight--
 	if !r.notRun() {
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -150,6 +150,9 @@
 	}
 	p.printf("    at %v ms to %v of %v (%s; expected %v ms%s): %v", formatNumber(a["at"]), a["searcher"], a["service"], cause,
 		formatNumber(a["expected"]), stalled, a["result"])
+	if waited, ok := a["waited"]; ok {
+		p.printf(", waited %v ms for a connection", formatNumber(waited))
+	}
 	if took, ok := a["took"]; ok {
 		p.printf(" after %v ms", formatNumber(took))
 	}
