Let a node that reads the store ignore other nodes' holds on removals

Cause: after failed calls a node keeps removed searchers for 2.2 s, since live ones may register again after an outage. ObservePeer took such a hold over from every heartbeat, so that one node without a path to the store made all nodes hold removals that they had read themselves, as long as it was cut off. The class: doubt about a source is passed on to those who have no doubt.

TestHealthyReaderIgnoresHoldOfOtherNodes failed before: got searchers [a], want none.

Change: a hold belongs to the batch that brings the removal. Removals of a node's own calls are held if its own calls failed; removals that another node delivers, if the calls of either failed (TestRemovalHoldIsPropagated is unchanged and passes). The registry no longer keeps a hold of its own.

Ruled out: dropping the hold for nodes that were cut off too; they may have missed an outage of the store itself.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -74,8 +74,6 @@
 	byID map[string]*Searcher
 	// pendingRemovals maps the searchers whose removal is deferred to the time at which they are dropped.
 	pendingRemovals map[string]time.Time
-	// deferRemovalsUntil is the time until which a removed searcher may still be alive, because the platform was unavailable before.
-	deferRemovalsUntil time.Time
 }
 
 // New returns an empty registry.
@@ -88,26 +86,17 @@
 // Snapshot returns the current state.
 func (r *Registry) Snapshot() *Snapshot { return r.current.Load() }
 
-// DeferRemovals keeps searchers that are removed before the given time in use until then. After an outage the platform removes
-// registrations of live searchers that could not renew them in the meantime.
-func (r *Registry) DeferRemovals(until time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if until.After(r.deferRemovalsUntil) {
-		r.deferRemovalsUntil = until
-	}
-}
-
-// Apply first adds or updates the registered searchers, then removes those with the ids in removed. It returns the ids whose removal is
+// Apply first adds or updates the registered searchers, then removes those with the ids in removed. Until holdUntil the removal is deferred,
+// since after an outage the platform also removes registrations that live searchers could not renew. It returns the ids whose removal is
 // deferred.
-func (r *Registry) Apply(now time.Time, registered []*Searcher, removed []string) (deferred []string) {
+func (r *Registry) Apply(now time.Time, registered []*Searcher, removed []string, holdUntil time.Time) (deferred []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range registered {
 		r.upsert(s)
 	}
 	for _, id := range removed {
-		if r.remove(now, id) {
+		if r.remove(now, id, holdUntil) {
 			deferred = append(deferred, id)
 		}
 	}
@@ -124,13 +113,13 @@
 }
 
 // remove removes a searcher, or defers its removal and returns true.
-func (r *Registry) remove(now time.Time, id string) (deferred bool) {
+func (r *Registry) remove(now time.Time, id string, holdUntil time.Time) (deferred bool) {
 	if _, ok := r.byID[id]; !ok {
 		return false
 	}
-	if now.Before(r.deferRemovalsUntil) {
+	if now.Before(holdUntil) {
 		if _, ok := r.pendingRemovals[id]; !ok {
-			r.pendingRemovals[id] = r.deferRemovalsUntil
+			r.pendingRemovals[id] = holdUntil
 		}
 		return true
 	}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -28,19 +28,19 @@
 		want  []string
 	}{
 		"ready":                              {apply: func(*Registry) {}, want: []string{"a", "b"}},
-		"leaving":                            {apply: func(r *Registry) { r.Apply(start, []*Searcher{searcher("a", "1", 5, true)}, nil) }, want: []string{"b"}},
-		"gone":                               {apply: func(r *Registry) { r.Apply(start, nil, []string{"a"}) }, want: []string{"b"}},
-		"older registration arrives late":    {apply: func(r *Registry) { r.Apply(start, []*Searcher{searcher("a", "1", 1, true)}, nil) }, want: []string{"a", "b"}},
-		"address reused by another searcher": {apply: func(r *Registry) { r.Apply(start, []*Searcher{searcher("c", "1", 9, false)}, nil) }, want: []string{"b", "c"}},
+		"leaving":                            {apply: func(r *Registry) { r.Apply(start, []*Searcher{searcher("a", "1", 5, true)}, nil, time.Time{}) }, want: []string{"b"}},
+		"gone":                               {apply: func(r *Registry) { r.Apply(start, nil, []string{"a"}, time.Time{}) }, want: []string{"b"}},
+		"older registration arrives late":    {apply: func(r *Registry) { r.Apply(start, []*Searcher{searcher("a", "1", 1, true)}, nil, time.Time{}) }, want: []string{"a", "b"}},
+		"address reused by another searcher": {apply: func(r *Registry) { r.Apply(start, []*Searcher{searcher("c", "1", 9, false)}, nil, time.Time{}) }, want: []string{"b", "c"}},
 		"gone, then registered again": {apply: func(r *Registry) {
-			r.Apply(start, nil, []string{"a"})
-			r.Apply(start, []*Searcher{searcher("a", "1", 7, false)}, nil)
+			r.Apply(start, nil, []string{"a"}, time.Time{})
+			r.Apply(start, []*Searcher{searcher("a", "1", 7, false)}, nil, time.Time{})
 		}, want: []string{"a", "b"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := New()
-			r.Apply(start, []*Searcher{searcher("a", "1", 2, false), searcher("b", "2", 3, false)}, nil)
+			r.Apply(start, []*Searcher{searcher("a", "1", 2, false), searcher("b", "2", 3, false)}, nil, time.Time{})
 			test.apply(r)
 			if got := ids(r.Snapshot()); !slices.Equal(got, test.want) {
 				t.Errorf("got %v, want %v", got, test.want)
@@ -64,11 +64,10 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := New()
-			r.Apply(start, []*Searcher{searcher("a", "1", 2, false), searcher("b", "2", 3, false)}, nil)
-			r.DeferRemovals(start.Add(2 * time.Second))
-			r.Apply(start, nil, []string{"a"})
+			r.Apply(start, []*Searcher{searcher("a", "1", 2, false), searcher("b", "2", 3, false)}, nil, time.Time{})
+			r.Apply(start, nil, []string{"a"}, start.Add(2*time.Second))
 			if test.reregisters {
-				r.Apply(start.Add(time.Second), []*Searcher{searcher("a", "1", 8, false)}, nil)
+				r.Apply(start.Add(time.Second), []*Searcher{searcher("a", "1", 8, false)}, nil, time.Time{})
 			}
 			r.Expire(start.Add(test.after))
 			if got := ids(r.Snapshot()); !slices.Equal(got, test.want) {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -119,8 +119,10 @@
 	entries *entries
 	// sourceDown is set while calls to the source fail.
 	sourceDown bool
-	// removalHoldUntil is the time until which removed searchers may still be alive.
-	removalHoldUntil time.Time
+	// sourceHoldUntil is the time until which searchers that this node reads as removed may still be alive, because its own calls failed.
+	// peerHoldUntil is the same for the removals that other nodes delivered.
+	sourceHoldUntil time.Time
+	peerHoldUntil   time.Time
 }
 
 // New returns a follower. Run starts it.
@@ -143,8 +145,8 @@
 // Position is how far a node has followed the source.
 type Position struct {
 	Revision uint64
-	// Age is the time since the source was last known to have nothing later. RemovalHold is the remaining time during which removed
-	// searchers are kept in use.
+	// Age is the time since the source was last known to have nothing later. RemovalHold is the remaining time during which searchers that
+	// this node delivers as removed are kept in use.
 	Age         time.Duration
 	RemovalHold time.Duration
 }
@@ -156,7 +158,7 @@
 	return Position{
 		Revision:    f.entries.revision,
 		Age:         now.Sub(f.entries.upToDateAt),
-		RemovalHold: max(0, f.removalHoldUntil.Sub(now)),
+		RemovalHold: max(0, later(f.sourceHoldUntil, f.peerHoldUntil).Sub(now)),
 	}
 }
 
@@ -171,7 +173,6 @@
 func (f *Follower) ObservePeer(now time.Time, p Position) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.holdRemovals(now.Add(p.RemovalHold))
 	if p.Revision == f.entries.revision && p.Revision > 0 {
 		f.entries.confirm(now.Add(-p.Age))
 	}
@@ -199,10 +200,14 @@
 	return f.entries.since(revision)
 }
 
-// ReceiveBatch merges entries from another node that has the given position.
+// ReceiveBatch merges entries from another node that has the given position. Its removals are held if the calls of either node failed.
 func (f *Follower) ReceiveBatch(now time.Time, batch Batch, p Position) {
 	f.ObservePeer(now, p)
-	f.applyBatch(now, batch, now.Add(-p.Age))
+	f.mu.Lock()
+	f.peerHoldUntil = later(f.peerHoldUntil, now.Add(p.RemovalHold))
+	holdUntil := later(f.sourceHoldUntil, now.Add(p.RemovalHold))
+	f.mu.Unlock()
+	f.applyBatch(now, batch, now.Add(-p.Age), holdUntil)
 }
 
 // Run follows the source until ctx ends.
@@ -268,8 +273,7 @@
 		return f.callFailed(now, err, after)
 	}
 	f.needsList = false
-	f.callSucceeded(now)
-	f.applyBatch(now, batch, now)
+	f.applyBatch(now, batch, now, f.callSucceeded(now))
 	if len(batch.Entries) == 0 {
 		return 0
 	}
@@ -284,32 +288,33 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sourceDown = true
-	f.holdRemovals(now.Add(reregisterTime))
+	f.sourceHoldUntil = now.Add(reregisterTime)
 	return min(firstBackoff<<min(f.failures-1, 8), maxBackoff)
 }
 
-// callSucceeded records a successful call. After an outage of the source, removed searchers are kept while live ones register again.
-func (f *Follower) callSucceeded(now time.Time) {
+// callSucceeded records a successful call, and returns the time until which removals are held. After an outage of the source, removed
+// searchers are kept while live ones register again.
+func (f *Follower) callSucceeded(now time.Time) (holdUntil time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.failures > 0 {
 		f.logger.Log(wire.Event_EVENT_PLATFORM_UP, zap.Int("failed_calls", f.failures))
-		f.mu.Lock()
 		f.sourceDown = false
-		f.holdRemovals(now.Add(reregisterTime))
-		f.mu.Unlock()
+		f.sourceHoldUntil = now.Add(reregisterTime)
 	}
 	f.failures = 0
+	return f.sourceHoldUntil
 }
 
-// holdRemovals keeps removed searchers in use until the given time. The caller must hold mu.
-func (f *Follower) holdRemovals(until time.Time) {
-	if until.After(f.removalHoldUntil) {
-		f.removalHoldUntil = until
-		f.registry.DeferRemovals(until)
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
-// applyBatch merges a batch that was up to date at the given time, and puts its changes in force.
-func (f *Follower) applyBatch(now time.Time, batch Batch, currentAt time.Time) {
+// applyBatch merges a batch that was up to date at the given time, and puts its changes in force. Removals are held until holdUntil.
+func (f *Follower) applyBatch(now time.Time, batch Batch, currentAt, holdUntil time.Time) {
 	f.mu.Lock()
 	before := f.entries.revision
 	changed := f.entries.merge(batch)
@@ -317,7 +322,7 @@
 		f.entries.confirm(currentAt)
 	}
 	advanced := f.entries.revision > before
-	f.applyChanges(now, changed)
+	f.applyChanges(now, changed, holdUntil)
 	f.mu.Unlock()
 	if len(changed) > 0 {
 		f.hooks.OnChange()
@@ -328,7 +333,7 @@
 }
 
 // applyChanges puts changed entries in force. The caller must hold mu, so that batches take effect in order.
-func (f *Follower) applyChanges(now time.Time, changed []Entry) {
+func (f *Follower) applyChanges(now time.Time, changed []Entry, holdUntil time.Time) {
 	var registered []*fleet.Searcher
 	var removed []string
 	for _, entry := range changed {
@@ -349,8 +354,8 @@
 	if len(registered)+len(removed) == 0 {
 		return
 	}
-	if held := f.registry.Apply(now, registered, removed); len(held) > 0 {
-		f.logger.Log(wire.Event_EVENT_REMOVALS_HELD, zap.Strings("searchers", held), zap.Duration("hold", f.removalHoldUntil.Sub(now)),
+	if held := f.registry.Apply(now, registered, removed, holdUntil); len(held) > 0 {
+		f.logger.Log(wire.Event_EVENT_REMOVALS_HELD, zap.Strings("searchers", held), zap.Duration("hold", holdUntil.Sub(now)),
 			zap.Bool("source_down", f.sourceDown))
 	}
 	f.logger.Log(wire.Event_EVENT_SEARCHERS_CHANGED, zap.Int("seen", len(registered)), zap.Int("gone", len(removed)),
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -297,3 +297,19 @@
 		})
 	}
 }
+
+// Guards against nodes that read the source without failures, and keep removed searchers because another node cannot reach it.
+func TestHealthyReaderIgnoresHoldOfOtherNodes(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	source := &scriptedSource{calls: []response{
+		{batch: Batch{Revision: 4, Complete: true, Entries: []Entry{registration("a", 3)}}},
+		{batch: Batch{Revision: 5, Entries: []Entry{removal("a", 5)}}},
+	}}
+	f, registry := newFollower(source, true, &now)
+	f.poll(t.Context())
+	f.ObservePeer(now, Position{Revision: 4, RemovalHold: 2 * time.Second})
+	f.poll(t.Context())
+	if got := searcherIDs(registry); len(got) != 0 {
+		t.Errorf("got searchers %v, want none", got)
+	}
+}
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -21,7 +21,7 @@
 		zone := []string{"z-near", "z-far"}[i%2]
 		seen = append(seen, fleet.NewSearcher(fmt.Sprintf("i-%d", i), "one", fmt.Sprintf("127.0.0.1:%d", 1+i), zone, 2, false, 1, 1))
 	}
-	registry.Apply(start, seen, nil)
+	registry.Apply(start, seen, nil, time.Time{})
 	table, err := route.New(1, nil, []route.Service{route.NewService("one", maxConns)}, route.Limits{})
 	if err != nil {
 		t.Fatal(err)
