End holds on removals while a call to the store is under way

Cause: Follower.Run dropped held searchers between two calls only, and a watch lasts up to 2 s, so that a hold of 2.2 s could last 4.4 s with the delay that collects changes. The class: a deadline that is checked only after a blocking call.

TestHoldEndsDuringCall failed before: 250 ms after the hold, got searchers [a], want none.

Change: a loop of its own ends holds, within 100 ms.

Looked at for the same cause: the tick of tier (250 ms, no blocking call), the budget and quarantine (decided at use).

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/fireflylanding/fireflylanding/internal/delay"
@@ -73,6 +74,8 @@
 	maxBackoff   = 800 * time.Millisecond
 	// reregisterTime is the time that live searchers need to register again after the source was unavailable.
 	reregisterTime = 2200 * time.Millisecond
+	// removalCheckInterval is how often a node checks for holds that have ended.
+	removalCheckInterval = 100 * time.Millisecond
 	// idlePollInterval is how often a node that does not read the source checks whether it must.
 	idlePollInterval = 250 * time.Millisecond
 	// staleShare is the fraction of ApplyWithin after which a node that no other confirmed to be up to date reads the source itself.
@@ -212,15 +215,25 @@
 
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { f.runRemovals(ctx) })
 	for ctx.Err() == nil {
 		wait := idlePollInterval
 		if f.mustRead(f.clock()) {
 			wait = f.poll(ctx)
 		}
-		if f.expireRemovals() {
+		delay.Sleep(ctx, wait)
+	}
+}
+
+// runRemovals ends holds when they are due. It does not share the loop of the calls, since a watch lasts longer than a hold may.
+func (f *Follower) runRemovals(ctx context.Context) {
+	for ctx.Err() == nil {
+		if f.expireRemovals(f.clock()) {
 			f.hooks.OnChange()
 		}
-		delay.Sleep(ctx, wait)
+		delay.Sleep(ctx, removalCheckInterval)
 	}
 }
 
@@ -241,8 +254,8 @@
 }
 
 // expireRemovals drops the searchers whose hold has ended, and reports whether there were any.
-func (f *Follower) expireRemovals() bool {
-	expired := f.registry.Expire(f.clock())
+func (f *Follower) expireRemovals(now time.Time) bool {
+	expired := f.registry.Expire(now)
 	if len(expired) == 0 {
 		return false
 	}
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -242,7 +243,7 @@
 		t.Errorf("while removals are held: got %v, want %v", got, want)
 	}
 	now = now.Add(3 * time.Second)
-	f.expireRemovals()
+	f.expireRemovals(now)
 	if got := searcherIDs(registry); len(got) != 0 {
 		t.Errorf("after the hold: got %v, want none", got)
 	}
@@ -313,3 +314,34 @@
 		t.Errorf("got searchers %v, want none", got)
 	}
 }
+
+// idleSource has nothing new: each watch lasts for the time that it may wait.
+type idleSource struct{ scriptedSource }
+
+func (s *idleSource) Watch(ctx context.Context, _ uint64, wait time.Duration) (Batch, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return Batch{}, nil
+}
+
+// Guards against removals that are held beyond their time because a call to the source is under way when it ends.
+func TestHoldEndsDuringCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &idleSource{scriptedSource{calls: []response{{batch: Batch{Revision: 4, Complete: true, Entries: []Entry{registration("a", 3)}}}}}}
+		registry := fleet.New()
+		hooks := Hooks{IsReader: func() bool { return true }, OnChange: func() {}, OnNewRevision: func() {}}
+		f := New(source, registry, Settings{ApplyWithin: 3 * time.Second}, hooks, events.Discard(), time.Now)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.Run(ctx)
+		const hold = 300 * time.Millisecond
+		time.Sleep(hold)
+		f.ReceiveBatch(time.Now(), Batch{Revision: 5, Entries: []Entry{removal("a", 5)}}, Position{Revision: 5, RemovalHold: hold})
+		time.Sleep(hold + idlePollInterval)
+		if got := searcherIDs(registry); len(got) != 0 {
+			t.Errorf("%v after the hold: got searchers %v, want none", idlePollInterval, got)
+		}
+	})
+}
