Send no request to a searcher that began to leave while it waited

Cause: the choice of a searcher looks at its registration, and the wait for a connection that follows lasts up to the deadline; nothing looked again. With deadlines of 8 and 10 s (grade-fetch, payslip-fetch) and a drain time of 5 s a request can reach a searcher after its bound. The class: a check that is separated from its use by an unbounded wait. Endpoints also kept the first registration, so that the status report never showed a searcher as leaving.

Change: the pool of a leaving searcher is closed. Waiting attempts end as not run (REASON_SEARCHER_LEAVING) and are retried elsewhere; running ones keep their connections. A searcher that withdraws its report gets a new pool.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -26,7 +26,7 @@
 	numRanks = 3
 )
 
-// ErrClosed is returned by a pool whose searcher is gone.
+// ErrClosed is returned by a pool whose searcher is leaving or gone.
 var ErrClosed = errors.New("connection pool is closed")
 
 // Dial opens a connection. It must return when ctx ends.
@@ -187,14 +187,25 @@
 	defer cancel()
 	started := time.Now()
 	conn, err := p.dial(ctx, p.address)
-	if err != nil {
-		p.mu.Lock()
+	took := time.Since(started)
+	p.mu.Lock()
+	closed := p.closed
+	if err != nil || closed {
 		p.open--
 		p.grantDial()
-		p.mu.Unlock()
+	}
+	p.mu.Unlock()
+	switch {
+	case closed:
+		if err == nil {
+			// The connection was never used, so an error from closing it does not matter.
+			_ = conn.Close()
+		}
+		return nil, ErrClosed
+	case err != nil:
 		return nil, err
 	}
-	p.onDial(time.Since(started))
+	p.onDial(took)
 	return newConn(conn), nil
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -146,10 +146,14 @@
 const attemptHeadBytes = 128
 
 func connectReason(err error) wire.Reason {
-	if errors.Is(err, context.Canceled) {
+	switch {
+	case errors.Is(err, context.Canceled):
 		return wire.Reason_REASON_CANCELLED
+	case errors.Is(err, pool.ErrClosed):
+		return wire.Reason_REASON_SEARCHER_LEAVING
+	default:
+		return wire.Reason_REASON_CONNECT_FAILED
 	}
-	return wire.Reason_REASON_CONNECT_FAILED
 }
 
 // readReply reads the reply of a service to the request and records its size.
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -78,7 +78,8 @@
 	return b
 }
 
-// update creates endpoints for new searchers of a snapshot, closes those of processes that are gone, and returns the keys of the latter.
+// update creates endpoints for new searchers of a snapshot, closes the connections of those that leave or are gone, and returns the keys of
+// the processes that are gone.
 func (b *balancer) update(snapshot *fleet.Snapshot, table *route.Table) []fleet.Key {
 	old, nodes := b.current.Load(), *b.nodes.Load()
 	next := &endpointTable{byKey: make(map[fleet.Key]*endpoint), byService: make(map[string][]*endpoint), table: table}
@@ -86,13 +87,17 @@
 		key := s.Key()
 		limit := b.limit(s, table, nodes)
 		ep, ok := old.byKey[key]
-		if !ok {
-			region := b.location.Regions[s.Zone()]
-			ep = &endpoint{
-				searcher: s,
-				pool:     pool.New(s.Address(), limit, b.dial, func(took time.Duration) { b.recordRoundTrip(region, took) }),
-				tracker:  health.New(s.Slots()),
-			}
+		switch {
+		case !ok:
+			ep = &endpoint{searcher: s, pool: b.newPool(s, limit), tracker: health.New(s.Slots())}
+		case s.Leaving() && !ep.searcher.Leaving():
+			ep = &endpoint{searcher: s, pool: ep.pool, tracker: ep.tracker}
+		case !s.Leaving() && ep.searcher.Leaving():
+			ep = &endpoint{searcher: s, pool: b.newPool(s, limit), tracker: ep.tracker}
+		}
+		if s.Leaving() {
+			// Requests that wait for a connection must not reach the searcher later; those that run keep theirs.
+			ep.pool.Close()
 		}
 		ep.setLimit(limit)
 		next.byKey[key] = ep
@@ -113,6 +118,11 @@
 	return removed
 }
 
+func (b *balancer) newPool(s *fleet.Searcher, limit int) *pool.Pool {
+	region := b.location.Regions[s.Zone()]
+	return pool.New(s.Address(), limit, b.dial, func(took time.Duration) { b.recordRoundTrip(region, took) })
+}
+
 // NodeCounts counts the nodes that share a searcher's connections and the budget of extra attempts.
 type NodeCounts struct {
 	// Active is the number of nodes that callers are routed to; ByRegion holds the same by region.
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -169,7 +169,7 @@
 		return health.Replied{}
 	case wire.Reason_REASON_SEARCHER_SHED:
 		return health.Shed{}
-	case wire.Reason_REASON_CANCELLED, wire.Reason_REASON_EXPIRED, wire.Reason_REASON_CONNECTION_SILENT:
+	case wire.Reason_REASON_CANCELLED, wire.Reason_REASON_EXPIRED, wire.Reason_REASON_CONNECTION_SILENT, wire.Reason_REASON_SEARCHER_LEAVING:
 		return health.Abandoned{}
 	case wire.Reason_REASON_CONNECT_FAILED, wire.Reason_REASON_WRONG_SEARCHER:
 		return health.Unreachable{}
