Keep removed searchers from coming back through other nodes' entries

Cause: a removal of a key that a node did not know was not recorded, and an entry of an earlier revision than the node's own was taken as new. So a searcher that came and went while a node started, or while the history was lost, was added again by entries of another node, and no later change removed it. The class: a merge of partial histories that takes absence for ignorance.

Evidence: TestRemovedSearcherDoesNotComeBack failed before in its three cases, got searchers [a b], want [a].

Change: a node's entries are complete up to its revision, so an unknown entry up to there has been removed. Removals of unknown keys are kept for other nodes. A complete batch raises the floor of the history, so that nodes behind it get a complete batch too.

--- a/internal/follow/entries.go
+++ b/internal/follow/entries.go
@@ -24,10 +24,11 @@
 // maxRemoved is the number of removals that are kept for other nodes. A node that is missing an older removal gets a complete batch.
 const maxRemoved = 4096
 
-// entries is a copy of the source's entries. It never moves backwards: of two entries with the same key the later one is kept.
+// entries is a copy of the source's entries, complete up to revision. It never moves backwards: of two entries with the same key the later one
+// is kept.
 type entries struct {
 	byKey map[string]Entry
-	// removed holds the removals in the order of their revisions. Removals up to historyFloor have been dropped.
+	// removed holds the removals in the order of their revisions. Some of those up to historyFloor are missing.
 	removed      []Entry
 	historyFloor uint64
 	revision     uint64
@@ -55,6 +56,8 @@
 			latest[key] = Entry{Key: key, Revision: batch.Revision, Removed: true}
 			e.store(latest[key])
 		}
+		// Keys that came and went before the batch are in neither.
+		e.historyFloor = max(e.historyFloor, batch.Revision)
 	}
 	e.revision = max(e.revision, batch.Revision)
 	return slices.Collect(maps.Values(latest))
@@ -66,6 +69,10 @@
 	if ok && known.Revision >= entry.Revision {
 		return false
 	}
+	if !ok && entry.Revision <= e.revision {
+		// An entry up to this revision that is unknown has been removed since.
+		return false
+	}
 	if !entry.Removed {
 		if e.removedSince(entry) {
 			return false
@@ -73,16 +80,18 @@
 		e.byKey[entry.Key] = entry
 		return true
 	}
-	if !ok {
-		return false
-	}
 	delete(e.byKey, entry.Key)
+	e.recordRemoval(entry)
+	return ok
+}
+
+// recordRemoval keeps a removal for other nodes, which may know a key that this node never learned of.
+func (e *entries) recordRemoval(entry Entry) {
 	e.removed = append(e.removed, entry)
 	if len(e.removed) > maxRemoved {
 		e.historyFloor = max(e.historyFloor, e.removed[0].Revision)
 		e.removed = slices.Delete(e.removed, 0, 1)
 	}
-	return true
 }
 
 // removedSince reports whether the key was removed after the entry was written.
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -345,3 +345,49 @@
 		}
 	})
 }
+
+// Guards against searchers that have left and are used again, because a node learned of them from another node's older or incomplete entries.
+func TestRemovedSearcherDoesNotComeBack(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	list := func(f *Follower, revision uint64, ids ...string) {
+		batch := Batch{Revision: revision, Complete: true}
+		for _, id := range ids {
+			batch.Entries = append(batch.Entries, registration(id, 1))
+		}
+		f.ReceiveBatch(now, batch, Position{Revision: revision})
+	}
+	tests := map[string]struct {
+		apply func(f, other *Follower)
+	}{
+		"older entries arrive after a list": {apply: func(f, other *Follower) {
+			list(other, 4, "a", "b")
+			delayed := other.EntriesAfter(0)
+			list(f, 9, "a")
+			f.ReceiveBatch(now, delayed, Position{Revision: 4})
+		}},
+		"removal is in history that the other node lost": {apply: func(f, other *Follower) {
+			list(f, 2, "a")
+			list(other, 2, "a")
+			f.ReceiveBatch(now, Batch{Revision: 4, Entries: []Entry{registration("b", 4)}}, Position{Revision: 4})
+			list(other, 9, "a")
+			f.ReceiveBatch(now, other.EntriesAfter(4), Position{Revision: 9})
+		}},
+		"removal of a searcher that the other node never knew": {apply: func(f, other *Follower) {
+			list(f, 2, "a")
+			list(other, 2, "a")
+			f.ReceiveBatch(now, Batch{Revision: 4, Entries: []Entry{registration("b", 4)}}, Position{Revision: 4})
+			other.ReceiveBatch(now, Batch{Revision: 9, Entries: []Entry{removal("b", 9)}}, Position{Revision: 9})
+			f.ReceiveBatch(now, other.EntriesAfter(4), Position{Revision: 9})
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f, registry := newFollower(&scriptedSource{}, true, &now)
+			other, _ := newFollower(&scriptedSource{}, true, &now)
+			test.apply(f, other)
+			if got, want := searcherIDs(registry), []string{"a"}; !slices.Equal(got, want) {
+				t.Errorf("got searchers %v, want %v", got, want)
+			}
+		})
+	}
+}
