Read the limits that searchers name, and log them

The reply's limit reaches the endpoint's pacer, events 508 and 509 tell when it is named and when it ends, the status report has it for each searcher.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -10,6 +10,7 @@
 
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
 	"github.com/fireflylanding/fireflylanding/internal/health"
+	"github.com/fireflylanding/fireflylanding/internal/pace"
 	"github.com/fireflylanding/fireflylanding/internal/pool"
 	"github.com/fireflylanding/fireflylanding/internal/route"
 )
@@ -19,6 +20,8 @@
 	searcher *fleet.Searcher
 	pool     *pool.Pool
 	tracker  *health.Tracker
+	// pacer holds this node's share of the limit that the searcher names.
+	pacer *pace.Pacer
 	// nextWarmAt is the earliest time for opening the next connection in advance; only the node's tick uses it.
 	nextWarmAt time.Time
 	// probing is set while a liveness probe of the searcher runs.
@@ -89,11 +92,11 @@
 		ep, ok := old.byKey[key]
 		switch {
 		case !ok:
-			ep = &endpoint{searcher: s, pool: b.newPool(s, limit), tracker: health.New(s.Slots())}
+			ep = b.newEndpoint(s, limit)
 		case s.Leaving() && !ep.searcher.Leaving():
-			ep = &endpoint{searcher: s, pool: ep.pool, tracker: ep.tracker}
+			ep = &endpoint{searcher: s, pool: ep.pool, tracker: ep.tracker, pacer: ep.pacer}
 		case !s.Leaving() && ep.searcher.Leaving():
-			ep = &endpoint{searcher: s, pool: b.newPool(s, limit), tracker: ep.tracker}
+			ep = b.newEndpoint(s, limit)
 		}
 		if s.Leaving() {
 			// Requests that wait for a connection must not reach the searcher later; those that run keep theirs.
@@ -118,9 +121,14 @@
 	return removed
 }
 
-func (b *balancer) newPool(s *fleet.Searcher, limit int) *pool.Pool {
+func (b *balancer) newEndpoint(s *fleet.Searcher, limit int) *endpoint {
 	region := b.location.Regions[s.Zone()]
-	return pool.New(s.Address(), limit, b.dial, func(took time.Duration) { b.recordRoundTrip(region, took) })
+	return &endpoint{
+		searcher: s,
+		pool:     pool.New(s.Address(), limit, b.dial, func(took time.Duration) { b.recordRoundTrip(region, took) }),
+		tracker:  health.New(s.Slots()),
+		pacer:    pace.New(s.ID(), region),
+	}
 }
 
 // NodeCounts counts the nodes that share a searcher's connections and the budget of extra attempts.
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/fireflylanding/fireflylanding/internal/pace"
 )
 
 // Codec translates the header fields that callers and searchers use. It makes no decisions.
@@ -29,4 +31,6 @@
 	// after this reply.
 	KeepAlive time.Duration
 	Closes    bool
+	// Limit is the limit on requests that the searcher names.
+	Limit pace.Limit
 }
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
 const (
@@ -47,6 +50,21 @@
 	return h
 }
 
+// observeLimit records the limit that a searcher names in its reply.
+func (e *Engine) observeLimit(now time.Time, a *attempt, r result) {
+	if r.response == nil || r.reason == wire.Reason_REASON_WRONG_SEARCHER {
+		return
+	}
+	if !a.endpoint.pacer.Observe(now, a.sentAt, r.head.Limit) {
+		return
+	}
+	if searcher := zap.String("searcher", a.endpoint.searcher.ID()); r.head.Limit.Named() {
+		e.logger.Log(wire.Event_EVENT_LIMIT_NAMED, searcher, zap.Float64("per_second", r.head.Limit.PerSecond()))
+	} else {
+		e.logger.Log(wire.Event_EVENT_LIMIT_ENDED, searcher)
+	}
+}
+
 // observe records the latency of a request under its outcome.
 func (e *Engine) observe(f *fanout, now time.Time, answer Answer) {
 	outcome := "served"
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -120,6 +120,7 @@
 	if r.reason == wire.Reason_REASON_WRONG_SEARCHER {
 		a.endpoint.replaced.Store(true)
 	}
+	f.engine.observeLimit(now, a, r)
 	if r.abrupt {
 		if !f.answered() {
 			f.engine.crashes.suspect(now, f.fingerprint, a.endpoint.searcher.Key())
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -30,6 +30,8 @@
 	Avoided  bool    `json:"avoided"`
 	// Connections is the number of connections that this node may open.
 	Connections int `json:"connections"`
+	// Limit is the number of requests a second that the searcher takes from all nodes together, absent while it names none.
+	Limit *float64 `json:"limit_per_second,omitempty"`
 }
 
 // Limits returns the state of the admission limiters by group of routes.
@@ -53,6 +55,10 @@
 			Latency: state.Mean.Milliseconds(), Failures: state.Failures, Stalled: state.Stalled, Avoided: state.Avoided,
 			Connections: ep.pool.Limit(),
 		}
+		if limit := ep.pacer.Limit(); limit.Named() {
+			perSecond := limit.PerSecond()
+			report.Limit = &perSecond
+		}
 		if state.Mean > 0 {
 			report.Age = state.Age.Milliseconds()
 		}
