Bound the batch of log lines while lines come as fast as they are read

TestBoundedNeverBlocks failed once beside other tests: 977 dropped lines, at least 2048 wanted. Cause: the goroutine that collects a batch went on as long as there were lines, so that it took more than the buffer holds before its first write, and its memory had no bound. TestBatchIsBounded failed before: a write of 6144 lines, at most 2048 wanted. TestBoundedNeverBlocks is unchanged.

--- a/internal/events/bounded.go
+++ b/internal/events/bounded.go
@@ -107,12 +107,14 @@
 	close(a.lines)
 }
 
-// run writes the lines to w until the writer is closed. Each call of Write holds all lines that are buffered by then.
+// run writes the lines to w until the writer is closed. Each call of Write holds the lines that are buffered by then, at most
+// maxBufferedLines.
 func (a *asyncWriter) run(w io.Writer) {
 	var batch []byte
 	for line := range a.lines {
 		batch = append(batch[:0], line...)
-		for more := true; more; {
+		more := true
+		for n := 1; more && n < maxBufferedLines; n++ {
 			select {
 			case next, ok := <-a.lines:
 				batch = append(batch, next...)
--- a/internal/events/bounded_test.go
+++ b/internal/events/bounded_test.go
@@ -46,6 +46,36 @@
 	b.Close()
 }
 
+// lineCounter records the number of lines of each write.
+type lineCounter struct{ lines []int }
+
+func (c *lineCounter) Write(batch []byte) (int, error) {
+	c.lines = append(c.lines, bytes.Count(batch, []byte("\n")))
+	return len(batch), nil
+}
+
+// Guards against a batch that grows without bound while lines come as fast as they are collected.
+func TestBatchIsBounded(t *testing.T) {
+	const lines = 3 * maxBufferedLines
+	w := &asyncWriter{lines: make(chan []byte, lines)}
+	for range lines {
+		w.lines <- []byte("line\n")
+	}
+	close(w.lines)
+	var output lineCounter
+	w.run(&output)
+	total := 0
+	for _, n := range output.lines {
+		total += n
+		if n > maxBufferedLines {
+			t.Errorf("got a write of %d lines, want at most %d", n, maxBufferedLines)
+		}
+	}
+	if total != lines {
+		t.Errorf("got %d lines, want %d", total, lines)
+	}
+}
+
 // Guards against a log volume that grows with the load, and against dropped warnings.
 func TestBoundedVolume(t *testing.T) {
 	tests := map[string]struct {
