Keep the requests of all nodes within the limit that a searcher names

The class: a bound for all nodes together that no node knows.

Change: package pace. Each node computes its share of a limit from the limit and the nodes that share it, as it does for connections: three quarters for the nodes of the searcher's region, which prefer it, one quarter for the others. When the limits of all searchers leave no room the request is refused at once as not run (REASON_SEARCHER_LIMIT).

Ruled out: sharing demand between nodes (a message per change, and late), and waiting for room: a node's buckets keep their requests, so that a wait adds latency and no throughput.

--- a/internal/pace/members.go
+++ b/internal/pace/members.go
@@ -39,8 +39,11 @@
 	return m
 }
 
-// Equal reports whether both hold the same nodes. The ids must be sorted.
+// Equal reports whether both hold the same nodes, or both are nil. The ids must be sorted.
 func (m *Members) Equal(other *Members) bool {
+	if m == nil || other == nil {
+		return m == other
+	}
 	return m.self == other.self && maps.EqualFunc(m.byRegion, other.byRegion, slices.Equal)
 }
 
@@ -58,6 +61,7 @@
 	order := slices.Concat(near, far)
 	rank := slices.Index(order, m.self)
 	if rank < 0 {
+		// A node that is not among them comes last.
 		rank = m.count
 	}
 	sharing := min(int(savedSeconds*limit)+minSharing, m.count)
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -77,7 +77,7 @@
 func newBalancer(location Location, dial pool.Dial) *balancer {
 	b := &balancer{location: location, dial: dial}
 	b.current.Store(&endpointTable{})
-	b.nodes.Store(&NodeCounts{Discovering: true})
+	b.nodes.Store(&NodeCounts{Discovering: true, Members: &pace.Members{}})
 	return b
 }
 
@@ -131,7 +131,7 @@
 	}
 }
 
-// NodeCounts counts the nodes that share a searcher's connections and the budget of extra attempts.
+// NodeCounts counts the nodes that share a searcher's connections, its limit and the budget of extra attempts.
 type NodeCounts struct {
 	// Active is the number of nodes that callers are routed to; ByRegion holds the same by region.
 	Active   int
@@ -140,12 +140,14 @@
 	SelfActive bool
 	// Discovering is set while this node may not know all other nodes yet.
 	Discovering bool
+	// Members are the nodes by id, nil while unknown.
+	Members *pace.Members
 }
 
 // Equal reports whether all counts and flags are equal.
 func (n NodeCounts) Equal(other NodeCounts) bool {
 	return n.Active == other.Active && n.SelfActive == other.SelfActive && n.Discovering == other.Discovering &&
-		maps.Equal(n.ByRegion, other.ByRegion)
+		maps.Equal(n.ByRegion, other.ByRegion) && n.Members.Equal(other.Members)
 }
 
 // assumedNodes is the number of nodes that a node assumes for its share of connections while it may not know the others yet.
@@ -153,6 +155,9 @@
 
 // setNodes recomputes this node's share of the connections of every searcher.
 func (b *balancer) setNodes(nodes NodeCounts) {
+	if nodes.Members == nil {
+		nodes.Members = &pace.Members{}
+	}
 	b.nodes.Store(&nodes)
 	current := b.current.Load()
 	for _, ep := range current.byKey {
@@ -235,6 +240,8 @@
 	// roundTrip is the network part of latency.
 	roundTrip time.Duration
 	stalled   bool
+	// limited is set when the limit of a searcher kept it from being chosen.
+	limited bool
 }
 
 // candidate is an endpoint with its health state at the time of a choice.
@@ -246,8 +253,8 @@
 // inlineCandidates is the number of searchers per service up to which a choice does not allocate.
 const inlineCandidates = 8
 
-// choose returns the endpoint of a service with the least cost among those that skip does not exclude. The reply is useful only within
-// timeLeft.
+// choose returns the endpoint of a service with the least cost among those that skip does not exclude and whose limits leave room. The reply is
+// useful only within timeLeft. The caller takes the room with the endpoint's pacer.
 func (b *balancer) choose(now time.Time, service string, timeLeft time.Duration, skip func(*endpoint) bool) (choice, bool) {
 	var buffer [inlineCandidates]candidate
 	candidates := buffer[:0]
@@ -257,11 +264,16 @@
 	typical := b.typicalServiceTime(candidates)
 	var best choice
 	var leastCost time.Duration
+	limited := false
 	for _, c := range candidates {
 		ep := c.endpoint
 		if ep.replaced.Load() || skip(ep) {
 			continue
 		}
+		if !ep.pacer.Available(now) {
+			limited = true
+			continue
+		}
 		roundTrip := b.roundTrip(ep.searcher.Zone())
 		latency := c.state.Latency(roundTrip, typical)
 		cost := c.state.Cost(latency, timeLeft)
@@ -271,6 +283,7 @@
 			best = choice{endpoint: ep, latency: latency, roundTrip: roundTrip, stalled: c.state.Stalled}
 		}
 	}
+	best.limited = limited
 	return best, best.endpoint != nil
 }
 
@@ -289,9 +302,11 @@
 	return least
 }
 
-// trim closes expired idle connections of all endpoints.
-func (b *balancer) trim(now time.Time) {
+// maintain closes expired idle connections of all endpoints, and adapts this node's shares of limits to the nodes that share them.
+func (b *balancer) maintain(now time.Time) {
+	members := b.nodes.Load().Members
 	for _, ep := range b.current.Load().byKey {
 		ep.pool.Trim(now)
+		ep.pacer.SetMembers(now, members)
 	}
 }
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -13,6 +13,7 @@
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
 	"github.com/fireflylanding/fireflylanding/internal/health"
+	"github.com/fireflylanding/fireflylanding/internal/pace"
 	"github.com/fireflylanding/fireflylanding/internal/pool"
 	"github.com/fireflylanding/fireflylanding/internal/quar"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
@@ -110,7 +111,7 @@
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	}
-	ep := &endpoint{searcher: searcher, pool: pool.New(searcher.Address(), 2, dial, func(time.Duration) {}), tracker: health.New(2)}
+	ep := &endpoint{searcher: searcher, pool: pool.New(searcher.Address(), 2, dial, func(time.Duration) {}), tracker: health.New(2), pacer: pace.New("i-0", "")}
 	defer ep.pool.Close()
 	if err := ep.pool.Probe(t.Context()); err != nil {
 		t.Fatal(err)
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -117,9 +117,9 @@
 // SetBudget changes the share and the allowance of extra attempts; the window stays.
 func (e *Engine) SetBudget(b Budget) { e.budget.Store(&b) }
 
-// Tick closes expired idle connections, and opens connections in advance on a node that callers are routed to.
+// Tick closes expired idle connections, adapts this node's shares of limits, and opens connections in advance on a node that callers are routed to.
 func (e *Engine) Tick(ctx context.Context, now time.Time) {
-	e.balancer.trim(now)
+	e.balancer.maintain(now)
 	if e.active.Load() {
 		e.balancer.warm(ctx, now, func(f func()) { e.tasks.Go(f) })
 	}
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -24,22 +24,32 @@
 
 // startAttempt sends the next attempt of a part, or settles the part when no endpoint is left and nothing is in flight.
 func (f *fanout) startAttempt(now time.Time, p *part, cause wire.Reason) bool {
-	chosen, ok := f.engine.balancer.choose(now, p.service, f.timeLeft(now), p.alreadyTried)
-	if !ok {
-		if p.inFlight == 0 {
-			f.settle(p, lastReason(p))
+	for {
+		chosen, ok := f.engine.balancer.choose(now, p.service, f.timeLeft(now), p.alreadyTried)
+		if !ok {
+			if p.inFlight == 0 {
+				f.settle(p, noEndpointReason(p, chosen))
+			}
+			return false
+		}
+		// Another request may have taken the room since the choice.
+		if chosen.endpoint.pacer.Take(now) {
+			f.send(now, p, chosen, cause)
+			return true
 		}
-		return false
 	}
-	f.send(now, p, chosen, cause)
-	return true
 }
 
-func lastReason(p *part) wire.Reason {
-	if p.reason != wire.Reason_REASON_UNSPECIFIED {
+// noEndpointReason returns why a part ends for which no endpoint was chosen: the last failure, if there was one.
+func noEndpointReason(p *part, chosen choice) wire.Reason {
+	switch {
+	case p.reason != wire.Reason_REASON_UNSPECIFIED:
 		return p.reason
+	case chosen.limited:
+		return wire.Reason_REASON_SEARCHER_LIMIT
+	default:
+		return wire.Reason_REASON_NO_REPLICA
 	}
-	return wire.Reason_REASON_NO_REPLICA
 }
 
 func (p *part) alreadyTried(ep *endpoint) bool {
@@ -107,6 +117,11 @@
 		p.hedgeAt = now.Add(hedgeRetryInterval)
 		return
 	}
+	if !chosen.endpoint.pacer.Take(now) {
+		f.engine.countReason(wire.Reason_REASON_SEARCHER_LIMIT)
+		p.hedgeAt = now.Add(hedgeRetryInterval)
+		return
+	}
 	f.engine.countReason(wire.Reason_REASON_HEDGE)
 	f.engine.hedges.Inc(1)
 	f.send(now, p, chosen, wire.Reason_REASON_HEDGE)
--- a/internal/roster/active.go
+++ b/internal/roster/active.go
@@ -83,28 +83,31 @@
 	return active
 }
 
-// CountSharingNodes counts, by region, the nodes that share cluster-wide budgets: the active nodes, and any other node whose load is at
-// least minLoad cores, because an unreachable node still uses the share that it had.
-func (r *Roster) CountSharingNodes(now time.Time, minLoad float64) map[string]int {
+// SharingNodes returns, by region and sorted, the ids of the nodes that share cluster-wide budgets: the active nodes, and any other node whose
+// load is at least minLoad cores, because an unreachable node still uses the share that it had.
+func (r *Roster) SharingNodes(now time.Time, minLoad float64) map[string][]string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	counts := make(map[string]int)
+	ids := make(map[string][]string)
 	active := make(map[string]bool)
 	for _, states := range r.currentView(now).active {
 		for _, state := range states {
 			active[state.ID] = true
-			counts[state.Region]++
+			ids[state.Region] = append(ids[state.Region], state.ID)
 		}
 	}
 	if !active[r.self.ID] && r.self.Load >= minLoad {
-		counts[r.self.Region]++
+		ids[r.self.Region] = append(ids[r.self.Region], r.self.ID)
 	}
 	for id, record := range r.others {
 		if !active[id] && record.state.Load >= minLoad {
-			counts[record.state.Region]++
+			ids[record.state.Region] = append(ids[record.state.Region], id)
 		}
 	}
-	return counts
+	for _, region := range ids {
+		slices.Sort(region)
+	}
+	return ids
 }
 
 // IsActive reports whether callers are directed to this node.
--- a/internal/roster/bench_test.go
+++ b/internal/roster/bench_test.go
@@ -32,7 +32,7 @@
 				for i := range 2 {
 					at := now.Add(time.Duration(i) * 250 * time.Millisecond)
 					r.FirstInRegion(at, 2)
-					r.CountSharingNodes(at, 0.01)
+					r.SharingNodes(at, 0.01)
 					r.IsActive(at)
 				}
 			}
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fireflylanding/fireflylanding/internal/pace"
 	"github.com/fireflylanding/fireflylanding/internal/relay"
 	"github.com/fireflylanding/fireflylanding/internal/roster"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
@@ -75,9 +76,15 @@
 // nodeCounts counts the nodes that share the searchers' connections and the budget of retries and hedges.
 func (t *Tier) nodeCounts(now time.Time) relay.NodeCounts {
 	self := t.roster.Self()
-	nodes := relay.NodeCounts{ByRegion: t.roster.CountSharingNodes(now, minSharingLoad), Discovering: t.discovering(now)}
-	for _, count := range nodes.ByRegion {
-		nodes.Active += count
+	sharing := t.roster.SharingNodes(now, minSharingLoad)
+	nodes := relay.NodeCounts{
+		ByRegion:    make(map[string]int, len(sharing)),
+		Discovering: t.discovering(now),
+		Members:     pace.NewMembers(self.ID, sharing),
+	}
+	for region, ids := range sharing {
+		nodes.ByRegion[region] = len(ids)
+		nodes.Active += len(ids)
 	}
 	// A stopping node, and a node that still receives callers from others, keeps its share while it serves.
 	nodes.SelfActive = t.roster.IsActive(now) || self.Load >= minSharingLoad || self.Phase == roster.Stopping
