Check leaving searchers and named limits in the soak while a node is cut off

In its quiet phase it now cuts one node off from the store, makes searchers leave with and without a report, and changes the configuration; every other node must stop using them within the bound. Some searchers name a limit meanwhile, and no window of 4 s may hold more than one and a half times as much and 5 requests. Each node has a link to the store of its own.

TestCheckFindsPlantedViolations has both kinds.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -30,10 +30,19 @@
 	service  string
 }
 
-// departure records when a searcher began to leave, whether it was announced as draining or its entry was removed.
+// departure records when a searcher began to leave, whether it was announced as draining or its entry was removed. cutOff is the node that
+// could not learn of it from the store, if any.
 type departure struct {
 	searcher     string
 	leavingSince time.Time
+	cutOff       string
+}
+
+// limit is a limit that a searcher named.
+type limit struct {
+	searcher  string
+	perSecond float64
+	during    interval
 }
 
 // evidence is everything that callers and searchers observed during a soak.
@@ -41,6 +50,7 @@
 	exchanges  []exchange
 	runs       []run
 	departures []departure
+	limits     []limit
 	// allowed maps a path prefix to the services to which any version of the configuration routed it.
 	allowed map[string][]string
 	// drainBound is the time after a searcher began to leave in which new requests may still reach it, while no fault is active.
@@ -90,7 +100,8 @@
 	for _, s := range e.exchanges {
 		checkAnswer(s, runs[s.request.ID], report)
 	}
-	checkDrain(e, report)
+	checkDrain(e, exchangeByID, report)
+	checkLimits(e, report)
 	return found
 }
 
@@ -172,16 +183,48 @@
 
 // checkDrain finds runs that began later than the drain bound after their searcher began to leave. It reports a run only if one quiet
 // interval contains both the start of the run and the end of the bound.
-func checkDrain(e evidence, report reportFunc) {
+func checkDrain(e evidence, exchangeByID map[string]exchange, report reportFunc) {
 	for _, l := range e.departures {
 		bound := l.leavingSince.Add(e.drainBound)
 		for _, r := range e.runs {
 			if r.searcher != l.searcher || !r.StartTime.After(bound) {
 				continue
 			}
+			if l.cutOff != "" && exchangeByID[r.ID].node == l.cutOff {
+				continue
+			}
 			if slices.ContainsFunc(e.quiet, func(s interval) bool { return s.contains(r.StartTime) && s.contains(bound) }) {
 				report("drain", "request %s reached %s %v after it began to leave", r.ID, r.searcher, r.StartTime.Sub(l.leavingSince))
 			}
 		}
 	}
 }
+
+const (
+	// limitWindow is the time over which requests are counted against a limit, and limitOnset the time in which all nodes learn of it.
+	limitWindow = 4 * time.Second
+	limitOnset  = time.Second
+	// limitExcess and limitAllowance are what is allowed beyond the limit.
+	limitExcess    = 1.5
+	limitAllowance = 5
+)
+
+// checkLimits counts the requests to searchers that named a limit.
+func checkLimits(e evidence, report reportFunc) {
+	for _, l := range e.limits {
+		var at []time.Time
+		for _, r := range e.runs {
+			if r.searcher == l.searcher && l.during.contains(r.StartTime) && !r.StartTime.Before(l.during.from.Add(limitOnset)) {
+				at = append(at, r.StartTime)
+			}
+		}
+		slices.SortFunc(at, time.Time.Compare)
+		allowed := int(limitExcess*l.perSecond*limitWindow.Seconds()) + limitAllowance
+		for i := allowed; i < len(at); i++ {
+			if span := at[i].Sub(at[i-allowed]); span < limitWindow {
+				report("limit", "%s named %v requests a second and got %d in %v", l.searcher, l.perSecond, allowed+1, span)
+				break
+			}
+		}
+	}
+}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -37,6 +38,21 @@
 	}
 }
 
+// nameLimit adds a limit of one request a second at the searcher, and requests that it got within the window.
+func (e *evidence) nameLimit(requests int) {
+	e.limits = []limit{{searcher: searcher, perSecond: 1, during: interval{from: start.Add(10 * time.Second), to: start.Add(20 * time.Second)}}}
+	for i := range requests {
+		one := single()
+		requestID := fmt.Sprintf("limit-%d", i)
+		one.exchanges[0].request.ID = requestID
+		one.exchanges[0].answer.Proof = stand.Stamp(searcher, requestID)
+		one.exchanges[0].answer.Body = string(stand.ReplyBody("one", requestID))
+		one.runs[0].ID = requestID
+		one.runs[0].StartTime = start.Add(12*time.Second + time.Duration(i)*100*time.Millisecond)
+		e.exchanges, e.runs = append(e.exchanges, one.exchanges[0]), append(e.runs, one.runs[0])
+	}
+}
+
 // merged returns the evidence of one request that was served from two of three shards.
 func merged() evidence {
 	return evidence{exchanges: []exchange{{
@@ -79,6 +95,16 @@
 			e.departures = []departure{{searcher: searcher, leavingSince: start.Add(-4 * time.Second)}}
 			e.quiet = []interval{{from: start.Add(-10 * time.Second), to: start.Add(10 * time.Second)}}
 		}, want: "drain"},
+		"new work after leaving, through another node than the one cut off": {evidence: single, inject: func(e *evidence) {
+			e.departures = []departure{{searcher: searcher, leavingSince: start.Add(-4 * time.Second), cutOff: "other"}}
+			e.quiet = []interval{{from: start.Add(-10 * time.Second), to: start.Add(10 * time.Second)}}
+		}, want: "drain"},
+		"new work after leaving, through the node cut off": {evidence: single, inject: func(e *evidence) {
+			e.departures = []departure{{searcher: searcher, leavingSince: start.Add(-4 * time.Second), cutOff: "n"}}
+			e.quiet = []interval{{from: start.Add(-10 * time.Second), to: start.Add(10 * time.Second)}}
+		}},
+		"within the limit": {evidence: single, inject: func(e *evidence) { e.nameLimit(11) }},
+		"beyond the limit": {evidence: single, inject: func(e *evidence) { e.nameLimit(12) }, want: "limit"},
 		"new work after leaving, during a fault": {evidence: single, inject: func(e *evidence) {
 			e.departures = []departure{{searcher: searcher, leavingSince: start.Add(-4 * time.Second)}}
 		}},
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -71,12 +71,20 @@
 		return func() { r.fleet.store.SetMode(stand.Serving{}) }
 	}},
 	{name: "store link silent", inject: func(r *runner) func() {
-		r.fleet.storeProxy.setFault(Silence{})
+		for _, p := range r.fleet.nodes {
+			p.storeLink.setFault(Silence{})
+		}
 		return noUndo
 	}},
 	{name: "store link cut one way", inject: func(r *runner) func() {
-		r.fleet.storeProxy.setFault(DropReplies{})
-		return func() { r.fleet.storeProxy.setFault(Pass{}); r.fleet.storeProxy.resetLinks() }
+		for _, p := range r.fleet.nodes {
+			p.storeLink.setFault(DropReplies{})
+		}
+		return func() {
+			for _, p := range r.fleet.nodes {
+				p.restoreStoreLink()
+			}
+		}
 	}},
 	{name: "store history lost", inject: func(r *runner) func() {
 		r.fleet.store.Compact()
@@ -172,7 +180,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.evidence.departures = append(r.evidence.departures, departure{searcher: s.ID(), leavingSince: time.Now()})
+	r.evidence.departures = append(r.evidence.departures, departure{searcher: s.ID(), leavingSince: time.Now(), cutOff: r.cutOff})
 }
 
 func (r *runner) addViolation(promise, format string, values ...any) {
@@ -200,12 +208,61 @@
 	from := time.Now()
 	r.checkGracefulStop(ctx)
 	r.checkConfiguration(ctx)
+	endLimits := r.limitSearchers()
+	cut := r.loseSearchersUnseen(ctx)
 	delay.Sleep(ctx, quietPhase)
+	endLimits()
+	cut.restoreStoreLink()
 	r.mu.Lock()
 	r.evidence.quiet = append(r.evidence.quiet, interval{from: from, to: time.Now()})
 	r.mu.Unlock()
 }
 
+// namedLimit is the limit in requests a second that searchers name. It is well below what they get without one.
+const namedLimit = 3
+
+// limitSearchers makes some searchers name a limit and returns the function that ends it.
+func (r *runner) limitSearchers() (end func()) {
+	searchers := r.randomSearchers()
+	from := time.Now()
+	for _, s := range searchers {
+		s.SetLimit(namedLimit)
+	}
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, s := range searchers {
+			s.SetLimit(0)
+			r.evidence.limits = append(r.evidence.limits, limit{searcher: s.ID(), perSecond: namedLimit, during: interval{from: from, to: time.Now()}})
+		}
+	}
+}
+
+const (
+	// holdOnset is the time in which the other nodes learn that a node's calls to the store fail.
+	holdOnset = 700 * time.Millisecond
+	// nextChangeDelay is the time from a departure to a change of the configuration, which ends the watches that were open.
+	nextChangeDelay = 1300 * time.Millisecond
+)
+
+// loseSearchersUnseen cuts a node off from the store, makes searchers leave and then changes the configuration. It returns the node that
+// is cut off; all others must stop using the searchers in time.
+func (r *runner) loseSearchersUnseen(ctx context.Context) *process {
+	cut := r.randomNode()
+	r.mu.Lock()
+	r.cutOff = cut.machine.Node
+	r.mu.Unlock()
+	cut.storeLink.setFault(DropReplies{})
+	cut.storeLink.resetLinks()
+	delay.Sleep(ctx, holdOnset)
+	for _, s := range r.randomSearchers() {
+		r.replace(s, r.random.IntN(2) == 0)
+	}
+	delay.Sleep(ctx, nextChangeDelay)
+	r.configure(r.routedService)
+	return cut
+}
+
 // checkGracefulStop stops a node with SIGTERM and starts it again: no request that it had read may end without an answer.
 func (r *runner) checkGracefulStop(ctx context.Context) {
 	p := r.randomNode()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -29,6 +29,8 @@
 	machine  stand.NodeConfig
 	settings string
 	binary   string
+	// storeLink carries the node's calls to the store.
+	storeLink *proxy
 	// arguments are the command line arguments of the binary.
 	arguments []string
 	log       io.Writer
@@ -92,6 +94,12 @@
 	}
 }
 
+// restoreStoreLink ends the fault of the node's link to the store.
+func (p *process) restoreStoreLink() {
+	p.storeLink.setFault(Pass{})
+	p.storeLink.resetLinks()
+}
+
 // proxiedSearcher is a searcher that nodes reach through a proxy.
 type proxiedSearcher struct {
 	*stand.Searcher
@@ -119,10 +127,9 @@
 
 // fleet is the store, the searchers and the nodes of one soak.
 type fleet struct {
-	directory  string
-	store      *stand.Store
-	storeProxy *proxy
-	nodes      []*process
+	directory string
+	store     *stand.Store
+	nodes     []*process
 
 	mu sync.Mutex
 	// searchers are all that were ever started. searcherCount is the number of ids that were assigned.
@@ -142,9 +149,6 @@
 	if f.store, err = stand.StartStore(); err != nil {
 		return nil, err
 	}
-	if f.storeProxy, err = startProxy(f.store.Address()); err != nil {
-		return nil, err
-	}
 	var seeds []string
 	for i := range min(nodes, 3) {
 		seeds = append(seeds, nodeIP(i))
@@ -153,12 +157,16 @@
 		return nil, errors.Newf("%d nodes, want at most %d", nodes, hostsPerBlock)
 	}
 	for i := range nodes {
+		var storeLink *proxy
+		if storeLink, err = startProxy(f.store.Address()); err != nil {
+			return nil, err
+		}
 		m := stand.NodeConfig{
 			Node: fmt.Sprintf("front-%d", i), IP: nodeIP(i), Zone: zoneNames[i%len(zoneNames)], Zones: zoneRegions,
 			CallerPort: callerPort, ReadyPort: readyPort, DirectoryPort: directoryPort, ControlPort: controlPort, PeerPort: peerPort,
-			SeedIPs: seeds, StoreAddress: f.storeProxy.address(),
+			SeedIPs: seeds, StoreAddress: storeLink.address(),
 		}
-		p := &process{machine: m, settings: filepath.Join(directory, m.Node+".json"), binary: binary, log: logs(m.Node)}
+		p := &process{machine: m, settings: filepath.Join(directory, m.Node+".json"), binary: binary, storeLink: storeLink, log: logs(m.Node)}
 		p.arguments = []string{"platform", "--settings", p.settings}
 		if err := f.writeSettings(p); err != nil {
 			return nil, err
@@ -245,6 +253,7 @@
 	for _, p := range f.nodes {
 		p.signal(syscall.SIGCONT)
 		p.stop(syscall.SIGKILL, time.Second)
+		p.storeLink.close()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -252,6 +261,5 @@
 		s.Close()
 		s.proxy.close()
 	}
-	f.storeProxy.close()
 	f.store.Close()
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -53,7 +53,7 @@
 	// quietPhase the time after that in which all promises hold.
 	faultPhase    = 4 * time.Second
 	recoveryPhase = 5 * time.Second
-	quietPhase    = 4 * time.Second
+	quietPhase    = 5 * time.Second
 	// startTimeout bounds the time in which all processes start and discover each other.
 	startTimeout = 10 * time.Second
 )
@@ -71,7 +71,9 @@
 	version      int
 	// routedService is the service to which the latest configuration routes requests that are not gathered from shards.
 	routedService string
-	shards        []string
+	// cutOff is the node that cannot reach the store in the current quiet phase, empty before the first.
+	cutOff string
+	shards []string
 }
 
 // Run runs a soak and returns its report. It returns an error only if the fleet does not start.
