Compute a share of a limit in one pass over the nodes

The order of all nodes was sorted for each limited searcher at each change of the nodes. A hedge without room at limited searchers is tried again, as one without budget is. The shares are as before (TestSharesAddUp, TestNodesTogetherKeepTheLimit).

--- a/internal/pace/members.go
+++ b/internal/pace/members.go
@@ -48,26 +48,14 @@
 }
 
 // rate returns the requests a second that this node may send to a searcher in a region that takes limit requests a second from all nodes. The
-// rates of all members add up to the limit, if all know the same members.
+// rates of the nodes that share the limit add up to it, if all know the same members.
 func (m *Members) rate(limit float64, searcher, region string) float64 {
-	near := ranked(m.byRegion[region], searcher)
-	var far []string
-	for other, ids := range m.byRegion {
-		if other != region {
-			far = append(far, ids...)
-		}
-	}
-	far = ranked(far, searcher)
-	order := slices.Concat(near, far)
-	rank := slices.Index(order, m.self)
-	if rank < 0 {
-		// A node that is not among them comes last.
-		rank = m.count
-	}
+	rank := m.rank(searcher, region)
+	near := len(m.byRegion[region])
 	sharing := min(int(savedSeconds*limit)+minSharing, m.count)
-	probes := 1 / (probeInterval.Seconds() * float64(rank+1))
-	nearSharing := min(len(near), sharing)
+	nearSharing := min(near, sharing)
 	farSharing := sharing - nearSharing
+	probes := 1 / (probeInterval.Seconds() * float64(rank+1))
 	switch {
 	case rank >= sharing:
 		return probes
@@ -80,15 +68,41 @@
 	}
 }
 
-// ranked returns the ids in an order that differs from searcher to searcher, so that each node shares the limits of other searchers.
-func ranked(ids []string, searcher string) []string {
-	sorted := slices.Clone(ids)
-	slices.SortFunc(sorted, func(a, b string) int {
-		return cmp.Or(cmp.Compare(weight(a, searcher), weight(b, searcher)), cmp.Compare(a, b))
-	})
-	return sorted
+// rank returns the number of members before this node: those of the searcher's region come first, and the order within it and within the
+// others differs from searcher to searcher, so that each node shares the limits of other searchers. A node that is no member comes last.
+func (m *Members) rank(searcher, region string) int {
+	own := weight(m.self, searcher)
+	isMember, isNear := false, false
+	nearBefore, farBefore := 0, 0
+	for other, ids := range m.byRegion {
+		for _, id := range ids {
+			switch {
+			case id == m.self:
+				isMember, isNear = true, other == region
+			case !before(weight(id, searcher), id, own, m.self):
+			case other == region:
+				nearBefore++
+			default:
+				farBefore++
+			}
+		}
+	}
+	switch {
+	case !isMember:
+		return m.count
+	case isNear:
+		return nearBefore
+	default:
+		return len(m.byRegion[region]) + farBefore
+	}
+}
+
+// before orders nodes by weight, and by id where weights are equal.
+func before(weight uint64, id string, otherWeight uint64, other string) bool {
+	return cmp.Or(cmp.Compare(weight, otherWeight), cmp.Compare(id, other)) < 0
 }
 
+// weight is the position of a node in the order of a searcher.
 func weight(node, searcher string) uint64 {
 	return xxhash.Sum64String(node + "\x00" + searcher)
 }
--- a/internal/pace/pacer_test.go
+++ b/internal/pace/pacer_test.go
@@ -139,3 +139,53 @@
 		})
 	}
 }
+
+// Guards against shares that add up to more than the limit, and against nodes of the searcher's region that get less than others.
+func TestSharesAddUp(t *testing.T) {
+	tests := map[string]struct {
+		nodes int
+		limit float64
+		// region is the searcher's region; far-away is one without a node.
+		region string
+	}{
+		"few nodes":              {nodes: 6, limit: 30, region: "region-0"},
+		"one node":               {nodes: 1, limit: 30, region: "region-0"},
+		"no node in the region":  {nodes: 6, limit: 30, region: "far-away"},
+		"more nodes than shares": {nodes: 60, limit: 16, region: "region-1"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			byRegion := fleet(test.nodes)
+			least := make(map[bool]float64)
+			sum := 0.0
+			for region, ids := range byRegion {
+				for _, id := range ids {
+					share := NewMembers(id, byRegion).rate(test.limit, "searcher", test.region)
+					sum += share
+					if known, ok := least[region == test.region]; !ok || share < known {
+						least[region == test.region] = share
+					}
+				}
+			}
+			// Nodes without a share ask every 10 s or less, each less often than the one before.
+			probes := 0.0
+			for rank := int(savedSeconds*test.limit) + minSharing; rank < test.nodes; rank++ {
+				probes += 1 / (probeInterval.Seconds() * float64(rank+1))
+			}
+			if got := sum - probes; got < 0.99*test.limit || got > 1.01*test.limit {
+				t.Errorf("got shares of %v in all, want %v", got, test.limit)
+			}
+			if near, ok := least[true]; ok && near < least[false] {
+				t.Errorf("got a share of %v in the searcher's region and %v elsewhere, want no less", near, least[false])
+			}
+		})
+	}
+}
+
+// BenchmarkShare measures the share of one limit among the nodes of the design size.
+func BenchmarkShare(b *testing.B) {
+	members := NewMembers("node-00", fleet(2700))
+	for b.Loop() {
+		members.rate(16, "searcher", "region-0")
+	}
+}
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -101,6 +101,9 @@
 	chosen, ok := f.engine.balancer.choose(now, p.service, f.timeLeft(now), p.alreadyTried)
 	if !ok {
 		p.hedgeAt = time.Time{}
+		if chosen.limited {
+			p.hedgeAt = now.Add(hedgeRetryInterval)
+		}
 		return
 	}
 	if chosen.latency > f.timeLeft(now) {
