Take no share of a limit while the other nodes are not known

A node that had just started knew only itself and took the whole limit of a searcher for 1.5 s; after a loss of power all nodes did. TestDiscoveringNodeTakesNoShare failed before: got available true, want false.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -155,7 +155,8 @@
 
 // setNodes recomputes this node's share of the connections of every searcher.
 func (b *balancer) setNodes(nodes NodeCounts) {
-	if nodes.Members == nil {
+	if nodes.Members == nil || nodes.Discovering {
+		// Without the others this node would take a whole limit for itself.
 		nodes.Members = &pace.Members{}
 	}
 	b.nodes.Store(&nodes)
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -61,3 +61,29 @@
 		t.Errorf("refused after %v, want at once", took)
 	}
 }
+
+// Guards against a starting node that takes a whole limit for itself, because it does not know the other nodes yet.
+func TestDiscoveringNodeTakesNoShare(t *testing.T) {
+	tests := map[string]struct {
+		discovering bool
+		want        bool
+	}{
+		"discovering":   {discovering: true},
+		"the only node": {want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e, _ := newGatherFanout(t)
+			e.SetNodes(NodeCounts{
+				Active: 1, ByRegion: map[string]int{"near": 1}, SelfActive: true, Discovering: test.discovering,
+				Members: pace.NewMembers("self", map[string][]string{"near": {"self"}}),
+			})
+			ep := e.balancer.current.Load().byService["one"][0]
+			ep.pacer.Observe(start, start, pace.PerSecond(10))
+			e.balancer.maintain(start)
+			if got := ep.pacer.Available(start.Add(time.Second)); got != test.want {
+				t.Errorf("a second after the limit was named: got available %v, want %v", got, test.want)
+			}
+		})
+	}
+}
