--- a/internal/relay/leaving_test.go
+++ b/internal/relay/leaving_test.go
@@ -45,10 +45,10 @@
 		busy   bool
 		leaves bool
 	}{
-		"waiting for a connection":        {busy: true, leaves: true},
-		"opening a connection":            {leaves: true},
-		"waiting, searcher stays":         {busy: true},
-		"opening, searcher does not stop": {},
+		"waiting for a connection": {busy: true, leaves: true},
+		"opening a connection":     {leaves: true},
+		"waiting, searcher stays":  {busy: true},
+		"opening, searcher stays":  {},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
