Count requests against a limit in the soak as the users' rule does

Cause: callers of the soak go to all nodes, and each node learns a limit by a request of its own. The rule counts a node half a second after it has passed on an answer with the limit; the check counted every request from one second on. The check now counts from then on for each node, which is earlier for nodes that know.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -101,7 +101,7 @@
 		checkAnswer(s, runs[s.request.ID], report)
 	}
 	checkDrain(e, exchangeByID, report)
-	checkLimits(e, report)
+	checkLimits(e, exchangeByID, report)
 	return found
 }
 
@@ -201,24 +201,19 @@
 }
 
 const (
-	// limitWindow is the time over which requests are counted against a limit, and limitOnset the time in which all nodes learn of it.
+	// limitWindow is the time over which requests are counted against a limit.
 	limitWindow = 4 * time.Second
-	limitOnset  = time.Second
+	// limitOnset is the time from a node's first answer that names a limit after which its requests count.
+	limitOnset = 500 * time.Millisecond
 	// limitExcess and limitAllowance are what is allowed beyond the limit.
 	limitExcess    = 1.5
 	limitAllowance = 5
 )
 
-// checkLimits counts the requests to searchers that named a limit.
-func checkLimits(e evidence, report reportFunc) {
+// checkLimits counts the requests to searchers that named a limit, from the nodes that knew it.
+func checkLimits(e evidence, exchangeByID map[string]exchange, report reportFunc) {
 	for _, l := range e.limits {
-		var at []time.Time
-		for _, r := range e.runs {
-			if r.searcher == l.searcher && l.during.contains(r.StartTime) && !r.StartTime.Before(l.during.from.Add(limitOnset)) {
-				at = append(at, r.StartTime)
-			}
-		}
-		slices.SortFunc(at, time.Time.Compare)
+		at := countedRuns(e, exchangeByID, l)
 		allowed := int(limitExcess*l.perSecond*limitWindow.Seconds()) + limitAllowance
 		for i := allowed; i < len(at); i++ {
 			if span := at[i].Sub(at[i-allowed]); span < limitWindow {
@@ -228,3 +223,27 @@
 		}
 	}
 }
+
+// countedRuns returns the start times of the runs that count against a limit, in order.
+func countedRuns(e evidence, exchangeByID map[string]exchange, l limit) []time.Time {
+	var runs []run
+	learnedAt := make(map[string]time.Time)
+	for _, r := range e.runs {
+		if r.searcher != l.searcher || !l.during.contains(r.StartTime) {
+			continue
+		}
+		runs = append(runs, r)
+		s := exchangeByID[r.ID]
+		if known, ok := learnedAt[s.node]; !ok || s.endedAt.Before(known) {
+			learnedAt[s.node] = s.endedAt
+		}
+	}
+	var at []time.Time
+	for _, r := range runs {
+		if !r.StartTime.Before(learnedAt[exchangeByID[r.ID].node].Add(limitOnset)) {
+			at = append(at, r.StartTime)
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	return at
+}
