--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -214,6 +214,7 @@
 	endLimits()
 	cut.restoreStoreLink()
 	r.mu.Lock()
+	r.cutOff = ""
 	r.evidence.quiet = append(r.evidence.quiet, interval{from: from, to: time.Now()})
 	r.mu.Unlock()
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -71,7 +71,7 @@
 	version      int
 	// routedService is the service to which the latest configuration routes requests that are not gathered from shards.
 	routedService string
-	// cutOff is the node that cannot reach the store in the current quiet phase, empty before the first.
+	// cutOff is the node that cannot reach the store in the current quiet phase, empty outside it.
 	cutOff string
 	shards []string
 }
