Log entries of the platform's store that are ignored as old, with the store's era

The logs of a run on a restored store show that the history was lost, but not what a full read returned or which of it was ignored, so that they cannot distinguish entries that are ignored as old from positions in the lost history.

Event 213 counts the entries of an answer of the store that are ignored since later revisions are known, with both revisions and the value of Store-Era.

--- a/internal/follow/entries.go
+++ b/internal/follow/entries.go
@@ -19,6 +19,8 @@
 	Entries  []Entry
 	Revision uint64
 	Complete bool
+	// Era counts how often the source was restored from a copy.
+	Era uint64
 }
 
 // maxRemoved is the number of removals that are kept for other nodes. A node that is missing an older removal gets a complete batch.
@@ -38,6 +40,18 @@
 
 func newEntries() *entries { return &entries{byKey: make(map[string]Entry)} }
 
+// countOlder returns the number of entries of a batch that merge ignores, since later revisions are known.
+func (e *entries) countOlder(batch Batch) int {
+	older := 0
+	for _, entry := range batch.Entries {
+		known, ok := e.byKey[entry.Key]
+		if (ok && known.Revision > entry.Revision) || (!ok && !entry.Removed && entry.Revision <= e.revision) {
+			older++
+		}
+	}
+	return older
+}
+
 // merge merges a batch and returns the entries that changed, one per key, in their final state.
 func (e *entries) merge(batch Batch) []Entry {
 	latest := make(map[string]Entry)
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -286,6 +286,7 @@
 		return f.callFailed(now, err, after)
 	}
 	f.needsList = false
+	f.logIgnored(batch)
 	f.applyBatch(now, batch, now, f.callSucceeded(now))
 	if len(batch.Entries) == 0 {
 		return 0
@@ -293,6 +294,16 @@
 	return coalesceDelay
 }
 
+// logIgnored logs how many entries of a batch from the source are ignored as old.
+func (f *Follower) logIgnored(batch Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if older := f.entries.countOlder(batch); older > 0 {
+		f.logger.Log(wire.Event_EVENT_ENTRIES_IGNORED, zap.Int("entries", older), zap.Uint64("known", f.entries.revision),
+			zap.Uint64("revision", batch.Revision), zap.Uint64("era", batch.Era), zap.Bool("complete", batch.Complete))
+	}
+}
+
 func (f *Follower) callFailed(now time.Time, err error, revision uint64) time.Duration {
 	f.failures++
 	if f.failures == 1 {
