Order documents of the configuration service by era, and keep them while operators write again

The path of serve compares the revisions of its documents (plans, uses, VM lists, indexes) the same way: after its service came back from an older copy, changes were taken for stale ones (event 202) until their number passed the old one, a refused revision stayed refused for another document, and a watch took another value under the same number for unchanged.

Change: the client reads the optional header X-Era and puts it above the revision, see package epoch, so that all comparisons, also those between nodes, hold. A watch that is answered as unchanged from another era reads the value. A document of a later era that differs from the one in force may be older; the first one is taken after 3 s, in which operators write again, a later one at once.

Ruled out: taking lower revisions as they come, since the service may answer from stale copies for long stretches, which TestRestartIgnoresStaleService guards.

Evidence: with revisions without eras TestChangesAfterRestoredService fails on all eight nodes; it passes now.

--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/fireflylanding/fireflylanding/internal/epoch"
 )
 
 const (
@@ -30,6 +32,8 @@
 
 	pathPrefix     = "/v1/values/"
 	revisionHeader = "X-Revision"
+	// eraHeader counts how often the service came back from an older copy. A service that does not send it is in era 0.
+	eraHeader = "X-Era"
 )
 
 // Value is one revision of the value of a key.
@@ -43,7 +47,7 @@
 	return Value{revision: revision, data: data}
 }
 
-// Revision returns the revision that the service assigned to the value.
+// Revision returns the revision that the service assigned to the value, with the era of the service as package epoch encodes it.
 func (v Value) Revision() uint64 { return v.revision }
 
 // Data returns the bytes of the value. The caller must not modify them.
@@ -92,8 +96,14 @@
 // to whole seconds. Its errors are those of Read.
 func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Value, bool, error) {
 	seconds := int64((wait + time.Second - 1) / time.Second)
-	query := "?after=" + strconv.FormatUint(after, 10) + "&wait=" + strconv.FormatInt(seconds, 10)
-	return c.get(ctx, key, query, time.Duration(seconds)*time.Second+watchTimeoutSlack)
+	query := "?after=" + strconv.FormatUint(epoch.Revision(after).Number(), 10) + "&wait=" + strconv.FormatInt(seconds, 10)
+	value, changed, err := c.get(ctx, key, query, time.Duration(seconds)*time.Second+watchTimeoutSlack)
+	if err != nil || changed || value.revision == 0 || epoch.Revision(value.revision).Era() == epoch.Revision(after).Era() {
+		return value, changed, err
+	}
+	// The service has the same number in another era, which belongs to another value.
+	value, err = c.Read(ctx, key)
+	return value, err == nil, err
 }
 
 // Close closes the idle connections.
@@ -156,7 +166,7 @@
 	case fasthttp.StatusOK:
 		return decodeValue(key, response)
 	case fasthttp.StatusNotModified:
-		return Value{}, false, nil
+		return decodeUnchanged(key, response)
 	case fasthttp.StatusTooManyRequests:
 		return Value{}, false, &RateLimitedError{key: key}
 	case fasthttp.StatusNotFound:
@@ -166,11 +176,39 @@
 	}
 }
 
-func decodeValue(key string, response *fasthttp.Response) (Value, bool, error) {
+// decodeUnchanged returns a value without data, which has the service's revision if the reply names it.
+func decodeUnchanged(key string, response *fasthttp.Response) (Value, bool, error) {
+	if len(response.Header.Peek(revisionHeader)) == 0 {
+		return Value{}, false, nil
+	}
+	revision, err := decodeRevision(response)
+	if err != nil {
+		return Value{}, false, &UnavailableError{key: key, cause: err}
+	}
+	return Value{revision: revision}, false, nil
+}
+
+// decodeRevision returns the revision and the era that a reply names.
+func decodeRevision(response *fasthttp.Response) (uint64, error) {
 	text := string(response.Header.Peek(revisionHeader))
-	revision, err := strconv.ParseUint(text, 10, 64)
+	number, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
-		return Value{}, false, &UnavailableError{key: key, cause: errors.Newf("header %s is %q, want a revision", revisionHeader, text)}
+		return 0, errors.Newf("header %s is %q, want a revision", revisionHeader, text)
+	}
+	era := uint64(0)
+	if text := string(response.Header.Peek(eraHeader)); text != "" {
+		if era, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return 0, errors.Newf("header %s is %q, want a count", eraHeader, text)
+		}
+	}
+	revision, err := epoch.New(era, number)
+	return uint64(revision), err
+}
+
+func decodeValue(key string, response *fasthttp.Response) (Value, bool, error) {
+	revision, err := decodeRevision(response)
+	if err != nil {
+		return Value{}, false, &UnavailableError{key: key, cause: err}
 	}
 	body := response.Body()
 	if len(body) > MaxValueBytes+valueSlackBytes {
--- a/internal/plat/client_test.go
+++ b/internal/plat/client_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
+
+	"github.com/fireflylanding/fireflylanding/internal/epoch"
 )
 
 // startServer starts a fake of the service, and returns a client for it and the counter of its calls.
@@ -209,3 +211,47 @@
 	}
 	group.Wait()
 }
+
+// Guards against a value that a restored service stores under a revision that it gave out before, and that is taken for the known one.
+func TestRestoredService(t *testing.T) {
+	at := func(era, number uint64) uint64 {
+		revision, err := epoch.New(era, number)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return uint64(revision)
+	}
+	tests := map[string]struct {
+		era         string
+		after       uint64
+		wantErr     string
+		wantChanged bool
+		wantRev     uint64
+	}{
+		"same era":             {era: "1", after: at(1, 5)},
+		"number in a new era":  {era: "2", after: at(1, 5), wantChanged: true, wantRev: at(2, 5)},
+		"first era":            {era: "1", after: at(0, 5), wantChanged: true, wantRev: at(1, 5)},
+		"service without eras": {after: at(0, 5)},
+		"invalid era":          {era: "two", after: at(1, 5), wantErr: "unavailable"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			client, _ := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(revisionHeader, "5")
+				if test.era != "" {
+					w.Header().Set(eraHeader, test.era)
+				}
+				if r.URL.Query().Get("after") == "5" {
+					w.WriteHeader(http.StatusNotModified)
+				}
+			})
+			value, changed, err := client.Watch(t.Context(), "plans", test.after, time.Second)
+			if got := errorKind(err); got != test.wantErr {
+				t.Fatalf("error: got %q, want %q", got, test.wantErr)
+			}
+			if changed != test.wantChanged || (changed && value.Revision() != test.wantRev) {
+				t.Errorf("got change %v to %v, want %v to %v", changed, epoch.Revision(value.Revision()), test.wantChanged, epoch.Revision(test.wantRev))
+			}
+		})
+	}
+}
--- a/internal/spread/store.go
+++ b/internal/spread/store.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflylanding/fireflylanding/internal/conf"
+	"github.com/fireflylanding/fireflylanding/internal/epoch"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
@@ -88,8 +89,19 @@
 	mu        sync.Mutex
 	histories map[string]*history
 	rejected  map[string]Rejection
+	// restored holds the first document of a later era that differed from the one in force, by key.
+	restored map[string]restoredDocument
 }
 
+// restoredDocument is a document that a restored service offered first.
+type restoredDocument struct {
+	revision uint64
+	at       time.Time
+}
+
+// rewriteTime is the time that operators need to write again what a restored service lost.
+const rewriteTime = 3 * time.Second
+
 // NewStore returns an empty store.
 func NewStore(validate ValidateFunc) *Store {
 	s := &Store{
@@ -97,6 +109,7 @@
 		subscribers: make(map[int]func(*Document)),
 		histories:   make(map[string]*history),
 		rejected:    make(map[string]Rejection),
+		restored:    make(map[string]restoredDocument),
 	}
 	s.docs.Store(&map[string]*Document{})
 	return s
@@ -117,6 +130,9 @@
 	if doc.revision <= current.Revision() {
 		return Stale{inForce: current.Revision()}
 	}
+	if s.mayRevert(now, current, doc) {
+		return Stale{inForce: current.Revision()}
+	}
 	if r, ok := s.Rejected(doc.key); ok && r.revision == doc.revision && r.hash == doc.hash {
 		return Invalid{faults: r.faults, known: true}
 	}
@@ -130,6 +146,22 @@
 	return Accepted{previous: current.Revision()}
 }
 
+// mayRevert reports whether a document of a later era may be older than the one in force, which the service then lost and operators write
+// again. The first different document of an era is taken after rewriteTime only, a later one at once.
+func (s *Store) mayRevert(now time.Time, current, doc *Document) bool {
+	if current == nil || epoch.Revision(doc.revision).Era() == epoch.Revision(current.revision).Era() || doc.hash == current.hash {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first, ok := s.restored[doc.key]
+	if !ok || epoch.Revision(first.revision).Era() != epoch.Revision(doc.revision).Era() {
+		first = restoredDocument{revision: doc.revision, at: now}
+		s.restored[doc.key] = first
+	}
+	return doc.revision <= first.revision && now.Sub(first.at) < rewriteTime
+}
+
 // RejectValue records a value that could not be parsed as a document.
 func (s *Store) RejectValue(now time.Time, key string, revision uint64, err error) Result {
 	s.acceptMu.Lock()
@@ -163,6 +195,7 @@
 	} else {
 		s.histories[doc.key].add(current, doc)
 	}
+	delete(s.restored, doc.key)
 	docs := maps.Clone(*s.docs.Load())
 	docs[doc.key] = doc
 	s.docs.Store(&docs)
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/fireflylanding/fireflylanding/internal/conf"
 	"github.com/fireflylanding/fireflylanding/internal/delay"
+	"github.com/fireflylanding/fireflylanding/internal/epoch"
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/member"
 	"github.com/fireflylanding/fireflylanding/internal/plat"
@@ -37,6 +38,8 @@
 	onlyRegion string
 	// staleBy is the number of revisions by which served values lag behind.
 	staleBy int
+	// era counts the restores.
+	era uint64
 	// calls holds the times of all calls, reads the number of direct reads by key.
 	calls []time.Time
 	reads map[string]int
@@ -50,10 +53,26 @@
 func (p *testPlatform) put(key, text string) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	revision := uint64(len(p.values[key]) + 1)
-	p.values[key] = append(p.values[key], plat.NewValue(revision, []byte(text)))
+	p.values[key] = append(p.values[key], plat.NewValue(uint64(len(p.values[key])+1), []byte(text)))
 	p.notifyWatches()
-	return revision
+	return p.inEra(p.values[key][len(p.values[key])-1]).Revision()
+}
+
+// inEra returns a value with its revision in the current era. The caller must hold mu.
+func (p *testPlatform) inEra(value plat.Value) plat.Value {
+	revision, err := epoch.New(p.era, value.Revision())
+	if err != nil {
+		panic(err)
+	}
+	return plat.NewValue(uint64(revision), value.Data())
+}
+
+// restore begins another era from a copy that lacks the last revisions of a key.
+func (p *testPlatform) restore(key string, lost int) {
+	p.update(func() {
+		p.era++
+		p.values[key] = p.values[key][:len(p.values[key])-lost]
+	})
 }
 
 // remove deletes a key with all its revisions.
@@ -89,7 +108,7 @@
 	if len(revisions) == 0 {
 		return plat.Value{}, p.changed, plat.NewUnknownKeyError(key)
 	}
-	return revisions[max(0, len(revisions)-1-p.staleBy)], p.changed, nil
+	return p.inEra(revisions[max(0, len(revisions)-1-p.staleBy)]), p.changed, nil
 }
 
 // count records a call, which is a direct read or a watch.
