--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -171,7 +171,7 @@
 		return
 	}
 	r.fleet.mu.Lock()
-	s.leaving = true
+	s.leaving, s.announced = true, announced
 	r.fleet.mu.Unlock()
 	if announced {
 		r.fleet.store.Register(s.Searcher, s.proxy.address(), s.zone, "draining")
@@ -189,15 +189,23 @@
 	r.evidence.violations = append(r.evidence.violations, Violation{Promise: promise, Detail: fmt.Sprintf(format, values...)})
 }
 
-// round injects two to four overlapping faults, undoes them, and checks after the recovery phase what must hold without faults.
+func (r *runner) recordFault(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = append(r.faults, name)
+}
+
+// round injects two to four overlapping faults and up to one drill, undoes them, and checks after the recovery phase what must hold without faults.
 func (r *runner) round(ctx context.Context) {
 	var undo []func()
+	if i := r.drillRandom.IntN(len(drills) + 1); i < len(drills) {
+		r.recordFault(drills[i].name)
+		undo = append(undo, drills[i].inject(r))
+	}
 	n := 2 + r.random.IntN(3)
 	for range n {
 		f := faults[r.random.IntN(len(faults))]
-		r.mu.Lock()
-		r.faults = append(r.faults, f.name)
-		r.mu.Unlock()
+		r.recordFault(f.name)
 		undo = append(undo, f.inject(r))
 		delay.Sleep(ctx, faultPhase/time.Duration(n))
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -106,6 +106,8 @@
 	proxy   *proxy
 	zone    string
 	leaving bool
+	// announced is set when a leaving searcher reported itself as draining; otherwise its entry was removed.
+	announced bool
 }
 
 // searcherID returns a searcher's id. It contains the service, so that a proof shows which service answered.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -58,11 +58,16 @@
 	startTimeout = 10 * time.Second
 )
 
+// drillStream distinguishes the random numbers that select drills.
+const drillStream = 1
+
 // runner executes one soak.
 type runner struct {
 	settings Settings
 	fleet    *fleet
 	random   *rand.Rand
+	// drillRandom selects the drills. It is separate, so that the faults of recorded seeds stay the same when drills are added.
+	drillRandom *rand.Rand
 
 	mu           sync.Mutex
 	evidence     evidence
@@ -78,7 +83,7 @@
 
 // Run runs a soak and returns its report. It returns an error only if the fleet does not start.
 func Run(ctx context.Context, s Settings) (Report, error) {
-	r := &runner{settings: s, random: rand.New(rand.NewPCG(s.Seed, s.Seed))}
+	r := &runner{settings: s, random: rand.New(rand.NewPCG(s.Seed, s.Seed)), drillRandom: rand.New(rand.NewPCG(s.Seed, drillStream))}
 	r.evidence.allowed = make(map[string][]string)
 	r.evidence.drainBound = drainBound
 	if err := r.start(ctx); err != nil {
@@ -166,6 +171,12 @@
 		r.allow("/gather/", shard)
 	}
 	r.mu.Unlock()
+	r.writeConfig(version, service)
+}
+
+// writeConfig writes a configuration version to the store.
+func (r *runner) writeConfig(version int, service string) {
+	added := fmt.Sprintf("/v%d/", version)
 	r.fleet.store.PutConfig(version, []stand.Route{
 		{Host: host, Prefix: "/gather/", Shards: r.shards, TopK: 5, MinCoverage: 0.6, TimeoutMS: 600, GoalMS: 200},
 		{Host: host, Prefix: "/safe/", Service: service, TimeoutMS: 600, GoalMS: 200},
