Estimate and log the share of the searchers that a node reaches

Nothing told a node that has lost its links from one that lost some searchers, nor when.

Package reach estimates the share from the requests and connections that a node makes anyway: a reply or a new connection reaches a searcher; no connection, or requests without any reply for 700 ms, do not. Events 512 and 513 log that the share falls below a half and rises again; the status report and the gauge searchers.reached_percent show it. The pool reports failed dials for it.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -36,8 +36,8 @@
 type Pool struct {
 	address string
 	dial    Dial
-	// onDial is called with the time that opening a connection took.
-	onDial func(took time.Duration)
+	// onDial is called with the time that opening a connection took, or with the error.
+	onDial func(took time.Duration, err error)
 
 	mu    sync.Mutex
 	limit int
@@ -57,7 +57,7 @@
 }
 
 // New returns an empty pool that opens at most limit connections.
-func New(address string, limit int, dial Dial, onDial func(took time.Duration)) *Pool {
+func New(address string, limit int, dial Dial, onDial func(took time.Duration, err error)) *Pool {
 	return &Pool{address: address, limit: max(limit, 1), dial: dial, onDial: onDial}
 }
 
@@ -203,9 +203,10 @@
 		}
 		return nil, ErrClosed
 	case err != nil:
+		p.onDial(took, err)
 		return nil, err
 	}
-	p.onDial(took)
+	p.onDial(took, nil)
 	return newConn(conn), nil
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -59,7 +59,7 @@
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	}
-	p := New(address, limit, dial, func(time.Duration) {})
+	p := New(address, limit, dial, func(time.Duration, error) {})
 	t.Cleanup(p.Close)
 	return p
 }
--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,81 @@
+package reach
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a node that takes slow, single or old failures for lost links, and against one that forgets that it has lost them.
+func TestReach(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	at := func(age time.Duration) time.Time { return now.Add(-age) }
+	up := func(l *Link) { l.Reached(now) }
+	down := func(l *Link) { l.Failed(now) }
+	silent := func(l *Link) {
+		l.Reached(at(2 * silenceLimit))
+		l.Sent(at(silenceLimit))
+		l.Sent(at(silenceLimit / 2))
+	}
+	slow := func(l *Link) { l.Reached(at(silenceLimit)); l.Sent(at(silenceLimit / 2)) }
+	old := func(l *Link) { l.Failed(at(evidenceWindow)); l.Sent(at(evidenceWindow)) }
+	none := func(*Link) {}
+	tests := map[string]struct {
+		links    []func(*Link)
+		previous Reach
+		want     Reach
+		wantLow  bool
+	}{
+		"all reached":                         {links: []func(*Link){up, up, up, up}, want: Of(1)},
+		"one of four lost":                    {links: []func(*Link){up, up, up, down}, want: Of(0.75)},
+		"all lost":                            {links: []func(*Link){down, down, down}, want: Of(0), wantLow: true},
+		"all silent":                          {links: []func(*Link){silent, silent, silent, silent}, want: Of(0), wantLow: true},
+		"slow":                                {links: []func(*Link){up, up, slow}, want: Of(1)},
+		"connection refused after a reply":    {links: []func(*Link){func(l *Link) { l.Reached(at(time.Second)); l.Failed(now) }, down, down}, want: Of(0), wantLow: true},
+		"too few":                             {links: []func(*Link){down, down}, want: Unknown},
+		"no evidence":                         {links: []func(*Link){none, none, none}, want: Unknown},
+		"old evidence":                        {links: []func(*Link){old, old, old}, want: Unknown},
+		"no evidence any more, low before":    {previous: Of(0.1), want: Of(0.1), wantLow: true},
+		"no evidence any more, high before":   {previous: Of(0.9), want: Unknown},
+		"reached again, low before":           {links: []func(*Link){up, up, up}, previous: Of(0.1), want: Of(1)},
+		"lost long ago, others reached again": {links: []func(*Link){old, up, up, up}, previous: Of(0), want: Of(1)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var sample Sample
+			for _, record := range test.links {
+				link := &Link{}
+				record(link)
+				sample.Add(now, link)
+			}
+			got := sample.Reach(test.previous)
+			if got != test.want {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+			if got.Low() != test.wantLow {
+				t.Errorf("low: got %v, want %v", got.Low(), test.wantLow)
+			}
+		})
+	}
+}
+
+// Guards against nodes that all leave the directory because the searchers themselves are down.
+func TestBelowOthers(t *testing.T) {
+	tests := map[string]struct {
+		own, best Reach
+		want      bool
+	}{
+		"only this node lost its links":  {own: Of(0), best: Of(1), want: true},
+		"all lost a third":               {own: Of(0.66), best: Of(0.67)},
+		"all lost all":                   {own: Of(0), best: Of(0)},
+		"searchers down, others as well": {own: Of(0.3), best: Of(0.4)},
+		"others unknown":                 {own: Of(0), best: Unknown},
+		"own unknown":                    {own: Unknown, best: Of(1)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := test.own.BelowOthers(test.best); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -8,10 +8,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
 	"github.com/fireflylanding/fireflylanding/internal/health"
 	"github.com/fireflylanding/fireflylanding/internal/pace"
 	"github.com/fireflylanding/fireflylanding/internal/pool"
+	"github.com/fireflylanding/fireflylanding/internal/reach"
 	"github.com/fireflylanding/fireflylanding/internal/route"
 )
 
@@ -22,6 +25,8 @@
 	tracker  *health.Tracker
 	// pacer holds this node's share of the limit that the searcher names.
 	pacer *pace.Pacer
+	// link holds the evidence on whether this node reaches the searcher.
+	link *reach.Link
 	// nextWarmAt is the earliest time for opening the next connection in advance; only the node's tick uses it.
 	nextWarmAt time.Time
 	// probing is set while a liveness probe of the searcher runs.
@@ -67,6 +72,7 @@
 type balancer struct {
 	location Location
 	dial     pool.Dial
+	clock    func() time.Time
 	current  atomic.Pointer[endpointTable]
 	// nodes counts the nodes that share the connections.
 	nodes atomic.Pointer[NodeCounts]
@@ -74,8 +80,8 @@
 	roundTrips sync.Map
 }
 
-func newBalancer(location Location, dial pool.Dial) *balancer {
-	b := &balancer{location: location, dial: dial}
+func newBalancer(location Location, dial pool.Dial, clock func() time.Time) *balancer {
+	b := &balancer{location: location, dial: dial, clock: clock}
 	b.current.Store(&endpointTable{})
 	b.nodes.Store(&NodeCounts{Discovering: true, Members: &pace.Members{}})
 	return b
@@ -94,7 +100,7 @@
 		case !ok:
 			ep = b.newEndpoint(s, limit)
 		case s.Leaving() && !ep.searcher.Leaving():
-			ep = &endpoint{searcher: s, pool: ep.pool, tracker: ep.tracker, pacer: ep.pacer}
+			ep = &endpoint{searcher: s, pool: ep.pool, tracker: ep.tracker, pacer: ep.pacer, link: ep.link}
 		case !s.Leaving() && ep.searcher.Leaving():
 			ep = b.newEndpoint(s, limit)
 		}
@@ -122,13 +128,34 @@
 }
 
 func (b *balancer) newEndpoint(s *fleet.Searcher, limit int) *endpoint {
-	region := b.location.Regions[s.Zone()]
+	region, link := b.location.Regions[s.Zone()], &reach.Link{}
+	onDial := func(took time.Duration, err error) {
+		switch {
+		case err == nil:
+			b.recordRoundTrip(region, took)
+			link.Reached(b.clock())
+		case !errors.Is(err, context.Canceled):
+			link.Failed(b.clock())
+		}
+	}
 	return &endpoint{
 		searcher: s,
-		pool:     pool.New(s.Address(), limit, b.dial, func(took time.Duration) { b.recordRoundTrip(region, took) }),
+		pool:     pool.New(s.Address(), limit, b.dial, onDial),
 		tracker:  health.New(s.Slots()),
 		pacer:    pace.New(s.ID(), region),
+		link:     link,
+	}
+}
+
+// reach returns an estimate of the share of the searchers that this node reaches.
+func (b *balancer) reach(now time.Time, previous reach.Reach) reach.Reach {
+	var sample reach.Sample
+	for _, endpoints := range b.current.Load().byService {
+		for _, ep := range endpoints {
+			sample.Add(now, ep.link)
+		}
 	}
+	return sample.Reach(previous)
 }
 
 // NodeCounts counts the nodes that share a searcher's connections, its limit and the budget of extra attempts.
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -14,7 +14,7 @@
 // newTestBalancer returns a balancer with searchers of one service in a near and a far region, each of which accepts maxConns connections.
 func newTestBalancer(t *testing.T, searchers, maxConns int, dial func(ctx context.Context, address string) (net.Conn, error)) *balancer {
 	t.Helper()
-	b := newBalancer(Location{Zone: "z-near", Region: "near", Regions: map[string]string{"z-near": "near", "z-far": "far"}}, dial)
+	b := newBalancer(Location{Zone: "z-near", Region: "near", Regions: map[string]string{"z-near": "near", "z-far": "far"}}, dial, time.Now)
 	registry := fleet.New()
 	var seen []*fleet.Searcher
 	for i := range searchers {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -16,6 +16,7 @@
 	"github.com/fireflylanding/fireflylanding/internal/pace"
 	"github.com/fireflylanding/fireflylanding/internal/pool"
 	"github.com/fireflylanding/fireflylanding/internal/quar"
+	"github.com/fireflylanding/fireflylanding/internal/reach"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -111,7 +112,7 @@
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	}
-	ep := &endpoint{searcher: searcher, pool: pool.New(searcher.Address(), 2, dial, func(time.Duration) {}), tracker: health.New(2), pacer: pace.New("i-0", "")}
+	ep := &endpoint{searcher: searcher, pool: pool.New(searcher.Address(), 2, dial, func(time.Duration, error) {}), tracker: health.New(2), pacer: pace.New("i-0", ""), link: &reach.Link{}}
 	defer ep.pool.Close()
 	if err := ep.pool.Probe(t.Context()); err != nil {
 		t.Fatal(err)
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -11,6 +11,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
 
 	"github.com/fireflylanding/fireflylanding/internal/budget"
 	"github.com/fireflylanding/fireflylanding/internal/events"
@@ -18,6 +19,7 @@
 	"github.com/fireflylanding/fireflylanding/internal/intake"
 	"github.com/fireflylanding/fireflylanding/internal/meter"
 	"github.com/fireflylanding/fireflylanding/internal/quar"
+	"github.com/fireflylanding/fireflylanding/internal/reach"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
@@ -57,8 +59,10 @@
 	// nodes is the number of nodes that share the budget.
 	nodes atomic.Int64
 	// active is set while callers are routed to this node.
-	active    atomic.Bool
-	inFlight  atomic.Int64
+	active   atomic.Bool
+	inFlight atomic.Int64
+	// reach is the share of the searchers that this node reaches, as of the last tick.
+	reach     atomic.Pointer[reach.Reach]
 	tasks     conc.WaitGroup
 	attempts  metrics.Counter
 	hedges    metrics.Counter
@@ -84,9 +88,10 @@
 		attempts:  metrics.NewRegisteredCounter("relay.attempts", registry),
 		hedges:    metrics.NewRegisteredCounter("relay.hedges", registry),
 	}
-	e.balancer = newBalancer(location, e.replies.Dialer(dial))
+	e.balancer = newBalancer(location, e.replies.Dialer(dial), clock)
 	e.budget.Store(&b)
 	e.nodes.Store(1)
+	e.reach.Store(&reach.Unknown)
 	return e
 }
 
@@ -120,11 +125,28 @@
 // Tick closes expired idle connections, adapts this node's shares of limits, and opens connections in advance on a node that callers are routed to.
 func (e *Engine) Tick(ctx context.Context, now time.Time) {
 	e.balancer.maintain(now)
+	e.updateReach(now)
 	if e.active.Load() {
 		e.balancer.warm(ctx, now, func(f func()) { e.tasks.Go(f) })
 	}
 }
 
+// Reach returns the share of the searchers that this node reaches.
+func (e *Engine) Reach() reach.Reach { return *e.reach.Load() }
+
+// updateReach estimates the reach again, and logs when the node has lost most of its links or has them back.
+func (e *Engine) updateReach(now time.Time) {
+	before := e.Reach()
+	current := e.balancer.reach(now, before)
+	e.reach.Store(&current)
+	switch {
+	case current.Low() && !before.Low():
+		e.logger.Log(wire.Event_EVENT_SEARCHERS_UNREACHED, zap.Float64("share", current.Share()))
+	case before.Low() && !current.Low():
+		e.logger.Log(wire.Event_EVENT_SEARCHERS_REACHED, zap.Float64("share", current.Share()))
+	}
+}
+
 // attemptCost converts attempts into load. It is twice the CPU time of an attempt on the users' bench, including all work of a node.
 const attemptCost = 150 * time.Microsecond
 
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -73,6 +73,7 @@
 	}
 	f.attemptLog = append(f.attemptLog, a.record)
 	a.ticket = chosen.endpoint.tracker.Begin(now, chosen.roundTrip)
+	chosen.endpoint.link.Sent(now)
 	p.tried = append(p.tried, chosen.endpoint)
 	p.sent++
 	p.inFlight++
@@ -138,6 +139,9 @@
 	if r.reason == wire.Reason_REASON_WRONG_SEARCHER {
 		a.endpoint.replaced.Store(true)
 	}
+	if r.response != nil {
+		a.endpoint.link.Reached(now)
+	}
 	f.engine.observeLimit(now, a, r)
 	if r.abrupt {
 		if !f.answered() {
--- a/internal/tier/metrics.go
+++ b/internal/tier/metrics.go
@@ -35,19 +35,20 @@
 			}
 			return 0
 		},
-		"store.revision":      func() int64 { return int64(t.follower.Position(t.clock()).Revision.Number()) },
-		"store.era":           func() int64 { return int64(t.follower.Position(t.clock()).Revision.Era()) },
-		"store.age_ms":        func() int64 { return t.follower.Position(t.clock()).Age.Milliseconds() },
-		"store.doubt_ms":      func() int64 { return t.follower.Position(t.clock()).RemovalHold.Milliseconds() },
-		"searchers.known":     func() int64 { return int64(len(t.fleet.Snapshot().All())) },
-		"nodes.known":         func() int64 { return int64(len(t.roster.Members())) },
-		"nodes.live":          func() int64 { return int64(len(t.roster.Live(t.clock()))) },
-		"nodes.active":        func() int64 { return int64(len(t.roster.Active(t.clock()))) },
-		"quarantine.dropped":  func() int64 { return int64(t.marks.Dropped()) },
-		"intake.limit":        func() int64 { return t.minLimit() },
-		"replies.bytes":       func() int64 { return t.engine.ReplyMemory() },
-		"requests.in_flight":  func() int64 { return int64(t.engine.InFlight()) },
-		"callers.connections": func() int64 { return int64(t.edge.Connections()) },
+		"store.revision":            func() int64 { return int64(t.follower.Position(t.clock()).Revision.Number()) },
+		"store.era":                 func() int64 { return int64(t.follower.Position(t.clock()).Revision.Era()) },
+		"store.age_ms":              func() int64 { return t.follower.Position(t.clock()).Age.Milliseconds() },
+		"store.doubt_ms":            func() int64 { return t.follower.Position(t.clock()).RemovalHold.Milliseconds() },
+		"searchers.reached_percent": func() int64 { return int64(100 * t.engine.Reach().Share()) },
+		"searchers.known":           func() int64 { return int64(len(t.fleet.Snapshot().All())) },
+		"nodes.known":               func() int64 { return int64(len(t.roster.Members())) },
+		"nodes.live":                func() int64 { return int64(len(t.roster.Live(t.clock()))) },
+		"nodes.active":              func() int64 { return int64(len(t.roster.Active(t.clock()))) },
+		"quarantine.dropped":        func() int64 { return int64(t.marks.Dropped()) },
+		"intake.limit":              func() int64 { return t.minLimit() },
+		"replies.bytes":             func() int64 { return t.engine.ReplyMemory() },
+		"requests.in_flight":        func() int64 { return int64(t.engine.InFlight()) },
+		"callers.connections":       func() int64 { return int64(t.edge.Connections()) },
 	} {
 		_ = t.registry.Register(name, metrics.NewFunctionalGauge(read))
 	}
--- a/internal/tier/report.go
+++ b/internal/tier/report.go
@@ -27,7 +27,9 @@
 	StoreRemovalHold int64  `json:"store_doubt_ms"`
 	ReadsStore       bool   `json:"reads_store"`
 	InFlight         int    `json:"requests_in_flight"`
-	Connections      int    `json:"caller_connections"`
+	// SearchersReached is the share of the searchers that the node reaches, absent while it has no recent evidence.
+	SearchersReached *float64 `json:"searchers_reached_share,omitempty"`
+	Connections      int      `json:"caller_connections"`
 	// Limits are the limits on queries in flight by group of routes.
 	Limits    map[string]relay.LimitReport `json:"limits"`
 	Searchers []relay.SearcherReport       `json:"searchers"`
@@ -56,6 +58,10 @@
 		ReadsStore: t.isReader(), InFlight: t.engine.InFlight(), Connections: t.edge.Connections(),
 		Limits: t.engine.Limits(), Searchers: t.engine.Searchers(now), Nodes: t.nodeReports(now),
 	}
+	if reached := t.engine.Reach(); reached.Known() {
+		share := reached.Share()
+		report.SearchersReached = &share
+	}
 	if table := t.follower.Table(); table != nil {
 		report.RoutesVersion, report.Routes = table.Version(), len(table.Routes())
 	}
