--- a/internal/relay/leaving_test.go
+++ b/internal/relay/leaving_test.go
@@ -67,7 +67,7 @@
 					_ = far.Close()
 				}()
 				return near, nil
-			})
+			}, time.Now)
 			ep := registerOne(t, e, false, 1)
 			ep.pool.SetLimit(1)
 			release := func() { accept <- struct{}{} }
