--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -23,6 +23,7 @@
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
 	"github.com/fireflylanding/fireflylanding/internal/follow"
 	"github.com/fireflylanding/fireflylanding/internal/peer"
+	"github.com/fireflylanding/fireflylanding/internal/pool"
 	"github.com/fireflylanding/fireflylanding/internal/quar"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/relay"
@@ -44,6 +45,8 @@
 type Adapter struct {
 	Source follow.Source
 	Codec  edge.Codec
+	// Dial opens connections to searchers.
+	Dial pool.Dial
 	// Directory and Checks serve the platform's calls.
 	Directory func(Discovery) *fiber.App
 	Checks    func(Discovery) *fiber.App
@@ -125,7 +128,7 @@
 		Cores:         settings.CPUCapacity,
 	}, roster.Settings{})
 	location := relay.Location{Zone: settings.Zone, Region: settings.Region, Regions: settings.Regions}
-	t.engine = relay.New(adapter.Codec, settings.budget(), location, quar.New(quar.Settings{}), dial, t.logger, t.counters, t.registry, clock)
+	t.engine = relay.New(adapter.Codec, settings.budget(), location, quar.New(quar.Settings{}), adapter.Dial, t.logger, t.counters, t.registry, clock)
 	t.follower = follow.New(adapter.Source, t.fleet, follow.Settings{ApplyWithin: settings.ApplyWithin}, follow.Hooks{
 		IsReader:      t.isReader,
 		OnChange:      t.rebuild,
@@ -174,7 +177,8 @@
 // keepAlive enables TCP keep-alive probes, which detect a connection that went silent.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}
 
-func dial(ctx context.Context, address string) (net.Conn, error) {
+// Dial opens a connection to a searcher.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{KeepAliveConfig: keepAlive}
 	return dialer.DialContext(ctx, "tcp", address)
 }
