Direct callers away from nodes that reach far fewer searchers than others

What callers saw: nodes without links to the searchers served 1 of 94 first tries, since the directory named them and their connections stayed open; callers left only after failures of their own.

Cause: a node counted as able to serve while it was alive and had routes. The class: liveness towards other nodes taken for the ability to serve. The directory, readiness and kept connections all shared it.

Change: a node's state carries its reach. A node that reaches less than half of the share that the best node reaches is not among those that callers are directed to, at any directory; it is not ready, and its answers close the caller's connection (events 514 and 515). Without such a node, as when the searchers themselves are down, no node is left out. A stranded node gets no requests to learn from, so it opens up to eight connections a tick to searchers that it has not reached lately; so do nodes without evidence while no node reaches most searchers.

Ruled out: an absolute bound, which would empty the directory when searchers are down; probes at all times, which cost connections and are not needed while requests show it.

--- a/internal/reach/link.go
+++ b/internal/reach/link.go
@@ -36,6 +36,9 @@
 	return l.failedAt.Load() > l.reachedAt.Load() || l.silent(now)
 }
 
+// RecentlyReached reports whether there is recent evidence that the searcher is reached.
+func (l *Link) RecentlyReached(now time.Time) bool { return l.recent(now) && !l.Lost(now) }
+
 // silent reports whether requests have got no reply for silenceLimit.
 func (l *Link) silent(now time.Time) bool {
 	since := l.unansweredSince.Load()
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -29,6 +29,8 @@
 	link *reach.Link
 	// nextWarmAt is the earliest time for opening the next connection in advance; only the node's tick uses it.
 	nextWarmAt time.Time
+	// nextProbeAt is the earliest time for opening the next connection to learn whether the searcher is reached; only the node's tick uses it.
+	nextProbeAt time.Time
 	// probing is set while a liveness probe of the searcher runs.
 	probing atomic.Bool
 	// replaced is set once a different process has answered at the searcher's address.
@@ -236,6 +238,39 @@
 	}
 }
 
+const (
+	// maxProbesPerTick bounds the connections that one tick opens to find out whether searchers are reached.
+	maxProbesPerTick = 8
+	// probeInterval is the minimum time between two such connections to the same searcher.
+	probeInterval = 500 * time.Millisecond
+)
+
+// probe opens connections to searchers that this node does not reach or knows nothing of, since a node that gets no requests learns nothing
+// from them.
+func (b *balancer) probe(ctx context.Context, now time.Time, start func(func())) {
+	remaining := maxProbesPerTick
+	for _, endpoints := range b.current.Load().byService {
+		for _, ep := range endpoints {
+			if remaining == 0 {
+				return
+			}
+			if now.Before(ep.nextProbeAt) || ep.link.RecentlyReached(now) {
+				continue
+			}
+			remaining--
+			ep.nextProbeAt = now.Add(probeInterval)
+			start(func() {
+				ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+				defer cancel()
+				// Idle connections may have gone silent, and would keep the pool from opening another one.
+				ep.pool.DropIdle(now)
+				// The pool reports the outcome to the link.
+				_ = ep.pool.Probe(ctx)
+			})
+		}
+	}
+}
+
 func (b *balancer) recordRoundTrip(region string, took time.Duration) {
 	known, ok := b.roundTrips.Load(region)
 	if !ok || took < known.(time.Duration) {
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -62,7 +62,10 @@
 	active   atomic.Bool
 	inFlight atomic.Int64
 	// reach is the share of the searchers that this node reaches, as of the last tick.
-	reach     atomic.Pointer[reach.Reach]
+	reach atomic.Pointer[reach.Reach]
+	// stranded is set while other nodes reach far more searchers. doubted is set while no node is known to reach most of them.
+	stranded  atomic.Bool
+	doubted   atomic.Bool
 	tasks     conc.WaitGroup
 	attempts  metrics.Counter
 	hedges    metrics.Counter
@@ -122,10 +125,13 @@
 // SetBudget changes the share and the allowance of extra attempts; the window stays.
 func (e *Engine) SetBudget(b Budget) { e.budget.Store(&b) }
 
-// Tick closes expired idle connections, adapts this node's shares of limits, and opens connections in advance on a node that callers are routed to.
+// Tick closes expired idle connections, adapts this node's shares of limits, estimates its reach, and opens connections in advance on a node that callers are routed to.
 func (e *Engine) Tick(ctx context.Context, now time.Time) {
 	e.balancer.maintain(now)
 	e.updateReach(now)
+	if known := e.Reach(); known.Low() || (e.doubted.Load() && !known.Known()) {
+		e.balancer.probe(ctx, now, func(f func()) { e.tasks.Go(f) })
+	}
 	if e.active.Load() {
 		e.balancer.warm(ctx, now, func(f func()) { e.tasks.Go(f) })
 	}
@@ -147,6 +153,22 @@
 	}
 }
 
+// CompareReach compares the reach of this node with the best of all nodes.
+func (e *Engine) CompareReach(best reach.Reach) {
+	stranded := e.Reach().BelowOthers(best)
+	if e.stranded.Swap(stranded) != stranded {
+		event := wire.Event_EVENT_NODE_NOT_STRANDED
+		if stranded {
+			event = wire.Event_EVENT_NODE_STRANDED
+		}
+		e.logger.Log(event, zap.Float64("share", e.Reach().Share()), zap.Float64("best", best.Share()))
+	}
+	e.doubted.Store(best.Low())
+}
+
+// Stranded reports whether this node has lost its links to searchers that other nodes reach.
+func (e *Engine) Stranded() bool { return e.stranded.Load() }
+
 // attemptCost converts attempts into load. It is twice the CPU time of an attempt on the users' bench, including all work of a node.
 const attemptCost = 150 * time.Microsecond
 
--- a/internal/roster/live.go
+++ b/internal/roster/live.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"github.com/fireflylanding/fireflylanding/internal/reach"
 )
 
 // tableInterval is the time between two exchanges of the region's table. It grows with the region, which bounds the bytes sent.
@@ -76,8 +78,10 @@
 	at time.Time
 	// live holds the ready nodes that are not silent, including this one when it is ready, in hash order.
 	live []State
-	// active holds the nodes that callers are directed to, by zone.
+	// active holds the nodes that callers are directed to, by zone. Those that reach far fewer searchers than others are not among them.
 	active map[string][]State
+	// bestReach is the greatest reach of the live nodes, unknown if no node knows its reach.
+	bestReach reach.Reach
 }
 
 // currentView returns the current view and rebuilds it when it is outdated. The caller holds mu.
@@ -97,8 +101,11 @@
 	}
 	slices.SortFunc(v.live, func(a, b State) int { return cmp.Compare(a.hashOrder, b.hashOrder) })
 	zones := make(map[string][]State)
+	v.bestReach = bestReach(v.live)
 	for _, state := range v.live {
-		zones[state.Zone] = append(zones[state.Zone], state)
+		if !state.Reach.BelowOthers(v.bestReach) {
+			zones[state.Zone] = append(zones[state.Zone], state)
+		}
 	}
 	for zone, states := range zones {
 		v.active[zone] = activeNodes(states)
@@ -107,6 +114,24 @@
 	return v
 }
 
+// bestReach returns the greatest reach of the nodes that know theirs.
+func bestReach(states []State) reach.Reach {
+	best := reach.Unknown
+	for _, s := range states {
+		if s.Reach.Known() && (!best.Known() || s.Reach.Share() > best.Share()) {
+			best = s.Reach
+		}
+	}
+	return best
+}
+
+// BestReach returns the greatest reach of the live nodes, unknown if no node knows its reach.
+func (r *Roster) BestReach(now time.Time) reach.Reach {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.currentView(now).bestReach
+}
+
 // Live returns the nodes that are ready and not silent, including this one when it is ready, in hash order. The caller must not modify
 // the result.
 func (r *Roster) Live(now time.Time) []State {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/fireflylanding/fireflylanding/internal/reach"
 )
 
 // Phase is the lifecycle phase of a node.
@@ -49,6 +51,8 @@
 	// Cores is the CPU capacity of the VM in cores, and Load the cores that its requests use.
 	Cores float64
 	Load  float64
+	// Reach is the share of the searchers that the node reaches.
+	Reach reach.Reach
 	// hashOrder orders the nodes of a zone. It is a hash of the id, so that all nodes compute the same order.
 	hashOrder uint64
 }
@@ -158,6 +162,20 @@
 	r.self.Load = load
 }
 
+// SetReach sets the share of the searchers that this node reaches. It advances the heartbeat if the node has lost its links or has them back,
+// so that the change propagates, and reports whether this is so.
+func (r *Roster) SetReach(current reach.Reach) (changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed = current.Low() != r.self.Reach.Low()
+	r.self.Reach = current
+	if changed {
+		r.self.Heartbeat++
+		r.changed = true
+	}
+	return changed
+}
+
 // HandlePause restarts the silence timers of all nodes, since this process received nothing while it was paused.
 func (r *Roster) HandlePause(now time.Time) {
 	r.mu.Lock()
--- a/internal/tier/exchange.go
+++ b/internal/tier/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/fireflylanding/fireflylanding/internal/epoch"
 	"github.com/fireflylanding/fireflylanding/internal/follow"
 	"github.com/fireflylanding/fireflylanding/internal/peer"
+	"github.com/fireflylanding/fireflylanding/internal/reach"
 	"github.com/fireflylanding/fireflylanding/internal/roster"
 	"github.com/fireflylanding/fireflylanding/internal/shards"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
@@ -62,6 +63,8 @@
 			Beat:             s.Heartbeat,
 			Cores:            float32(s.Cores),
 			Load:             float32(s.Load),
+			ReachKnown:       s.Reach.Known(),
+			Reach:            float32(s.Reach.Share()),
 		}.Build()
 	}
 	return wire.Digest_builder{Id: t.settings.Load().Node, Nodes: nodes, Source: t.position(now)}.Build()
@@ -99,6 +102,7 @@
 			Heartbeat:     n.GetBeat(),
 			Cores:         float64(n.GetCores()),
 			Load:          float64(n.GetLoad()),
+			Reach:         reachOf(n),
 		}
 	}
 	t.roster.Merge(now, states)
@@ -109,6 +113,13 @@
 	return states
 }
 
+func reachOf(n *wire.NodeState) reach.Reach {
+	if !n.GetReachKnown() {
+		return reach.Unknown
+	}
+	return reach.Of(float64(n.GetReach()))
+}
+
 // observePosition records how far another node follows the source, and reports whether it has entries that this node needs.
 func (t *Tier) observePosition(now time.Time, sender roster.State, position follow.Position) bool {
 	if sender.Region == t.roster.Self().Region {
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -48,6 +48,10 @@
 		t.follower.Resumed()
 	}
 	t.engine.Tick(ctx, now)
+	if t.roster.SetReach(t.engine.Reach()) {
+		t.propagateState()
+	}
+	t.engine.CompareReach(t.roster.BestReach(now))
 	t.sendMarks(now)
 	if nodes := t.nodeCounts(now); !nodes.Equal(t.lastNodeCounts) {
 		t.lastNodeCounts = nodes
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -137,7 +137,7 @@
 	t.edge = edge.New(t.engine, adapter.Codec, edge.Sources{
 		Table:   t.follower.Table,
 		Gate:    t.checkServing,
-		Leaving: t.stopping.Load,
+		Leaving: func() bool { return t.stopping.Load() || t.engine.Stranded() },
 		Clock:   clock,
 	}, t.logger, t.counters)
 	if err := t.openSockets(settings); err != nil {
@@ -189,7 +189,7 @@
 }
 
 // Ready implements Discovery.
-func (t *Tier) Ready() bool { return t.ready.Load() && !t.stopping.Load() }
+func (t *Tier) Ready() bool { return t.ready.Load() && !t.stopping.Load() && !t.engine.Stranded() }
 
 // checkServing returns a refusal while there are no routes yet, and while refusingRequests is set.
 func (t *Tier) checkServing() *reason.Refusal {
