Reject requests at once at a node that has lost its links

What callers saw: a request that still came to a node without links was held until its deadline, so that the caller had no time to try another node.

Cause: an attempt on a silent connection, or for a new one, ends with the deadline; nothing ended a request when the node learned that it could not be served. The class: known failure is not acted on until a timer ends.

Change: a stranded node answers a request at once if it has not reached searchers of enough of its parts lately (reason links_lost, status 503 if no attempt was sent, with 5 ms to come back, since other nodes can serve it). Idempotent requests that wait when the node learns it end the same way.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -149,6 +149,16 @@
 	}
 }
 
+// reaches reports whether a searcher of a service was reached lately.
+func (b *balancer) reaches(now time.Time, service string) bool {
+	for _, ep := range b.current.Load().byService[service] {
+		if ep.link.RecentlyReached(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // reach returns an estimate of the share of the searchers that this node reaches.
 func (b *balancer) reach(now time.Time, previous reach.Reach) reach.Reach {
 	var sample reach.Sample
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -201,6 +201,9 @@
 	if e.crashes.quarantined(now, f.fingerprint) {
 		return f.reject(wire.Reason_REASON_QUARANTINED)
 	}
+	if e.Stranded() && !f.servable(now) {
+		return f.reject(wire.Reason_REASON_LINKS_LOST, zap.Float64("share", e.Reach().Share()))
+	}
 	if f.limiter == nil {
 		return f.run()
 	}
--- a/internal/relay/fanout.go
+++ b/internal/relay/fanout.go
@@ -27,8 +27,10 @@
 	hedgeRetryInterval = 10 * time.Millisecond
 	// maxExtraRefused is the number of attempts beyond the route's maximum that may be sent when earlier ones were refused without running.
 	maxExtraRefused = 2
-	// retryAfter is the delay that callers are told to wait after a refusal.
-	retryAfter = 50 * time.Millisecond
+	// retryAfter is the delay that callers are told to wait after a refusal. elsewhereRetryAfter is that of a request which another node can
+	// serve now.
+	retryAfter          = 50 * time.Millisecond
+	elsewhereRetryAfter = 5 * time.Millisecond
 )
 
 // fanout is the execution of one request. Its fields are guarded by mu, since each attempt settles its part from its own goroutine.
@@ -61,6 +63,8 @@
 	// mayHaveRun is set once a searcher may have run a part without its reply being used.
 	mayHaveRun bool
 	callerGone bool
+	// linksLost is set when the request ends early, since the searchers that it needs are not reached any more.
+	linksLost bool
 	// attemptLog holds the attempts for the log line of the request.
 	attemptLog attemptLog
 }
@@ -188,6 +192,10 @@
 	if !f.coverageReachable() {
 		return true
 	}
+	if f.engine.Stranded() && f.request.Route.Policy().Idempotent && !f.servable(now) {
+		f.linksLost = true
+		return true
+	}
 	return !now.Before(f.partialAt) && f.coverageMet()
 }
 
@@ -209,6 +217,17 @@
 	return float64(f.succeeded+f.pending) >= f.minCoverage*float64(len(f.parts))
 }
 
+// servable reports whether this node has lately reached searchers of enough parts for the minimum coverage.
+func (f *fanout) servable(now time.Time) bool {
+	reached := f.succeeded
+	for i := range f.parts {
+		if p := &f.parts[i]; !p.settled && f.engine.balancer.reaches(now, p.service) {
+			reached++
+		}
+	}
+	return reached > 0 && float64(reached) >= f.minCoverage*float64(len(f.parts))
+}
+
 // settle ends a part. REASON_UNSPECIFIED means that the part has a reply.
 func (f *fanout) settle(p *part, r wire.Reason) {
 	if p.settled {
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -65,6 +65,9 @@
 	if f.callerGone {
 		return f.refused(wire.Reason_REASON_CALLER_GONE)
 	}
+	if f.linksLost {
+		return f.refused(wire.Reason_REASON_LINKS_LOST)
+	}
 	if target, ok := f.request.Route.Target().(route.Gather); ok {
 		return f.merged(now, target)
 	}
@@ -119,7 +122,11 @@
 
 func (f *fanout) refused(r wire.Reason) Refused {
 	f.engine.countReason(r)
-	return Refused{Reason: r, NotRun: !f.mayHaveRun, RetryAfter: retryAfter}
+	after := retryAfter
+	if r == wire.Reason_REASON_LINKS_LOST {
+		after = elsewhereRetryAfter
+	}
+	return Refused{Reason: r, NotRun: !f.mayHaveRun, RetryAfter: after}
 }
 
 // missingServices returns the services without a reply.
