Take a searcher for crashed only while another searcher is reached

What callers saw: after the links of one node were reset, all nodes refused requests that had run there (503, quarantined), for as long as the mark stays.

Cause: a connection that breaks during a request, and a failed probe, confirm that the request crashed its searcher. A node that has lost its own links sees just that at all searchers; two of them quarantine the request, and the mark is passed on. The class: a node's own failure taken for that of others, and told to others.

Change: a failed connection confirms a crash only if the node has reached another searcher since the connection broke; if it has not, it opens connections to up to three others first. The end of a registration confirms a crash as before.

Ruled out: waiting until the share of searchers reached is known as low, which delays each crash by a second.

TestRefusedConnectionIsNoCrash expected a mark without any other searcher; it now expects none then, and a mark once another searcher is reached.

--- a/internal/reach/link.go
+++ b/internal/reach/link.go
@@ -39,6 +39,9 @@
 // RecentlyReached reports whether there is recent evidence that the searcher is reached.
 func (l *Link) RecentlyReached(now time.Time) bool { return l.recent(now) && !l.Lost(now) }
 
+// ReachedSince reports whether the searcher was reached at or after a time.
+func (l *Link) ReachedSince(at time.Time) bool { return l.reachedAt.Load() >= at.UnixNano() }
+
 // silent reports whether requests have got no reply for silenceLimit.
 func (l *Link) silent(now time.Time) bool {
 	since := l.unansweredSince.Load()
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -159,6 +159,27 @@
 	return false
 }
 
+// reachedOther reports whether a searcher other than the given one was reached since a time.
+func (b *balancer) reachedOther(since time.Time, except *endpoint) bool {
+	for _, ep := range b.current.Load().byKey {
+		if ep != except && ep.link.ReachedSince(since) {
+			return true
+		}
+	}
+	return false
+}
+
+// others returns up to n random endpoints other than the given one.
+func (b *balancer) others(except *endpoint, n int) []*endpoint {
+	var found []*endpoint
+	for _, ep := range b.current.Load().byKey {
+		if ep != except && len(found) < n {
+			found = append(found, ep)
+		}
+	}
+	return found
+}
+
 // reach returns an estimate of the share of the searchers that this node reaches.
 func (b *balancer) reach(now time.Time, previous reach.Reach) reach.Reach {
 	var sample reach.Sample
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
@@ -95,6 +96,18 @@
 	}
 }
 
+// latestSuspicion returns the time of the latest broken connection to a searcher that awaits confirmation.
+func (c *crashTracker) latestSuspicion(searcher fleet.Key) (latest time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.suspicions {
+		if s.searcher == searcher && s.at.After(latest) {
+			latest, ok = s.at, true
+		}
+	}
+	return latest, ok
+}
+
 // acquit drops the suspicions against a request that a searcher has answered. A request that crashes searchers crashes each one that runs it,
 // while a request over many shards is often running on several of those that a common cause took away.
 func (c *crashTracker) acquit(fingerprint uint64) {
@@ -168,17 +181,41 @@
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
 		if err := ep.pool.Probe(ctx); err != nil {
-			e.searcherUnreachable(e.clock(), ep)
+			e.searcherUnreachable(ep)
+		}
+	})
+}
+
+// maxCrossChecks bounds the other searchers that are probed after one could not be reached.
+const maxCrossChecks = 3
+
+// searcherUnreachable handles a failed connection attempt. It counts as the end of the searcher unless another connection is live, since
+// searchers also refuse connections beyond their limit, or unless this node reaches no other searcher, since it has then lost its own links.
+func (e *Engine) searcherUnreachable(ep *endpoint) {
+	brokeAt, ok := e.crashes.latestSuspicion(ep.searcher.Key())
+	if !ok || ep.pool.HasLiveConn() {
+		return
+	}
+	e.tasks.Go(func() {
+		// Replies that left their searchers before the connection broke may still have arrived until the probe.
+		since := brokeAt.Add(probeDelay)
+		if e.balancer.reachedOther(since, ep) || e.crossCheck(since, ep) {
+			e.searcherEnded(e.clock(), ep.searcher.Key())
 		}
 	})
 }
 
-// searcherUnreachable records a failed connection attempt. It counts as the end of the searcher unless another connection is live, since
-// searchers also refuse connections beyond their limit.
-func (e *Engine) searcherUnreachable(now time.Time, ep *endpoint) {
-	if !ep.pool.HasLiveConn() {
-		e.searcherEnded(now, ep.searcher.Key())
+// crossCheck opens connections to some other searchers, and reports whether one was reached.
+func (e *Engine) crossCheck(since time.Time, ep *endpoint) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	var checks conc.WaitGroup
+	for _, other := range e.balancer.others(ep, maxCrossChecks) {
+		// The pool reports the outcome to the link.
+		checks.Go(func() { _ = other.pool.Probe(ctx) })
 	}
+	checks.Wait()
+	return e.balancer.reachedOther(since, ep)
 }
 
 // quarantined reports whether a request has crashed so many searchers that it must not run any more.
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -123,15 +123,25 @@
 	}
 	const request = uint64(1)
 	e.crashes.suspect(time.Now(), request, searcher.Key())
-	e.searcherUnreachable(time.Now(), ep)
+	e.searcherUnreachable(ep)
+	e.tasks.Wait()
 	if e.crashes.suspected(time.Now(), request) {
 		t.Error("while another connection is open: request is marked, want no mark")
 	}
 	accepted.Close()
 	time.Sleep(20 * time.Millisecond)
-	e.searcherUnreachable(time.Now(), ep)
+	e.searcherUnreachable(ep)
+	e.tasks.Wait()
+	if e.crashes.suspected(time.Now(), request) {
+		t.Error("while this node reaches no other searcher: request is marked, want no mark")
+	}
+	other := &endpoint{searcher: fleet.NewSearcher("i-1", "one", "127.0.0.1:1", "z", 2, false, 1, 1), pool: pool.New("127.0.0.1:1", 1, dial, func(time.Duration, error) {}), link: &reach.Link{}}
+	e.balancer.current.Store(&endpointTable{byKey: map[fleet.Key]*endpoint{searcher.Key(): ep, other.searcher.Key(): other}})
+	other.link.Reached(time.Now().Add(probeDelay))
+	e.searcherUnreachable(ep)
+	e.tasks.Wait()
 	if !e.crashes.suspected(time.Now(), request) {
-		t.Error("after all connections closed: request is not marked, want a mark")
+		t.Error("after all connections closed, another searcher is reached: request is not marked, want a mark")
 	}
 }
 
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -150,7 +150,7 @@
 		f.engine.probeSearcher(a.endpoint)
 	}
 	if r.reason == wire.Reason_REASON_CONNECT_FAILED {
-		f.engine.searcherUnreachable(now, a.endpoint)
+		f.engine.searcherUnreachable(a.endpoint)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
