Stop using a searcher whose reply states that it leaves

Cause: a node learned only from the store that a searcher leaves, which may not know it, or may be away.

Change: the statement in any reply of the process takes its endpoint out of the choice at once and closes its pool, so that requests that wait for a connection go elsewhere. It holds for that process, also if its registration ends and comes back within a minute; a successor under the same id is used. A reply of another process at the address (421) does not count.

Nodes do not tell each other; each learns it with a request of its own.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -35,6 +35,17 @@
 	probing atomic.Bool
 	// replaced is set once a different process has answered at the searcher's address.
 	replaced atomic.Bool
+	// leaving is set once a reply of the searcher stated that it leaves. A process that leaves does not come back.
+	leaving atomic.Bool
+}
+
+// leave stops sending requests to the searcher, and reports whether this is new. Requests that wait for a connection go elsewhere.
+func (ep *endpoint) leave() bool {
+	if !ep.leaving.CompareAndSwap(false, true) {
+		return false
+	}
+	ep.pool.Close()
+	return true
 }
 
 // setLimit sets the number of connections that this node may open to the searcher.
@@ -66,6 +77,8 @@
 	// for all other nodes.
 	sameRegionShare   = 0.5
 	otherRegionsShare = 0.45
+	// leftTTL is how long a process that left is remembered after its registration ended.
+	leftTTL = time.Minute
 	// warmInterval is the minimum time between two connections that are opened in advance to the same searcher.
 	warmInterval = 2 * time.Second
 )
@@ -78,12 +91,15 @@
 	current  atomic.Pointer[endpointTable]
 	// nodes counts the nodes that share the connections.
 	nodes atomic.Pointer[NodeCounts]
+	// left holds the processes that stated that they leave and are not registered any more, by the time at which they were dropped, since a
+	// registration may come back. Only update uses it.
+	left map[fleet.Key]time.Time
 	// roundTrips maps a region to the shortest time (time.Duration) that opening a connection to it took.
 	roundTrips sync.Map
 }
 
 func newBalancer(location Location, dial pool.Dial, clock func() time.Time) *balancer {
-	b := &balancer{location: location, dial: dial, clock: clock}
+	b := &balancer{location: location, dial: dial, clock: clock, left: make(map[fleet.Key]time.Time)}
 	b.current.Store(&endpointTable{})
 	b.nodes.Store(&NodeCounts{Discovering: true, Members: &pace.Members{}})
 	return b
@@ -101,6 +117,9 @@
 		switch {
 		case !ok:
 			ep = b.newEndpoint(s, limit)
+			if _, left := b.left[key]; left {
+				ep.leave()
+			}
 		case s.Leaving() && !ep.searcher.Leaving():
 			ep = &endpoint{searcher: s, pool: ep.pool, tracker: ep.tracker, pacer: ep.pacer, link: ep.link}
 		case !s.Leaving() && ep.searcher.Leaving():
@@ -120,9 +139,18 @@
 	}
 	b.current.Store(next)
 	var removed []fleet.Key
+	now := b.clock()
+	for key, at := range b.left {
+		if now.Sub(at) > leftTTL {
+			delete(b.left, key)
+		}
+	}
 	for key, ep := range old.byKey {
 		if _, ok := next.byKey[key]; !ok {
 			ep.pool.Close()
+			if ep.leaving.Load() {
+				b.left[key] = now
+			}
 			removed = append(removed, key)
 		}
 	}
@@ -361,7 +389,7 @@
 	limited := false
 	for _, c := range candidates {
 		ep := c.endpoint
-		if ep.replaced.Load() || skip(ep) {
+		if ep.replaced.Load() || ep.leaving.Load() || skip(ep) {
 			continue
 		}
 		if !ep.pacer.Available(now) {
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -31,6 +31,8 @@
 	// after this reply.
 	KeepAlive time.Duration
 	Closes    bool
+	// Leaving is set when the searcher states that it leaves.
+	Leaving bool
 	// Limit is the limit on requests that the searcher names.
 	Limit pace.Limit
 }
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -50,6 +50,16 @@
 	return h
 }
 
+// observeLeaving stops sending requests to a searcher whose reply states that it leaves.
+func (e *Engine) observeLeaving(a *attempt, r result) {
+	if r.response == nil || !r.head.Leaving || r.reason == wire.Reason_REASON_WRONG_SEARCHER {
+		return
+	}
+	if a.endpoint.leave() {
+		e.logger.Log(wire.Event_EVENT_SEARCHER_LEAVING, zap.String("searcher", a.endpoint.searcher.ID()))
+	}
+}
+
 // observeLimit records the limit that a searcher names in its reply.
 func (e *Engine) observeLimit(now time.Time, a *attempt, r result) {
 	if r.response == nil || r.reason == wire.Reason_REASON_WRONG_SEARCHER {
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -142,6 +142,7 @@
 	if r.response != nil {
 		a.endpoint.link.Reached(now)
 	}
+	f.engine.observeLeaving(a, r)
 	f.engine.observeLimit(now, a, r)
 	if r.abrupt {
 		if !f.answered() {
