Send a searcher nothing for the time that its 503 asks for

Cause: a refusal raised the searcher's failure rate only, which decays in two seconds and never excludes it.

Change: the time is kept beside the limit that the searcher names (package pace) and takes it out of the choice of first attempts, retries and hedges. An attempt that waited for a connection meanwhile is not sent and goes elsewhere. A later reply does not shorten it; five minutes is the most. Event 516 logs it. A statement of leaving now also outlives a registration that changes.

--- a/internal/pace/pacer.go
+++ b/internal/pace/pacer.go
@@ -1,5 +1,6 @@
-// Package pace keeps the requests of all nodes together within the limit that a searcher names in its replies. Each node takes a share that
-// it computes from the limit and from the nodes that it knows, so that nodes need not agree on it by messages.
+// Package pace keeps requests within what a searcher asks for in its replies: a limit on the requests of all nodes together, and a time in
+// which it wants none from this node. Each node takes a share of a limit that it computes from the limit and from the nodes that it knows, so
+// that nodes need not agree on it by messages.
 package pace
 
 import (
@@ -10,12 +11,14 @@
 	"golang.org/x/time/rate"
 )
 
-// Pacer is this node's share of the limit of one searcher. It is safe for concurrent use.
+// Pacer is what one searcher asks of this node. It is safe for concurrent use.
 type Pacer struct {
 	searcher string
 	region   string
 	// tokens holds the requests that this node may send now, nil while the searcher names no limit.
 	tokens atomic.Pointer[rate.Limiter]
+	// pausedUntil is the time until which the searcher wants no requests from this node, in Unix nanoseconds; 0 means that it never asked.
+	pausedUntil atomic.Int64
 
 	mu      sync.Mutex
 	limit   Limit
@@ -36,14 +39,41 @@
 	return p.limit
 }
 
+// maxPause bounds the pause that a reply may ask for, since a wrong one would take the searcher out of use for good.
+const maxPause = 5 * time.Minute
+
+// Pause records that the searcher wants no requests from this node for a while, and reports whether it is not paused yet. A shorter pause
+// does not end a longer one.
+func (p *Pacer) Pause(now time.Time, pause time.Duration) (first bool) {
+	until := now.Add(min(pause, maxPause)).UnixNano()
+	for {
+		known := p.pausedUntil.Load()
+		if known >= until {
+			return false
+		}
+		if p.pausedUntil.CompareAndSwap(known, until) {
+			return known <= now.UnixNano()
+		}
+	}
+}
+
+// Paused reports whether the searcher wants no requests from this node now.
+func (p *Pacer) Paused(now time.Time) bool { return p.pausedUntil.Load() > now.UnixNano() }
+
 // Available reports whether a request may be sent.
 func (p *Pacer) Available(now time.Time) bool {
+	if p.Paused(now) {
+		return false
+	}
 	tokens := p.tokens.Load()
 	return tokens == nil || tokens.TokensAt(now) >= 1
 }
 
 // Take reports whether a request may be sent, and counts it if so.
 func (p *Pacer) Take(now time.Time) bool {
+	if p.Paused(now) {
+		return false
+	}
 	tokens := p.tokens.Load()
 	return tokens == nil || tokens.AllowN(now, 1)
 }
--- a/internal/pace/pacer_test.go
+++ b/internal/pace/pacer_test.go
@@ -189,3 +189,37 @@
 		members.rate(16, "searcher", "region-0")
 	}
 }
+
+// Guards against requests during a pause that a searcher asked for, and against a pause that ends early or never.
+func TestPause(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	tests := map[string]struct {
+		pauses []time.Duration
+		after  time.Duration
+		want   bool
+	}{
+		"none":                        {want: true},
+		"during the pause":            {pauses: []time.Duration{time.Second}, after: 900 * time.Millisecond},
+		"after the pause":             {pauses: []time.Duration{time.Second}, after: time.Second, want: true},
+		"a shorter one follows":       {pauses: []time.Duration{2 * time.Second, time.Second}, after: 1500 * time.Millisecond},
+		"a longer one follows":        {pauses: []time.Duration{time.Second, 2 * time.Second}, after: 1500 * time.Millisecond},
+		"longer than the upper bound": {pauses: []time.Duration{1 << 62}, after: maxPause, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := New("s", "r")
+			for i, pause := range test.pauses {
+				if got, want := p.Pause(now, pause), i == 0; got != want {
+					t.Errorf("pause %d is the first: got %v, want %v", i, got, want)
+				}
+			}
+			at := now.Add(test.after)
+			if got := p.Available(at); got != test.want {
+				t.Errorf("available: got %v, want %v", got, test.want)
+			}
+			if got := p.Take(at); got != test.want {
+				t.Errorf("taken: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -121,7 +121,14 @@
 		return result{reason: connectReason(err), waited: waited}
 	}
 	a.attachConn(conn)
-	remaining := a.deadline.Sub(e.clock())
+	now := e.clock()
+	if a.endpoint.pacer.Paused(now) {
+		// The searcher asked for it while the attempt waited for the connection.
+		a.detachConn()
+		a.endpoint.pool.Put(conn, now, 0)
+		return result{reason: wire.Reason_REASON_SEARCHER_PAUSED, waited: waited}
+	}
+	remaining := a.deadline.Sub(now)
 	if remaining < minRemaining || !a.beginSending() {
 		a.detachConn()
 		a.endpoint.pool.Put(conn, e.clock(), 0)
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -114,12 +114,11 @@
 		key := s.Key()
 		limit := b.limit(s, table, nodes)
 		ep, ok := old.byKey[key]
+		_, left := b.left[key]
+		left = left || (ok && ep.leaving.Load())
 		switch {
 		case !ok:
 			ep = b.newEndpoint(s, limit)
-			if _, left := b.left[key]; left {
-				ep.leave()
-			}
 		case s.Leaving() && !ep.searcher.Leaving():
 			ep = &endpoint{searcher: s, pool: ep.pool, tracker: ep.tracker, pacer: ep.pacer, link: ep.link}
 		case !s.Leaving() && ep.searcher.Leaving():
@@ -129,6 +128,9 @@
 			// Requests that wait for a connection must not reach the searcher later; those that run keep theirs.
 			ep.pool.Close()
 		}
+		if left {
+			ep.leave()
+		}
 		ep.setLimit(limit)
 		next.byKey[key] = ep
 	}
@@ -362,8 +364,9 @@
 	// roundTrip is the network part of latency.
 	roundTrip time.Duration
 	stalled   bool
-	// limited is set when the limit of a searcher kept it from being chosen.
+	// limited is set when the limit of a searcher kept it from being chosen, or a pause that it asked for. paused is set if all were pauses.
 	limited bool
+	paused  bool
 }
 
 // candidate is an endpoint with its health state at the time of a choice.
@@ -386,14 +389,17 @@
 	typical := b.typicalServiceTime(candidates)
 	var best choice
 	var leastCost time.Duration
-	limited := false
+	limited, paused := 0, 0
 	for _, c := range candidates {
 		ep := c.endpoint
 		if ep.replaced.Load() || ep.leaving.Load() || skip(ep) {
 			continue
 		}
 		if !ep.pacer.Available(now) {
-			limited = true
+			limited++
+			if ep.pacer.Paused(now) {
+				paused++
+			}
 			continue
 		}
 		roundTrip := b.roundTrip(ep.searcher.Zone())
@@ -405,7 +411,7 @@
 			best = choice{endpoint: ep, latency: latency, roundTrip: roundTrip, stalled: c.state.Stalled}
 		}
 	}
-	best.limited = limited
+	best.limited, best.paused = limited > 0, paused > 0 && paused == limited
 	return best, best.endpoint != nil
 }
 
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -31,6 +31,8 @@
 	// after this reply.
 	KeepAlive time.Duration
 	Closes    bool
+	// RetryAfter is the time for which the searcher wants no requests, 0 when it did not say.
+	RetryAfter time.Duration
 	// Leaving is set when the searcher states that it leaves.
 	Leaving bool
 	// Limit is the limit on requests that the searcher names.
--- a/internal/relay/leaving_test.go
+++ b/internal/relay/leaving_test.go
@@ -39,17 +39,28 @@
 	return e.balancer.current.Load().byKey[s.Key()]
 }
 
-// Guards against requests that wait for a connection while their searcher starts to leave, and are sent as soon as there is one.
+// Guards against requests that wait for a connection while their searcher starts to leave, or asks for no requests for a while, and are sent as
+// soon as there is one.
 func TestNoRequestIsSentToLeavingSearcher(t *testing.T) {
+	leave := func(e *Engine, _ *endpoint) { registerOne(t, e, true, 2) }
+	state := func(_ *Engine, ep *endpoint) { ep.leave() }
+	pause := func(_ *Engine, ep *endpoint) { ep.pacer.Pause(time.Now(), time.Minute) }
+	stay := func(*Engine, *endpoint) {}
 	tests := map[string]struct {
 		// busy is set when another request has the only connection; otherwise a connection is being opened.
 		busy   bool
-		leaves bool
+		change func(e *Engine, ep *endpoint)
+		// want is the reason why the request is not sent, if any.
+		want wire.Reason
 	}{
-		"waiting for a connection": {busy: true, leaves: true},
-		"opening a connection":     {leaves: true},
-		"waiting, searcher stays":  {busy: true},
-		"opening, searcher stays":  {},
+		"waiting for a connection":           {busy: true, change: leave, want: wire.Reason_REASON_SEARCHER_LEAVING},
+		"opening a connection":               {change: leave, want: wire.Reason_REASON_SEARCHER_LEAVING},
+		"waiting, stated in a reply":         {busy: true, change: state, want: wire.Reason_REASON_SEARCHER_LEAVING},
+		"opening, stated in a reply":         {change: state, want: wire.Reason_REASON_SEARCHER_LEAVING},
+		"waiting, searcher asks for a pause": {busy: true, change: pause, want: wire.Reason_REASON_SEARCHER_PAUSED},
+		"opening, searcher asks for a pause": {change: pause, want: wire.Reason_REASON_SEARCHER_PAUSED},
+		"waiting, searcher stays":            {busy: true, change: stay},
+		"opening, searcher stays":            {change: stay},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -84,16 +95,15 @@
 			ended := make(chan result, 1)
 			go func() { ended <- e.perform(t.Context(), a, singleRequest(t)) }()
 			time.Sleep(20 * time.Millisecond)
-			if test.leaves {
-				registerOne(t, e, true, 2)
-			}
+			test.change(e, ep)
 			release()
 			r := <-ended
-			if got, want := r.sent, !test.leaves; got != want || got != (len(received) > 0) {
+			held := test.want != wire.Reason_REASON_UNSPECIFIED
+			if got, want := r.sent, !held; got != want || got != (len(received) > 0) {
 				t.Errorf("got sent %v and %d requests at the searcher, want sent %v", got, len(received), want)
 			}
-			if test.leaves && r.reason != wire.Reason_REASON_SEARCHER_LEAVING {
-				t.Errorf("got reason %v, want %v", r.reason, wire.Reason_REASON_SEARCHER_LEAVING)
+			if held && r.reason != test.want {
+				t.Errorf("got reason %v, want %v", r.reason, test.want)
 			}
 		})
 	}
@@ -113,6 +123,18 @@
 	}
 }
 
+// Guards against a searcher that stated in a reply that it leaves, and is used again since its registration says otherwise.
+func TestStatementOutlivesRegistration(t *testing.T) {
+	e := newEngine(time.Now)
+	registerOne(t, e, false, 1).leave()
+	for i, leaving := range []bool{false, true, false} {
+		registerOne(t, e, leaving, epoch.Revision(i+2))
+		if _, ok := e.balancer.choose(start, "one", time.Second, func(*endpoint) bool { return false }); ok {
+			t.Errorf("after registration %d: got the searcher chosen, want none", i)
+		}
+	}
+}
+
 // singleRequest returns a request to one service.
 func singleRequest(t *testing.T) *Request {
 	t.Helper()
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"github.com/fireflylanding/fireflylanding/internal/wire"
@@ -60,6 +61,16 @@
 	}
 }
 
+// observePause records that a searcher which turned a request away wants no requests for a while.
+func (e *Engine) observePause(now time.Time, a *attempt, r result) {
+	if r.response == nil || r.head.RetryAfter == 0 || r.response.StatusCode() != fasthttp.StatusServiceUnavailable {
+		return
+	}
+	if a.endpoint.pacer.Pause(now, r.head.RetryAfter) {
+		e.logger.Log(wire.Event_EVENT_SEARCHER_PAUSED, zap.String("searcher", a.endpoint.searcher.ID()), zap.Duration("pause", r.head.RetryAfter))
+	}
+}
+
 // observeLimit records the limit that a searcher names in its reply.
 func (e *Engine) observeLimit(now time.Time, a *attempt, r result) {
 	if r.response == nil || r.reason == wire.Reason_REASON_WRONG_SEARCHER {
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -45,6 +45,8 @@
 	switch {
 	case p.reason != wire.Reason_REASON_UNSPECIFIED:
 		return p.reason
+	case chosen.paused:
+		return wire.Reason_REASON_SEARCHER_PAUSED
 	case chosen.limited:
 		return wire.Reason_REASON_SEARCHER_LIMIT
 	default:
@@ -143,6 +145,7 @@
 		a.endpoint.link.Reached(now)
 	}
 	f.engine.observeLeaving(a, r)
+	f.engine.observePause(now, a, r)
 	f.engine.observeLimit(now, a, r)
 	if r.abrupt {
 		if !f.answered() {
@@ -193,7 +196,8 @@
 		return health.Replied{}
 	case wire.Reason_REASON_SEARCHER_SHED:
 		return health.Shed{}
-	case wire.Reason_REASON_CANCELLED, wire.Reason_REASON_EXPIRED, wire.Reason_REASON_CONNECTION_SILENT, wire.Reason_REASON_SEARCHER_LEAVING:
+	case wire.Reason_REASON_CANCELLED, wire.Reason_REASON_EXPIRED, wire.Reason_REASON_CONNECTION_SILENT, wire.Reason_REASON_SEARCHER_LEAVING,
+		wire.Reason_REASON_SEARCHER_PAUSED:
 		return health.Abandoned{}
 	case wire.Reason_REASON_CONNECT_FAILED, wire.Reason_REASON_WRONG_SEARCHER:
 		return health.Unreachable{}
