End each request with an answer before a stopping node's time is over

Cause: a stopping node takes requests for 58% of its stop time with the caller's deadline, and waits for them until half a second before the end; one that takes longer, at a slow or silent searcher, was cut with the process. The class: a deadline of the process that the work in it does not know.

After the 58% new requests are refused as not run.

Ruled out: refusing all requests that could outlast the stop, which with deadlines of 10 s refuses all from its first moment.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -61,6 +61,8 @@
 	// active is set while callers are routed to this node.
 	active   atomic.Bool
 	inFlight atomic.Int64
+	// endBy is the time in Unix nanoseconds by which all requests are answered, 0 unless the node stops.
+	endBy atomic.Int64
 	// reach is the share of the searchers that this node reaches, as of the last tick.
 	reach atomic.Pointer[reach.Reach]
 	// stranded is set while other nodes reach far more searchers. doubted is set while no node is known to reach most of them.
@@ -186,6 +188,9 @@
 	return e.load
 }
 
+// EndBy makes all requests end with an answer by a time, those in flight and later ones.
+func (e *Engine) EndBy(at time.Time) { e.endBy.Store(at.UnixNano()) }
+
 // InFlight returns the number of requests that have no answer yet.
 func (e *Engine) InFlight() int { return int(e.inFlight.Load()) }
 
--- a/internal/relay/fanout.go
+++ b/internal/relay/fanout.go
@@ -162,7 +162,7 @@
 	if f.shouldFinish(now) {
 		return now, true
 	}
-	next := f.deadline.Add(-minRemaining)
+	next := f.end().Add(-minRemaining)
 	if f.partialAt.After(now) && f.partialAt.Before(next) {
 		next = f.partialAt
 	}
@@ -186,7 +186,7 @@
 
 // shouldFinish reports whether the answer should be sent now.
 func (f *fanout) shouldFinish(now time.Time) bool {
-	if f.pending == 0 || !now.Before(f.deadline.Add(-minRemaining)) {
+	if f.pending == 0 || !now.Before(f.end().Add(-minRemaining)) {
 		return true
 	}
 	if !f.coverageReachable() {
@@ -204,7 +204,15 @@
 	if now.Before(f.goalAt) {
 		return f.goalAt.Sub(now)
 	}
-	return f.deadline.Sub(now)
+	return f.end().Sub(now)
+}
+
+// end returns the time by which the request is answered: its deadline, or the end of the node's stop.
+func (f *fanout) end() time.Time {
+	if nanoseconds := f.engine.endBy.Load(); nanoseconds != 0 && nanoseconds < f.deadline.UnixNano() {
+		return time.Unix(0, nanoseconds)
+	}
+	return f.deadline
 }
 
 // coverageMet reports whether the replies so far reach the minimum coverage.
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -77,7 +77,7 @@
 // merged returns the answer of a request over shards.
 func (f *fanout) merged(now time.Time, target route.Gather) Answer {
 	if !f.coverageMet() {
-		if f.pending > 0 && !now.Before(f.deadline.Add(-minRemaining)) {
+		if f.pending > 0 && !now.Before(f.end().Add(-minRemaining)) {
 			return f.refused(wire.Reason_REASON_DEADLINE)
 		}
 		return f.refused(wire.Reason_REASON_COVERAGE)
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -64,7 +64,8 @@
 }
 
 func (f *fanout) send(now time.Time, p *part, chosen choice, cause wire.Reason) {
-	a := &attempt{part: p, endpoint: chosen.endpoint, sentAt: now, deadline: f.deadline, cutoff: f.deadline, roundTrip: chosen.roundTrip}
+	end := f.end()
+	a := &attempt{part: p, endpoint: chosen.endpoint, sentAt: now, deadline: end, cutoff: end, roundTrip: chosen.roundTrip}
 	a.record = &attemptRecord{
 		service:  p.service,
 		searcher: chosen.endpoint.searcher.ID(),
@@ -241,7 +242,7 @@
 		f.engine.countReason(wire.Reason_REASON_QUARANTINED)
 		return false
 	}
-	if f.deadline.Sub(now) < answerMargin {
+	if f.end().Sub(now) < answerMargin {
 		f.engine.countReason(wire.Reason_REASON_RETRY_NO_TIME)
 		return false
 	}
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -19,8 +19,10 @@
 	maxDirectoryValidity = 2 * time.Second
 	// drainShare is the share of the stop time during which a stopping node still accepts requests from callers with a cached directory answer.
 	drainShare = 0.58
-	// shutdownMargin is kept between the end of the last request and the end of the stop time.
+	// shutdownMargin is kept between the end of the last connection and the end of the stop time, and answerTime before it for the answers of
+	// requests that the stop ends.
 	shutdownMargin = 500 * time.Millisecond
+	answerTime     = 200 * time.Millisecond
 	// drainPollInterval is how often a stopping node checks for open connections.
 	drainPollInterval = 10 * time.Millisecond
 	// earlyShutdownDelay is the time after which a stopping node without connections stops early.
@@ -123,8 +125,8 @@
 	return false
 }
 
-// shutdown leaves the directory, keeps serving callers with a cached directory answer, closes the listener and waits for the requests in
-// flight. It returns the number of requests that were cut off.
+// shutdown leaves the directory, keeps serving callers with a cached directory answer, then refuses new requests, closes the listener and waits
+// for the requests in flight, which end with an answer before the stop time does. It returns the number of requests that were cut off.
 func (t *Tier) shutdown() int {
 	started := t.clock()
 	stopTime := t.settings.Load().StopTime
@@ -132,6 +134,7 @@
 	t.roster.SetPhase(roster.Stopping)
 	t.logger.Log(wire.Event_EVENT_STOP_BEGUN)
 	t.propagateState()
+	t.engine.EndBy(started.Add(stopTime - shutdownMargin - answerTime))
 	drainEnd := started.Add(time.Duration(drainShare * float64(stopTime)))
 	for now := started; now.Before(drainEnd); now = t.clock() {
 		if now.Sub(started) > earlyShutdownDelay && t.edge.Connections() == 0 {
@@ -139,6 +142,7 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
+	t.refusingRequests.Store(true)
 	t.logger.Log(wire.Event_EVENT_STOP_REFUSING)
 	closed := make(chan struct{})
 	t.background.Go(func() {
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -78,7 +78,7 @@
 	detector *wake.Detector
 	marks    *quar.Outbox
 	sockets  sockets
-	// stopping is set on SIGTERM. refusingRequests would make the node refuse every request, but nothing sets it.
+	// stopping is set on SIGTERM. refusingRequests is set later in the stop time, when a request might not end any more.
 	stopping         atomic.Bool
 	refusingRequests atomic.Bool
 	ready            atomic.Bool
