Tell lost links from single requests that were given up, and from accepted connections

And a link counted as good as soon as a connection was accepted, which something between the two ends may do.

Change: evidence must come from a third of the searchers, from 3 at least and 24 at most. Requests without a reply count once they were sent over 0.7 s, or one was given up after that. A new connection is weaker evidence than a reply: it does not outweigh silence, and one that breaks before a reply is evidence of loss. A probe of a stranded node counts if its connection stays open for 100 ms.

The case 'one is swallowed' of TestCallersAreDirectedAwayFromStrandedNodes failed before and passes; TestReach has seven more cases.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -87,6 +87,18 @@
 	return false
 }
 
+// LostIdleConns reports whether there are idle connections, all of which the other end has closed.
+func (p *Pool) LostIdleConns() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.idle {
+		if Peek(conn.raw) != Closed {
+			return false
+		}
+	}
+	return len(p.idle) > 0
+}
+
 // Get returns a clean connection: an idle one, a new one, or the next one that another request returns. It fails with the error of ctx, the
 // error of opening a connection, or ErrClosed; no byte was sent in these cases.
 func (p *Pool) Get(ctx context.Context, now time.Time, rank int) (*Conn, error) {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -5,12 +5,15 @@
 import "time"
 
 const (
-	// silenceLimit is the time for which requests to a searcher must have got no reply to be evidence that it is not reached.
+	// silenceLimit is the time over which requests to a searcher must have got no reply to be evidence that it is not reached.
 	silenceLimit = 700 * time.Millisecond
 	// evidenceWindow is the age up to which evidence on a searcher counts.
 	evidenceWindow = 2 * time.Second
-	// minEvidence is the number of searchers with recent evidence below which the share is unknown.
-	minEvidence = 3
+	// evidenceShare is the share of the searchers for which there must be recent evidence, between minEvidence and maxEvidence of them.
+	// Otherwise the few that a node uses without a reply look like all.
+	evidenceShare = 1.0 / 3
+	minEvidence   = 3
+	maxEvidence   = 24
 	// lowShare is the share below which a node counts as having lost its links.
 	lowShare = 0.5
 )
@@ -47,13 +50,14 @@
 }
 
 // Sample counts searchers by their evidence.
-type Sample struct{ reached, lost int }
+type Sample struct{ all, reached, lost int }
 
 // Add adds a searcher.
 func (s *Sample) Add(now time.Time, link *Link) {
+	s.all++
 	switch {
 	case !link.recent(now):
-	case link.Lost(now):
+	case link.Lost():
 		s.lost++
 	default:
 		s.reached++
@@ -64,7 +68,7 @@
 func (s *Sample) Reach(previous Reach) Reach {
 	total := s.reached + s.lost
 	switch {
-	case total >= minEvidence:
+	case total >= min(max(int(evidenceShare*float64(s.all)), minEvidence), maxEvidence):
 		return Of(float64(s.reached) / float64(total))
 	case previous.Low():
 		return previous
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -14,10 +15,25 @@
 	silent := func(l *Link) {
 		l.Reached(at(2 * silenceLimit))
 		l.Sent(at(silenceLimit))
-		l.Sent(at(silenceLimit / 2))
+		l.Sent(now)
 	}
 	slow := func(l *Link) { l.Reached(at(silenceLimit)); l.Sent(at(silenceLimit / 2)) }
 	old := func(l *Link) { l.Failed(at(evidenceWindow)); l.Sent(at(evidenceWindow)) }
+	connected := func(l *Link) { l.Failed(at(time.Second)); l.Connected(now) }
+	broken := func(l *Link) { l.Connected(at(time.Millisecond)); l.Broke(at(time.Millisecond)); l.Connected(now) }
+	swallowed := func(l *Link) { silent(l); l.Connected(now) }
+	lone := func(l *Link) {
+		sentAt := at(time.Second)
+		l.Reached(at(1500 * time.Millisecond))
+		l.Sent(sentAt)
+		l.GaveUp(sentAt.Add(silenceLimit/3), sentAt)
+	}
+	late := func(l *Link) {
+		sentAt := at(time.Second)
+		l.Reached(at(1500 * time.Millisecond))
+		l.Sent(sentAt)
+		l.GaveUp(sentAt.Add(silenceLimit), sentAt)
+	}
 	none := func(*Link) {}
 	tests := map[string]struct {
 		links    []func(*Link)
@@ -31,6 +47,13 @@
 		"all silent":                          {links: []func(*Link){silent, silent, silent, silent}, want: Of(0), wantLow: true},
 		"slow":                                {links: []func(*Link){up, up, slow}, want: Of(1)},
 		"connection refused after a reply":    {links: []func(*Link){func(l *Link) { l.Reached(at(time.Second)); l.Failed(now) }, down, down}, want: Of(0), wantLow: true},
+		"single requests given up early":      {links: []func(*Link){up, lone, lone, lone}, want: Of(1)},
+		"requests given up late":              {links: []func(*Link){late, late, late}, want: Of(0), wantLow: true},
+		"new connections break":               {links: []func(*Link){broken, broken, broken}, want: Of(0), wantLow: true},
+		"new connections only":                {links: []func(*Link){connected, connected, connected}, want: Of(1)},
+		"silent behind new connections":       {links: []func(*Link){swallowed, swallowed, swallowed}, want: Of(0), wantLow: true},
+		"too few of many":                     {links: append([]func(*Link){down, down, down}, slices.Repeat([]func(*Link){none}, 12)...), want: Unknown},
+		"a few of very many":                  {links: append(slices.Repeat([]func(*Link){down}, maxEvidence), slices.Repeat([]func(*Link){none}, 1000)...), want: Of(0), wantLow: true},
 		"too few":                             {links: []func(*Link){down, down}, want: Unknown},
 		"no evidence":                         {links: []func(*Link){none, none, none}, want: Unknown},
 		"old evidence":                        {links: []func(*Link){old, old, old}, want: Unknown},
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -97,6 +97,8 @@
 	// before and the searcher seems not to know it any more.
 	abrupt    bool
 	staleConn bool
+	// freshConn is set when the connection had not carried a request before.
+	freshConn bool
 	// waited is the time that the attempt waited for a connection.
 	waited time.Duration
 }
@@ -142,7 +144,7 @@
 	_, writeErr := conn.Write(message)
 	sentAt := e.clock()
 	r := e.readReply(conn, a.part.service, request)
-	r.waited = waited
+	r.waited, r.freshConn = waited, !conn.Reused()
 	r.staleConn = r.abrupt && conn.Reused() && e.clock().Sub(sentAt) < a.roundTrip+staleConnMargin
 	a.detachConn()
 	e.releaseConn(a, conn, r, writeErr == nil)
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fireflylanding/fireflylanding/internal/delay"
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
 	"github.com/fireflylanding/fireflylanding/internal/health"
 	"github.com/fireflylanding/fireflylanding/internal/pace"
@@ -165,7 +166,7 @@
 		switch {
 		case err == nil:
 			b.recordRoundTrip(region, took)
-			link.Reached(b.clock())
+			link.Connected(b.clock())
 		case !errors.Is(err, context.Canceled):
 			link.Failed(b.clock())
 		}
@@ -302,6 +303,8 @@
 const (
 	// maxProbesPerTick bounds the connections that one tick opens to find out whether searchers are reached.
 	maxProbesPerTick = 8
+	// probeSettleTime is the time for which such a connection must stay open, since something in between may accept it for the searcher.
+	probeSettleTime = 100 * time.Millisecond
 	// probeInterval is the minimum time between two such connections to the same searcher.
 	probeInterval = 500 * time.Millisecond
 )
@@ -325,8 +328,16 @@
 				defer cancel()
 				// Idle connections may have gone silent, and would keep the pool from opening another one.
 				ep.pool.DropIdle(now)
-				// The pool reports the outcome to the link.
-				_ = ep.pool.Probe(ctx)
+				// The pool reports a failure to the link.
+				if err := ep.pool.Probe(ctx); err != nil {
+					return
+				}
+				delay.Sleep(ctx, probeSettleTime)
+				if ep.pool.LostIdleConns() {
+					ep.link.Broke(b.clock())
+				} else if ep.pool.HasLiveConn() {
+					ep.link.Reached(b.clock())
+				}
 			})
 		}
 	}
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -142,8 +142,13 @@
 	if r.reason == wire.Reason_REASON_WRONG_SEARCHER {
 		a.endpoint.replaced.Store(true)
 	}
-	if r.response != nil {
+	switch {
+	case r.response != nil:
 		a.endpoint.link.Reached(now)
+	case r.abrupt && r.freshConn:
+		a.endpoint.link.Broke(now)
+	case r.reason == wire.Reason_REASON_CONNECTION_SILENT:
+		a.endpoint.link.GaveUp(now, a.sentAt)
 	}
 	f.engine.observeLeaving(a, r)
 	f.engine.observePause(now, a, r)
