Let all nodes know in time which nodes have lost their links

Causes, in the order in which the logs showed them: - A node without requests does not know its reach. When the active nodes of a zone were left out, the next ones of the order took their place, most of them as stranded, one pair after the other. - Loss found during the cut stayed beside new connections, so that nodes fell out again after it. - With half of the searchers reached, over connections that lived on, a query over shards mostly fails. - A change of state reaches the nodes that are no leaders with the region's table only, every 2.9 s with 47 nodes, so that directories named stranded nodes for seconds. - Callers may keep a directory answer three times as long as it is valid, 6 s with 2 s.

Change: while some node is known to have lost its links, nodes without requests probe two random searchers a tick, and four probes are an estimate; nodes that know their reach become active first. Only evidence of the last 2 s counts. The bound is 0.7 instead of a half, absolute and against the best node. A change of a node's reach is passed on within a tick, once by each node, over the same targets as quarantine marks. A directory answer is valid for 1 s.

--- a/internal/reach/link.go
+++ b/internal/reach/link.go
@@ -16,14 +16,20 @@
 	failedAt    atomic.Int64
 	// brokenAt is the time at which a new connection last broke before it carried a reply.
 	brokenAt atomic.Int64
+	// probedAt is the time of the latest probe, with its lowest bit set if the probe reached the searcher.
+	probedAt atomic.Int64
 	// sentAt is the time of the latest request, and unansweredSince that of the first one since the searcher was last reached.
 	sentAt          atomic.Int64
 	unansweredSince atomic.Int64
 }
 
-// Sent records that a request is sent.
+// Sent records that a request is sent. Requests that got no reply count together only if they follow each other within evidenceWindow.
 func (l *Link) Sent(now time.Time) {
-	l.sentAt.Store(now.UnixNano())
+	previous := l.sentAt.Swap(now.UnixNano())
+	if now.UnixNano()-previous >= int64(evidenceWindow) {
+		l.unansweredSince.Store(now.UnixNano())
+		return
+	}
 	l.unansweredSince.CompareAndSwap(0, now.UnixNano())
 }
 
@@ -42,14 +48,60 @@
 // Broke records that a new connection broke before it carried a reply.
 func (l *Link) Broke(now time.Time) { l.brokenAt.Store(now.UnixNano()) }
 
-// Lost reports whether the latest evidence, however old, is that the searcher is not reached.
-func (l *Link) Lost() bool {
-	reached := l.reachedAt.Load()
-	return l.failedAt.Load() > max(reached, l.connectedAt.Load()) || l.brokenAt.Load() > reached || l.silent()
+// Probed records the outcome of a probe: a connection that was opened only to learn whether the searcher is reached.
+func (l *Link) Probed(now time.Time, reached bool) {
+	probe := now.UnixNano() &^ 1
+	if reached {
+		probe |= 1
+		l.Reached(now)
+	} else {
+		l.Broke(now)
+	}
+	l.probedAt.Store(probe)
+}
+
+// recentProbe returns the outcome of a recent probe.
+func (l *Link) recentProbe(now time.Time) (reached, ok bool) {
+	probe := l.probedAt.Load()
+	return probe&1 == 1, probe != 0 && now.UnixNano()-probe < int64(evidenceWindow)
+}
+
+// evidence is what is known of a link lately.
+type evidence int
+
+const (
+	none evidence = iota
+	reached
+	lost
+)
+
+// evidence returns what is known from within evidenceWindow. A new connection outweighs a failure to open one, but neither a connection that
+// broke nor requests without a reply; a reply outweighs all that came before it.
+func (l *Link) evidence(now time.Time) evidence {
+	replied, connected := l.reachedAt.Load(), l.connectedAt.Load()
+	lostAt := int64(0)
+	if at := l.failedAt.Load(); at > max(replied, connected) {
+		lostAt = at
+	}
+	if at := l.brokenAt.Load(); at > replied {
+		lostAt = max(lostAt, at)
+	}
+	if l.silent() {
+		lostAt = max(lostAt, l.sentAt.Load())
+	}
+	oldest := now.UnixNano() - int64(evidenceWindow)
+	switch {
+	case lostAt > oldest:
+		return lost
+	case max(replied, connected) > oldest:
+		return reached
+	default:
+		return none
+	}
 }
 
 // RecentlyReached reports whether there is recent evidence that the searcher is reached.
-func (l *Link) RecentlyReached(now time.Time) bool { return l.recent(now) && !l.Lost() }
+func (l *Link) RecentlyReached(now time.Time) bool { return l.evidence(now) == reached }
 
 // ReachedSince reports whether the searcher was reached at or after a time.
 func (l *Link) ReachedSince(at time.Time) bool {
@@ -68,12 +120,3 @@
 	since := l.unansweredSince.Load()
 	return since != 0 && l.sentAt.Load()-since >= int64(silenceLimit)
 }
-
-// recent reports whether there is evidence from within evidenceWindow.
-func (l *Link) recent(now time.Time) bool {
-	latest := max(l.reachedAt.Load(), l.connectedAt.Load(), l.failedAt.Load(), l.brokenAt.Load())
-	if l.silent() {
-		latest = max(latest, l.sentAt.Load())
-	}
-	return latest != 0 && now.UnixNano()-latest < int64(evidenceWindow)
-}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -14,8 +14,10 @@
 	evidenceShare = 1.0 / 3
 	minEvidence   = 3
 	maxEvidence   = 24
+	// minProbes is the number of recent probes from which they are an estimate of their own, for a node that gets too few requests.
+	minProbes = 4
 	// lowShare is the share below which a node counts as having lost its links.
-	lowShare = 0.5
+	lowShare = 0.7
 )
 
 // Reach is an estimate of the share of the searchers that a node reaches. The zero value is unknown.
@@ -50,26 +52,38 @@
 }
 
 // Sample counts searchers by their evidence.
-type Sample struct{ all, reached, lost int }
+type Sample struct {
+	all, reached, lost int
+	// probed counts the searchers with a recent probe, probeReached those of them that it reached.
+	probed, probeReached int
+}
 
 // Add adds a searcher.
 func (s *Sample) Add(now time.Time, link *Link) {
 	s.all++
-	switch {
-	case !link.recent(now):
-	case link.Lost():
+	if success, ok := link.recentProbe(now); ok {
+		s.probed++
+		if success {
+			s.probeReached++
+		}
+	}
+	switch link.evidence(now) {
+	case lost:
 		s.lost++
-	default:
+	case reached:
 		s.reached++
 	}
 }
 
-// Reach returns the estimate. With too little evidence a low estimate stays, since a node that gets no requests learns nothing.
+// Reach returns the estimate. With too little evidence from requests the probes decide, and without enough of them a low estimate stays, since
+// a node that gets no requests learns nothing.
 func (s *Sample) Reach(previous Reach) Reach {
 	total := s.reached + s.lost
 	switch {
 	case total >= min(max(int(evidenceShare*float64(s.all)), minEvidence), maxEvidence):
 		return Of(float64(s.reached) / float64(total))
+	case s.probed > 0 && s.probed >= min(minProbes, s.all):
+		return Of(float64(s.probeReached) / float64(s.probed))
 	case previous.Low():
 		return previous
 	default:
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -34,6 +34,15 @@
 		l.Sent(sentAt)
 		l.GaveUp(sentAt.Add(silenceLimit), sentAt)
 	}
+	probed := func(l *Link) { l.Probed(now, true) }
+	unprobed := func(l *Link) { l.Probed(now, false) }
+	healed := func(l *Link) {
+		l.Reached(at(5 * time.Second))
+		l.Sent(at(4 * time.Second))
+		l.Broke(at(3 * time.Second))
+		l.Connected(at(time.Second))
+		l.Sent(now)
+	}
 	none := func(*Link) {}
 	tests := map[string]struct {
 		links    []func(*Link)
@@ -49,6 +58,10 @@
 		"connection refused after a reply":    {links: []func(*Link){func(l *Link) { l.Reached(at(time.Second)); l.Failed(now) }, down, down}, want: Of(0), wantLow: true},
 		"single requests given up early":      {links: []func(*Link){up, lone, lone, lone}, want: Of(1)},
 		"requests given up late":              {links: []func(*Link){late, late, late}, want: Of(0), wantLow: true},
+		"probes reach, no requests":           {links: append(slices.Repeat([]func(*Link){probed}, minProbes), slices.Repeat([]func(*Link){none}, 20)...), want: Of(1)},
+		"probes fail, no requests":            {links: append(slices.Repeat([]func(*Link){unprobed}, minProbes), slices.Repeat([]func(*Link){none}, 20)...), want: Of(0), wantLow: true},
+		"probes reach again, low before":      {links: append(slices.Repeat([]func(*Link){probed}, minProbes), slices.Repeat([]func(*Link){none}, 20)...), previous: Of(0), want: Of(1)},
+		"lost long ago, connected now":        {links: []func(*Link){healed, healed, healed}, want: Of(1)},
 		"new connections break":               {links: []func(*Link){broken, broken, broken}, want: Of(0), wantLow: true},
 		"new connections only":                {links: []func(*Link){connected, connected, connected}, want: Of(1)},
 		"silent behind new connections":       {links: []func(*Link){swallowed, swallowed, swallowed}, want: Of(0), wantLow: true},
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -301,45 +301,51 @@
 }
 
 const (
-	// maxProbesPerTick bounds the connections that one tick opens to find out whether searchers are reached.
-	maxProbesPerTick = 8
+	// probesPerTick is the number of connections that one tick opens to find out whether searchers are reached.
+	probesPerTick = 2
 	// probeSettleTime is the time for which such a connection must stay open, since something in between may accept it for the searcher.
 	probeSettleTime = 100 * time.Millisecond
 	// probeInterval is the minimum time between two such connections to the same searcher.
 	probeInterval = 500 * time.Millisecond
 )
 
-// probe opens connections to searchers that this node does not reach or knows nothing of, since a node that gets no requests learns nothing
-// from them.
+// probe opens connections to random searchers, since a node that gets no requests learns nothing from them.
 func (b *balancer) probe(ctx context.Context, now time.Time, start func(func())) {
-	remaining := maxProbesPerTick
+	remaining := probesPerTick
+	// The order of a map is random.
 	for _, endpoints := range b.current.Load().byService {
-		for _, ep := range endpoints {
-			if remaining == 0 {
-				return
-			}
-			if now.Before(ep.nextProbeAt) || ep.link.RecentlyReached(now) {
-				continue
-			}
-			remaining--
-			ep.nextProbeAt = now.Add(probeInterval)
-			start(func() {
-				ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-				defer cancel()
-				// Idle connections may have gone silent, and would keep the pool from opening another one.
-				ep.pool.DropIdle(now)
-				// The pool reports a failure to the link.
-				if err := ep.pool.Probe(ctx); err != nil {
-					return
-				}
-				delay.Sleep(ctx, probeSettleTime)
-				if ep.pool.LostIdleConns() {
-					ep.link.Broke(b.clock())
-				} else if ep.pool.HasLiveConn() {
-					ep.link.Reached(b.clock())
-				}
-			})
+		if remaining == 0 {
+			return
+		}
+		if len(endpoints) == 0 {
+			continue
 		}
+		ep := endpoints[rand.IntN(len(endpoints))]
+		if now.Before(ep.nextProbeAt) {
+			continue
+		}
+		remaining--
+		ep.nextProbeAt = now.Add(probeInterval)
+		start(func() { b.probeLink(ctx, now, ep) })
+	}
+}
+
+// probeLink records whether a new connection to a searcher can be opened and stays open.
+func (b *balancer) probeLink(ctx context.Context, now time.Time, ep *endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	// Idle connections may have gone silent, and would keep the pool from opening another one.
+	ep.pool.DropIdle(now)
+	if err := ep.pool.Probe(ctx); err != nil {
+		ep.link.Probed(b.clock(), false)
+		return
+	}
+	delay.Sleep(ctx, probeSettleTime)
+	switch {
+	case ep.pool.LostIdleConns():
+		ep.link.Probed(b.clock(), false)
+	case ep.pool.HasLiveConn():
+		ep.link.Probed(b.clock(), true)
 	}
 }
 
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -65,7 +65,8 @@
 	endBy atomic.Int64
 	// reach is the share of the searchers that this node reaches, as of the last tick.
 	reach atomic.Pointer[reach.Reach]
-	// stranded is set while other nodes reach far more searchers. doubted is set while no node is known to reach most of them.
+	// stranded is set while other nodes reach far more searchers. doubted is set while some node has lost its links, or no node is known to
+	// reach most searchers.
 	stranded  atomic.Bool
 	doubted   atomic.Bool
 	tasks     conc.WaitGroup
@@ -131,7 +132,7 @@
 func (e *Engine) Tick(ctx context.Context, now time.Time) {
 	e.balancer.maintain(now)
 	e.updateReach(now)
-	if known := e.Reach(); known.Low() || (e.doubted.Load() && !known.Known()) {
+	if e.Reach().Low() || (e.doubted.Load() && !e.active.Load()) {
 		e.balancer.probe(ctx, now, func(f func()) { e.tasks.Go(f) })
 	}
 	if e.active.Load() {
@@ -155,8 +156,9 @@
 	}
 }
 
-// CompareReach compares the reach of this node with the best of all nodes.
-func (e *Engine) CompareReach(best reach.Reach) {
+// CompareReach compares the reach of this node with the best of all nodes. doubted tells whether some node reaches few searchers, so that this
+// node has to know its own reach.
+func (e *Engine) CompareReach(best reach.Reach, doubted bool) {
 	stranded := e.Reach().BelowOthers(best)
 	if e.stranded.Swap(stranded) != stranded {
 		event := wire.Event_EVENT_NODE_NOT_STRANDED
@@ -165,7 +167,7 @@
 		}
 		e.logger.Log(event, zap.Float64("share", e.Reach().Share()), zap.Float64("best", best.Share()))
 	}
-	e.doubted.Store(best.Low())
+	e.doubted.Store(doubted)
 }
 
 // Stranded reports whether this node has lost its links to searchers that other nodes reach.
--- a/internal/roster/live.go
+++ b/internal/roster/live.go
@@ -82,6 +82,8 @@
 	active map[string][]State
 	// bestReach is the greatest reach of the live nodes, unknown if no node knows its reach.
 	bestReach reach.Reach
+	// reachDoubted is set while some live node is known to reach few searchers.
+	reachDoubted bool
 }
 
 // currentView returns the current view and rebuilds it when it is outdated. The caller holds mu.
@@ -103,10 +105,16 @@
 	zones := make(map[string][]State)
 	v.bestReach = bestReach(v.live)
 	for _, state := range v.live {
+		v.reachDoubted = v.reachDoubted || state.Reach.Low()
 		if !state.Reach.BelowOthers(v.bestReach) {
 			zones[state.Zone] = append(zones[state.Zone], state)
 		}
 	}
+	if v.reachDoubted {
+		for zone, states := range zones {
+			zones[zone] = preferKnownReach(states)
+		}
+	}
 	for zone, states := range zones {
 		v.active[zone] = activeNodes(states)
 	}
@@ -125,11 +133,27 @@
 	return best
 }
 
-// BestReach returns the greatest reach of the live nodes, unknown if no node knows its reach.
-func (r *Roster) BestReach(now time.Time) reach.Reach {
+// preferKnownReach returns the nodes that know their reach, if there are enough of them, since the others may have lost their links as well.
+func preferKnownReach(states []State) []State {
+	var known []State
+	for _, s := range states {
+		if s.Reach.Known() {
+			known = append(known, s)
+		}
+	}
+	if len(known) < minActive {
+		return states
+	}
+	return known
+}
+
+// BestReach returns the greatest reach of the live nodes, unknown if no node knows its reach. doubted tells whether some live node is known to
+// reach few searchers.
+func (r *Roster) BestReach(now time.Time) (best reach.Reach, doubted bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.currentView(now).bestReach
+	v := r.currentView(now)
+	return v.bestReach, v.reachDoubted
 }
 
 // Live returns the nodes that are ready and not silent, including this one when it is ready, in hash order. The caller must not modify
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -196,8 +196,9 @@
 	}
 }
 
-// Merge adds states that another node sent. Merging is idempotent and commutative.
-func (r *Roster) Merge(now time.Time, states []State) {
+// Merge adds states that another node sent, and returns those of nodes that have lost their links to the searchers or have them back, which
+// other nodes should learn soon. Merging is idempotent and commutative.
+func (r *Roster) Merge(now time.Time, states []State) (urgent []State) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, state := range states {
@@ -214,7 +215,8 @@
 		if !state.newerThan(known.state) {
 			continue
 		}
-		lifecycleChanged := state.Phase != known.state.Phase || state.Generation != known.state.Generation
+		reachChanged := state.Reach.Low() != known.state.Reach.Low()
+		lifecycleChanged := state.Phase != known.state.Phase || state.Generation != known.state.Generation || reachChanged
 		if !lifecycleChanged && state.Region != r.self.Region && state.Heartbeat < known.state.Heartbeat+minRemoteHeartbeatAdvance {
 			continue
 		}
@@ -222,7 +224,11 @@
 		state.hashOrder = known.state.hashOrder
 		known.state = state
 		known.advancedAt = now
+		if reachChanged {
+			urgent = append(urgent, state)
+		}
 	}
+	return urgent
 }
 
 // supersedePredecessor raises this node's generation above that of a predecessor on the same VM whose state is still being relayed.
--- a/internal/tier/exchange.go
+++ b/internal/tier/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fireflylanding/fireflylanding/internal/epoch"
@@ -39,6 +41,9 @@
 
 // Push implements peer.Handler. It merges quarantine marks and forwards those that are new.
 func (h handler) Push(_ context.Context, push *wire.Push) {
+	if nodes := push.GetNodes(); len(nodes) > 0 {
+		h.tier.relay(h.tier.roster.Merge(h.tier.clock(), statesOf(nodes)))
+	}
 	if newMarks := h.tier.engine.MergeMarks(h.tier.clock(), push.GetMarks()); len(newMarks) > 0 {
 		h.tier.propagateMarks(newMarks)
 	}
@@ -50,6 +55,10 @@
 }
 
 func (t *Tier) digest(now time.Time, states []roster.State) *wire.Digest {
+	return wire.Digest_builder{Id: t.settings.Load().Node, Nodes: nodeStates(states), Source: t.position(now)}.Build()
+}
+
+func nodeStates(states []roster.State) []*wire.NodeState {
 	nodes := make([]*wire.NodeState, len(states))
 	for i, s := range states {
 		nodes[i] = wire.NodeState_builder{
@@ -67,7 +76,7 @@
 			Reach:            float32(s.Reach.Share()),
 		}.Build()
 	}
-	return wire.Digest_builder{Id: t.settings.Load().Node, Nodes: nodes, Source: t.position(now)}.Build()
+	return nodes
 }
 
 func (t *Tier) position(now time.Time) *wire.SourcePosition {
@@ -89,8 +98,18 @@
 
 // merge merges a digest into the roster and returns its states, the sender's first.
 func (t *Tier) merge(now time.Time, digest *wire.Digest) []roster.State {
-	states := make([]roster.State, len(digest.GetNodes()))
-	for i, n := range digest.GetNodes() {
+	states := statesOf(digest.GetNodes())
+	t.relay(t.roster.Merge(now, states))
+	t.roster.RecordContact(now, digest.GetId())
+	if len(states) > 0 && t.observePosition(now, states[0], positionOf(digest.GetSource())) {
+		t.pullEntries(states[0].PeerAddress)
+	}
+	return states
+}
+
+func statesOf(nodes []*wire.NodeState) []roster.State {
+	states := make([]roster.State, len(nodes))
+	for i, n := range nodes {
 		states[i] = roster.State{
 			ID:            n.GetId(),
 			Region:        n.GetRegion(),
@@ -105,14 +124,33 @@
 			Reach:         reachOf(n),
 		}
 	}
-	t.roster.Merge(now, states)
-	t.roster.RecordContact(now, digest.GetId())
-	if len(states) > 0 && t.observePosition(now, states[0], positionOf(digest.GetSource())) {
-		t.pullEntries(states[0].PeerAddress)
-	}
 	return states
 }
 
+// relay keeps states that other nodes should learn soon for the next tick. Each node passes a change on once, since it is no change to those
+// that know it.
+func (t *Tier) relay(urgent []roster.State) {
+	if len(urgent) == 0 {
+		return
+	}
+	t.urgentMu.Lock()
+	defer t.urgentMu.Unlock()
+	for _, s := range urgent {
+		t.urgent[s.ID] = s
+	}
+}
+
+// sendUrgent passes on the states that were kept since the last tick.
+func (t *Tier) sendUrgent() {
+	t.urgentMu.Lock()
+	states := slices.Collect(maps.Values(t.urgent))
+	clear(t.urgent)
+	t.urgentMu.Unlock()
+	if len(states) > 0 {
+		t.push(wire.Push_builder{From: t.settings.Load().Node, Nodes: nodeStates(states)}.Build())
+	}
+}
+
 func reachOf(n *wire.NodeState) reach.Reach {
 	if !n.GetReachKnown() {
 		return reach.Unknown
@@ -216,13 +254,17 @@
 	if len(due) == 0 {
 		return
 	}
-	push := wire.Push_builder{From: t.settings.Load().Node, Marks: due}.Build()
+	t.push(wire.Push_builder{From: t.settings.Load().Node, Marks: due}.Build())
+}
+
+// push sends a push to the nodes from which all others learn it.
+func (t *Tier) push(push *wire.Push) {
 	for _, address := range t.roster.MarkTargets() {
 		t.background.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 			defer cancel()
 			if err := t.peers.Push(ctx, shards.NewVM("", "", "", "", address), push); err != nil {
-				// Lost marks are delivered by other nodes. The connection may have gone silent, so the next exchange opens another.
+				// What is lost is delivered by other nodes. The connection may have gone silent, so the next exchange opens another.
 				t.peers.Reconnect(address)
 			}
 		})
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -16,7 +16,7 @@
 	// tickInterval is the time between two checks of the clock and of the node's state.
 	tickInterval = 250 * time.Millisecond
 	// maxDirectoryValidity is how long callers may cache a directory answer, unless the platform sets a shorter time.
-	maxDirectoryValidity = 2 * time.Second
+	maxDirectoryValidity = time.Second
 	// drainShare is the share of the stop time during which a stopping node still accepts requests from callers with a cached directory answer.
 	drainShare = 0.58
 	// shutdownMargin is kept between the end of the last connection and the end of the stop time, and answerTime before it for the answers of
@@ -51,8 +51,9 @@
 	}
 	t.engine.Tick(ctx, now)
 	if t.roster.SetReach(t.engine.Reach()) {
-		t.propagateState()
+		t.relay([]roster.State{t.roster.Self()})
 	}
+	t.sendUrgent()
 	t.engine.CompareReach(t.roster.BestReach(now))
 	t.sendMarks(now)
 	if nodes := t.nodeCounts(now); !nodes.Equal(t.lastNodeCounts) {
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -89,6 +89,9 @@
 	lastNodeCounts relay.NodeCounts
 	// background runs the exchanges with other nodes and the shutdown of the caller listener.
 	background conc.WaitGroup
+	// urgent holds the states by node that the next tick passes on.
+	urgentMu sync.Mutex
+	urgent   map[string]roster.State
 	// engineUpdates serializes updates of the engine's searchers, routes and node counts.
 	engineUpdates sync.Mutex
 }
@@ -115,6 +118,7 @@
 		detector:  wake.New(wake.Settings{TickInterval: tickInterval}),
 		marks:     quar.NewOutbox(),
 		startedAt: clock(),
+		urgent:    make(map[string]roster.State),
 	}
 	t.settings.Store(&settings)
 	t.counters = reason.NewCounters(t.registry, "reasons")
