Cut a node off from the searchers in the soak

On half of the quiet phases the soak cuts one node off from all searchers: its open connections through the proxies go silent and new ones are reset, by the TCP ports that the kernel lists for its process. After 5 s no directory may name it, its answers must come within half of the callers' time, and it must be ready again 5 s after the cut.

--- a/internal/soak/drills.go
+++ b/internal/soak/drills.go
@@ -1,6 +1,14 @@
 package soak
 
-import "time"
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fireflylanding/fireflylanding/internal/delay"
+	"github.com/fireflylanding/fireflylanding/platform/stand"
+)
 
 // drills are faults that a round adds to the others, one at most.
 var drills = []fault{
@@ -56,3 +64,53 @@
 	})
 	r.configure(service)
 }
+
+const (
+	// strandedBound is the time after which callers must not be directed to a node without links to searchers, and after which a node with links
+	// must be ready again.
+	strandedBound = 5 * time.Second
+	// strandedCheck is the time after that in which its answers are checked, and atOnce the time within which it must answer.
+	strandedCheck = time.Second
+	atOnce        = callerTimeout / 2
+)
+
+// checkStrandedNode cuts a node off from all searchers while callers, the store and the other nodes reach it. No directory may name it, it
+// must answer at once, and it must come back after the cut.
+func (r *runner) checkStrandedNode(ctx context.Context) {
+	p := r.fleet.nodes[r.drillRandom.IntN(len(r.fleet.nodes))]
+	r.recordFault("node stranded")
+	r.cutFromSearchers(p.holdsPort)
+	delay.Sleep(ctx, strandedBound)
+	from := time.Now()
+	client := stand.NewClient()
+	for _, other := range r.fleet.nodes {
+		addresses, err := stand.Resolve(ctx, client, other.directoryAddress(), p.machine.Zones[p.machine.Zone], p.machine.Zone)
+		if err != nil || slices.Contains(addresses, p.callerAddress()) {
+			r.addViolation("stranded", "the directory of %s names %v, error %v, %v after %s lost its links", other.machine.Node, addresses, err, strandedBound, p.machine.Node)
+		}
+	}
+	delay.Sleep(ctx, strandedCheck)
+	r.cutFromSearchers(nil)
+	r.mu.Lock()
+	for _, s := range r.evidence.exchanges {
+		if took := s.endedAt.Sub(s.sentAt); s.node == p.machine.Node && s.sentAt.After(from) && took > atOnce {
+			r.evidence.violations = append(r.evidence.violations, Violation{
+				Promise: "stranded", Detail: fmt.Sprintf("request %s at %s took %v, error %v", s.request.ID, s.node, took, s.err),
+			})
+		}
+	}
+	r.mu.Unlock()
+	delay.Sleep(ctx, strandedBound)
+	if !stand.IsReady(ctx, client, p.readyAddress()) {
+		r.addViolation("stranded", "%s is not ready %v after its links came back", p.machine.Node, strandedBound)
+	}
+}
+
+// cutFromSearchers cuts the process whose ports match off from all searchers, or ends the cut.
+func (r *runner) cutFromSearchers(match func(port int) bool) {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	for _, s := range r.fleet.searchers {
+		s.proxy.cutCallers(match)
+	}
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -216,6 +216,9 @@
 	from := time.Now()
 	r.checkGracefulStop(ctx)
 	r.checkConfiguration(ctx)
+	if r.drillRandom.IntN(2) == 0 {
+		r.checkStrandedNode(ctx)
+	}
 	endLimits := r.limitSearchers()
 	cut := r.loseSearchersUnseen(ctx)
 	delay.Sleep(ctx, quietPhase)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -46,6 +46,19 @@
 // readyAddress returns the address of the node's readiness endpoint.
 func (p *process) readyAddress() string { return fmt.Sprintf("%s:%d", p.machine.IP, readyPort) }
 
+// directoryAddress returns the address of the node's directory.
+func (p *process) directoryAddress() string {
+	return fmt.Sprintf("%s:%d", p.machine.IP, directoryPort)
+}
+
+// holdsPort reports whether the process holds a TCP socket with the local port.
+func (p *process) holdsPort(port int) bool {
+	p.mu.Lock()
+	pid := p.command.Process.Pid
+	p.mu.Unlock()
+	return socketPorts(pid)[port]
+}
+
 // start starts the process unless it is running: overlapping faults may start it twice.
 func (p *process) start() error {
 	p.mu.Lock()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -34,6 +34,8 @@
 	mu    sync.Mutex
 	fault LinkFault
 	links map[*link]struct{}
+	// cutOff reports whether a caller's TCP port belongs to the process that is cut off, nil if none is.
+	cutOff func(port int) bool
 }
 
 // link is one connection through a proxy.
@@ -69,6 +71,28 @@
 	p.fault = f
 }
 
+// cutCallers silences the open links of the callers whose TCP ports match, and resets those that they open from now on. A nil function ends
+// the cut for new links.
+func (p *proxy) cutCallers(match func(port int) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cutOff = match
+	if match == nil {
+		return
+	}
+	for l := range p.links {
+		l.silent = l.silent || match(portOf(l.caller))
+	}
+}
+
+// portOf returns the TCP port of the other end of a connection.
+func portOf(conn net.Conn) int {
+	if address, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
+		return address.Port
+	}
+	return 0
+}
+
 // resetLinks closes the open links with a TCP reset.
 func (p *proxy) resetLinks() {
 	p.mu.Lock()
@@ -100,6 +124,17 @@
 }
 
 func (p *proxy) connect(caller net.Conn) {
+	p.mu.Lock()
+	cutOff := p.cutOff
+	p.mu.Unlock()
+	if cutOff != nil && cutOff(portOf(caller)) {
+		if tcp, ok := caller.(*net.TCPConn); ok {
+			// On a closed connection this returns an error, and there is nothing left to reset.
+			_ = tcp.SetLinger(0)
+		}
+		_ = caller.Close()
+		return
+	}
 	target, err := net.DialTimeout("tcp", p.target, time.Second)
 	if err != nil {
 		_ = caller.Close()
