--- a/internal/soak/drills.go
+++ b/internal/soak/drills.go
@@ -79,7 +79,7 @@
 func (r *runner) checkStrandedNode(ctx context.Context) {
 	p := r.fleet.nodes[r.drillRandom.IntN(len(r.fleet.nodes))]
 	r.recordFault("node stranded")
-	r.cutFromSearchers(p.holdsPort)
+	r.cutFromSearchers(&portTable{pid: p.pid})
 	delay.Sleep(ctx, strandedBound)
 	from := time.Now()
 	client := stand.NewClient()
@@ -106,11 +106,12 @@
 	}
 }
 
-// cutFromSearchers cuts the process whose ports match off from all searchers, or ends the cut.
-func (r *runner) cutFromSearchers(match func(port int) bool) {
+// cutFromSearchers cuts the process with the ports off from all searchers, or ends the cut if ports is nil.
+func (r *runner) cutFromSearchers(ports *portTable) {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
+	now := time.Now()
 	for _, s := range r.fleet.searchers {
-		s.proxy.cutCallers(match)
+		s.proxy.cutCaller(now, ports)
 	}
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -51,12 +51,11 @@
 	return fmt.Sprintf("%s:%d", p.machine.IP, directoryPort)
 }
 
-// holdsPort reports whether the process holds a TCP socket with the local port.
-func (p *process) holdsPort(port int) bool {
+// pid returns the id of the most recently started process.
+func (p *process) pid() int {
 	p.mu.Lock()
-	pid := p.command.Process.Pid
-	p.mu.Unlock()
-	return socketPorts(pid)[port]
+	defer p.mu.Unlock()
+	return p.command.Process.Pid
 }
 
 // start starts the process unless it is running: overlapping faults may start it twice.
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -34,8 +34,8 @@
 	mu    sync.Mutex
 	fault LinkFault
 	links map[*link]struct{}
-	// cutOff reports whether a caller's TCP port belongs to the process that is cut off, nil if none is.
-	cutOff func(port int) bool
+	// cutOff holds the ports of the process that is cut off, nil if none is.
+	cutOff *portTable
 }
 
 // link is one connection through a proxy.
@@ -71,17 +71,17 @@
 	p.fault = f
 }
 
-// cutCallers silences the open links of the callers whose TCP ports match, and resets those that they open from now on. A nil function ends
-// the cut for new links.
-func (p *proxy) cutCallers(match func(port int) bool) {
+// cutCaller silences the open links of a process, and resets those that it opens from now on. A nil table ends the cut for new links. now is
+// the time of the cut.
+func (p *proxy) cutCaller(now time.Time, ports *portTable) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cutOff = match
-	if match == nil {
+	p.cutOff = ports
+	if ports == nil {
 		return
 	}
 	for l := range p.links {
-		l.silent = l.silent || match(portOf(l.caller))
+		l.silent = l.silent || ports.holds(now, portOf(l.caller))
 	}
 }
 
@@ -127,7 +127,7 @@
 	p.mu.Lock()
 	cutOff := p.cutOff
 	p.mu.Unlock()
-	if cutOff != nil && cutOff(portOf(caller)) {
+	if cutOff != nil && cutOff.holds(time.Now(), portOf(caller)) {
 		if tcp, ok := caller.(*net.TCPConn); ok {
 			// On a closed connection this returns an error, and there is nothing left to reset.
 			_ = tcp.SetLinger(0)
--- a/internal/soak/sockets.go
+++ b/internal/soak/sockets.go
@@ -7,8 +7,30 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
+	"time"
 )
 
+// portTable holds the local ports of the TCP sockets of a process. Listing them is slow, so that callers share a listing. It is safe for
+// concurrent use.
+type portTable struct {
+	pid func() int
+
+	mu       sync.Mutex
+	listedAt time.Time
+	ports    map[int]bool
+}
+
+// holds reports whether the process had a socket with a port at a time or later.
+func (t *portTable) holds(at time.Time, port int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.listedAt.Before(at) {
+		t.listedAt, t.ports = time.Now(), socketPorts(t.pid())
+	}
+	return t.ports[port]
+}
+
 // socketPorts returns the local ports of the IPv4 TCP sockets that a process holds, as the kernel lists them. It returns none for a process
 // that has ended.
 func socketPorts(pid int) map[int]bool {
