Find the owner of a new connection in the soak by one query instead of a listing of all sockets

A probe of the stranded node counts a connection that stays open for 100 ms, so the node took its links for back.

Change: the kernel's socket diagnosis names the inode of one connection, and only the descriptors of the node's process are read.

Product code is unchanged.

--- a/internal/soak/drills.go
+++ b/internal/soak/drills.go
@@ -79,7 +79,7 @@
 func (r *runner) checkStrandedNode(ctx context.Context) {
 	p := r.fleet.nodes[r.drillRandom.IntN(len(r.fleet.nodes))]
 	r.recordFault("node stranded")
-	r.cutFromSearchers(&portTable{pid: p.pid})
+	r.cutFromSearchers(p)
 	delay.Sleep(ctx, strandedBound)
 	from := time.Now()
 	client := stand.NewClient()
@@ -90,7 +90,7 @@
 		}
 	}
 	delay.Sleep(ctx, strandedCheck)
-	r.cutFromSearchers(nil)
+	r.endSearcherCut()
 	r.mu.Lock()
 	for _, s := range r.evidence.exchanges {
 		if took := s.endedAt.Sub(s.sentAt); s.node == p.machine.Node && s.sentAt.After(from) && took > atOnce {
@@ -106,12 +106,21 @@
 	}
 }
 
-// cutFromSearchers cuts the process with the ports off from all searchers, or ends the cut if ports is nil.
-func (r *runner) cutFromSearchers(ports *portTable) {
+// cutFromSearchers cuts a node off from all searchers.
+func (r *runner) cutFromSearchers(p *process) {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
-	now := time.Now()
+	held := heldSockets(p.pid())
 	for _, s := range r.fleet.searchers {
-		s.proxy.cutCaller(now, ports)
+		s.proxy.cutCaller(held, p.pid)
+	}
+}
+
+// endSearcherCut ends the cut between a node and the searchers.
+func (r *runner) endSearcherCut() {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	for _, s := range r.fleet.searchers {
+		s.proxy.endCut()
 	}
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -34,8 +34,8 @@
 	mu    sync.Mutex
 	fault LinkFault
 	links map[*link]struct{}
-	// cutOff holds the ports of the process that is cut off, nil if none is.
-	cutOff *portTable
+	// cutOff returns the id of the process that is cut off; it is nil if none is.
+	cutOff func() int
 }
 
 // link is one connection through a proxy.
@@ -71,26 +71,21 @@
 	p.fault = f
 }
 
-// cutCaller silences the open links of a process, and resets those that it opens from now on. A nil table ends the cut for new links. now is
-// the time of the cut.
-func (p *proxy) cutCaller(now time.Time, ports *portTable) {
+// cutCaller silences the open links of a process, whose sockets are given, and resets those that it opens from now on.
+func (p *proxy) cutCaller(held map[string]bool, pid func() int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cutOff = ports
-	if ports == nil {
-		return
-	}
+	p.cutOff = pid
 	for l := range p.links {
-		l.silent = l.silent || ports.holds(now, portOf(l.caller))
+		l.silent = l.silent || owns(held, l.caller)
 	}
 }
 
-// portOf returns the TCP port of the other end of a connection.
-func portOf(conn net.Conn) int {
-	if address, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
-		return address.Port
-	}
-	return 0
+// endCut ends the cut for new links.
+func (p *proxy) endCut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cutOff = nil
 }
 
 // resetLinks closes the open links with a TCP reset.
@@ -127,7 +122,7 @@
 	p.mu.Lock()
 	cutOff := p.cutOff
 	p.mu.Unlock()
-	if cutOff != nil && cutOff.holds(time.Now(), portOf(caller)) {
+	if cutOff != nil && owns(heldSockets(cutOff()), caller) {
 		if tcp, ok := caller.(*net.TCPConn); ok {
 			// On a closed connection this returns an error, and there is nothing left to reset.
 			_ = tcp.SetLinger(0)
