--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -65,8 +65,7 @@
 	endBy atomic.Int64
 	// reach is the share of the searchers that this node reaches, as of the last tick.
 	reach atomic.Pointer[reach.Reach]
-	// stranded is set while other nodes reach far more searchers. doubted is set while some node has lost its links, or no node is known to
-	// reach most searchers.
+	// stranded is set while other nodes reach far more searchers. doubted is set while some node is known to reach few.
 	stranded  atomic.Bool
 	doubted   atomic.Bool
 	tasks     conc.WaitGroup
@@ -128,7 +127,8 @@
 // SetBudget changes the share and the allowance of extra attempts; the window stays.
 func (e *Engine) SetBudget(b Budget) { e.budget.Store(&b) }
 
-// Tick closes expired idle connections, adapts this node's shares of limits, estimates its reach, and opens connections in advance on a node that callers are routed to.
+// Tick closes expired idle connections, adapts this node's shares of limits, estimates its reach, and opens connections in advance on a node
+// that callers are routed to.
 func (e *Engine) Tick(ctx context.Context, now time.Time) {
 	e.balancer.maintain(now)
 	e.updateReach(now)
--- a/internal/roster/exchange.go
+++ b/internal/roster/exchange.go
@@ -280,10 +280,10 @@
 	return peerAddresses(partners[:min(n, len(partners))])
 }
 
-// MarkTargets returns the peer addresses of the nodes that are told of quarantine marks: the ring partners and, from zone leaders, the
-// leaders of the other regions. A node that forwards each new mark once to its targets reaches all nodes in as many steps as the ring has
+// PushTargets returns the peer addresses of the nodes that are told of quarantine marks and of changes of reach: the ring partners and, from
+// zone leaders, the leaders of the other regions. Nodes that forward what is new to them once reach all nodes in as many steps as the ring has
 // distances, over a number of connections a node that grows with the logarithm of the region.
-func (r *Roster) MarkTargets() []string {
+func (r *Roster) PushTargets() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	targets := r.ringPartners()
--- a/internal/tier/exchange.go
+++ b/internal/tier/exchange.go
@@ -259,7 +259,7 @@
 
 // push sends a push to the nodes from which all others learn it.
 func (t *Tier) push(push *wire.Push) {
-	for _, address := range t.roster.MarkTargets() {
+	for _, address := range t.roster.PushTargets() {
 		t.background.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 			defer cancel()
