Log and count what a node knows of requests that crash searchers

Event 401 names a searcher and a number, event 404 a fingerprint that no line of a request holds, nothing is logged when a mark arrives or when a broken connection is not taken for a crash. Change: fingerprints in events 401 and 404 and in the lines of requests whose connections broke or that are marked, event 405 for crashes that were not confirmed, event 406 for marks that another node sent, gauges quarantine_marks and quarantine_unconfirmed; explain shows the crashes under the same request at all nodes. Suspicions expire with the tick instead of with the next one, so that event 405 is in time. No decision changes.

--- a/internal/relay/attempt_log.go
+++ b/internal/relay/attempt_log.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -95,6 +96,11 @@
 	return false
 }
 
+// lostConnection reports whether the connection of any attempt broke.
+func (l attemptLog) lostConnection() bool {
+	return slices.ContainsFunc(l, func(r *attemptRecord) bool { return r.result == wire.Reason_REASON_CONNECTION_LOST })
+}
+
 // log writes one line for an answer that is refused or incomplete, or that took more than one attempt for a part. The caller must hold mu.
 func (f *fanout) log(now time.Time, answer Answer, fields ...zap.Field) {
 	event := wire.Event_EVENT_REQUEST_REPEATED
@@ -116,6 +122,9 @@
 	if event == wire.Event_EVENT_REQUEST_REPEATED && !f.attemptLog.notable() {
 		return
 	}
+	if f.attemptLog.lostConnection() || f.engine.crashes.suspected(now, f.fingerprint) {
+		fields = append(fields, zap.String("fingerprint", formatFingerprint(f.fingerprint)))
+	}
 	f.engine.logger.Log(event, append(fields,
 		zap.String("request", f.request.ID),
 		zap.String("route", f.request.Route.Name()),
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -76,6 +77,20 @@
 	return digest.Sum64()
 }
 
+// formatFingerprint returns a fingerprint as log lines show it.
+func formatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
+
+// maxLoggedFingerprints bounds the fingerprints in a log line.
+const maxLoggedFingerprints = 16
+
+func formatFingerprints(fingerprints []uint64) []string {
+	formatted := make([]string, min(len(fingerprints), maxLoggedFingerprints))
+	for i := range formatted {
+		formatted[i] = formatFingerprint(fingerprints[i])
+	}
+	return formatted
+}
+
 // lineEnd returns the length of the request line, which holds the method and the path.
 func lineEnd(head []byte) int {
 	for i, b := range head {
@@ -90,7 +105,6 @@
 func (c *crashTracker) suspect(now time.Time, fingerprint uint64, searcher fleet.Key) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.expire(now)
 	if len(c.suspicions) < maxSuspicions {
 		c.suspicions = append(c.suspicions, suspicion{fingerprint: fingerprint, searcher: searcher, at: now})
 	}
@@ -116,24 +130,35 @@
 	c.suspicions = slices.DeleteFunc(c.suspicions, func(s suspicion) bool { return s.fingerprint == fingerprint })
 }
 
-func (c *crashTracker) expire(now time.Time) {
-	kept := c.suspicions[:0]
-	for _, s := range c.suspicions {
+// expire drops the suspicions that were not confirmed in time and returns their fingerprints by searcher.
+func (c *crashTracker) expire(now time.Time) map[fleet.Key][]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	unconfirmed := make(map[fleet.Key][]uint64)
+	c.suspicions = slices.DeleteFunc(c.suspicions, func(s suspicion) bool {
 		if now.Sub(s.at) < crashConfirmWindow {
-			kept = append(kept, s)
+			return false
 		}
-	}
-	c.suspicions = kept
+		unconfirmed[s.searcher] = append(unconfirmed[s.searcher], s.fingerprint)
+		return true
+	})
+	return unconfirmed
+}
+
+// unconfirmed returns the number of broken connections that await confirmation.
+func (c *crashTracker) unconfirmed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.suspicions)
 }
 
 // confirmCrash marks the requests that a searcher was running when it ended, and returns their fingerprints.
 func (c *crashTracker) confirmCrash(now time.Time, searcher fleet.Key) []uint64 {
 	c.mu.Lock()
-	c.expire(now)
 	var confirmed []uint64
 	kept := c.suspicions[:0]
 	for _, s := range c.suspicions {
-		if s.searcher == searcher {
+		if s.searcher == searcher && now.Sub(s.at) < crashConfirmWindow {
 			confirmed = append(confirmed, s.fingerprint)
 		} else {
 			kept = append(kept, s)
@@ -231,15 +256,29 @@
 	if len(confirmed) == 0 {
 		return
 	}
-	e.logger.Log(wire.Event_EVENT_SEARCHER_LOST, zap.String("searcher", searcher.ID), zap.Int("requests", len(confirmed)))
+	e.logger.Log(wire.Event_EVENT_SEARCHER_LOST, zap.String("searcher", searcher.ID), zap.Int("requests", len(confirmed)),
+		zap.Strings("fingerprints", formatFingerprints(confirmed)))
 	for _, fingerprint := range confirmed {
 		if e.crashes.quarantined(now, fingerprint) {
-			e.logger.Log(wire.Event_EVENT_QUARANTINED, zap.Uint64("fingerprint", fingerprint))
+			e.logger.Log(wire.Event_EVENT_QUARANTINED, zap.String("fingerprint", formatFingerprint(fingerprint)))
 			e.announceMark(now, fingerprint)
 		}
 	}
 }
 
+// expireSuspicions gives up the broken connections whose searchers were not seen to end.
+func (e *Engine) expireSuspicions(now time.Time) {
+	for searcher, fingerprints := range e.crashes.expire(now) {
+		e.logger.Log(wire.Event_EVENT_CRASH_UNCONFIRMED, zap.String("searcher", searcher.ID), zap.Int("requests", len(fingerprints)),
+			zap.Strings("fingerprints", formatFingerprints(fingerprints)))
+	}
+}
+
+// QuarantineMarks returns the number of requests that are known to have crashed searchers, and UnconfirmedCrashes the number of broken
+// connections of which it is not known yet whether their searchers ended.
+func (e *Engine) QuarantineMarks() int    { return e.crashes.marks.Len() }
+func (e *Engine) UnconfirmedCrashes() int { return e.crashes.unconfirmed() }
+
 // announceMark sends the mark of a request to other nodes unless it was sent within announceInterval.
 func (e *Engine) announceMark(now time.Time, fingerprint uint64) {
 	announce := e.onMarks.Load()
@@ -256,11 +295,13 @@
 	e.onMarks.Store(&announce)
 }
 
-// MergeMarks merges the marks of another node and returns those that were new.
-func (e *Engine) MergeMarks(now time.Time, marks []*wire.QuarantineMark) []*wire.QuarantineMark {
+// MergeMarks merges the marks that a node sent and returns those that were new.
+func (e *Engine) MergeMarks(now time.Time, from string, marks []*wire.QuarantineMark) []*wire.QuarantineMark {
 	var added []*wire.QuarantineMark
 	for _, mark := range marks {
 		if e.crashes.marks.Merge(now, []*wire.QuarantineMark{mark}) {
+			e.logger.Log(wire.Event_EVENT_MARK_LEARNED, zap.String("fingerprint", formatFingerprint(mark.GetFingerprint())),
+				zap.Strings("searchers", mark.GetSearchers()), zap.String("from", from))
 			added = append(added, mark)
 		}
 	}
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -84,17 +84,17 @@
 		a.searcherEnded(start, searcherKey(i))
 	}
 	marks := a.crashes.export(start, 1)
-	if got := len(b.MergeMarks(start.Add(30*time.Millisecond), marks)); got != 1 {
+	if got := len(b.MergeMarks(start.Add(30*time.Millisecond), "a", marks)); got != 1 {
 		t.Fatalf("first merge: got %d new marks, want 1", got)
 	}
 	if !b.crashes.quarantined(start.Add(time.Second), 1) {
 		t.Error("receiving node: request is not quarantined, want it quarantined")
 	}
 	back := b.crashes.export(start.Add(60*time.Millisecond), 1)
-	if got := len(a.MergeMarks(start.Add(90*time.Millisecond), back)); got != 0 {
+	if got := len(a.MergeMarks(start.Add(90*time.Millisecond), "b", back)); got != 0 {
 		t.Errorf("sent back to the origin: got %d new marks, want 0", got)
 	}
-	if got := len(b.MergeMarks(start.Add(time.Second), marks)); got != 0 {
+	if got := len(b.MergeMarks(start.Add(time.Second), "a", marks)); got != 0 {
 		t.Errorf("second merge: got %d new marks, want 0", got)
 	}
 }
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -127,10 +127,11 @@
 // SetBudget changes the share and the allowance of extra attempts; the window stays.
 func (e *Engine) SetBudget(b Budget) { e.budget.Store(&b) }
 
-// Tick closes expired idle connections, adapts this node's shares of limits, estimates its reach, and opens connections in advance on a node
+// Tick closes expired idle connections, adapts this node's shares of limits, gives up unconfirmed crashes, estimates its reach, and opens connections in advance on a node
 // that callers are routed to.
 func (e *Engine) Tick(ctx context.Context, now time.Time) {
 	e.balancer.maintain(now)
+	e.expireSuspicions(now)
 	e.updateReach(now)
 	if e.Reach().Low() || (e.doubted.Load() && !e.active.Load()) {
 		e.balancer.probe(ctx, now, func(f func()) { e.tasks.Go(f) })
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -32,7 +33,10 @@
 	Event   int       `json:"event"`
 	Node    string    `json:"node"`
 	Request string    `json:"request"`
-	fields  map[string]any
+	// Fingerprint identifies repetitions of a request; Fingerprints are those of the requests that a searcher was running.
+	Fingerprint  string   `json:"fingerprint"`
+	Fingerprints []string `json:"fingerprints"`
+	fields       map[string]any
 }
 
 // contextWindow is the time before a line of the request within which the context events of its node are shown.
@@ -67,7 +71,7 @@
 		return ErrRequestNotFound
 	}
 	for _, l := range own {
-		if err := writeRequest(w, l, contextBefore(lines, l)); err != nil {
+		if err := writeRequest(w, l, contextBefore(lines, l), crashesBefore(lines, l)); err != nil {
 			return err
 		}
 	}
@@ -106,7 +110,22 @@
 	return found[max(0, len(found)-maxContextLines):]
 }
 
-func writeRequest(w io.Writer, own logLine, before []logLine) error {
+// maxCrashLines is the maximum number of lines on crashes shown for each line of the request.
+const maxCrashLines = 16
+
+// crashesBefore returns the first lines of all nodes on crashes under the same request, whichever ids it had, before the line.
+func crashesBefore(lines []logLine, own logLine) []logLine {
+	var found []logLine
+	for _, l := range lines {
+		same := l.Fingerprint == own.Fingerprint || slices.Contains(l.Fingerprints, own.Fingerprint)
+		if own.Fingerprint != "" && same && l.Request == "" && !l.At.After(own.At) {
+			found = append(found, l)
+		}
+	}
+	return found[:min(len(found), maxCrashLines)]
+}
+
+func writeRequest(w io.Writer, own logLine, before, crashes []logLine) error {
 	out := &printer{w: w}
 	out.printf("%s at %s: %s\n", own.Request, own.Node, own.Message)
 	out.printf("  route %v by version %v, ended at %s after %v of %v ms\n",
@@ -124,6 +143,12 @@
 	for _, l := range before {
 		out.printf("    %6.1f s before: %s%s\n", own.At.Sub(l.At).Seconds(), l.Message, formatFields(l))
 	}
+	if len(crashes) > 0 {
+		out.printf("  what was known of crashes under this request, fingerprint %s:\n", own.Fingerprint)
+	}
+	for _, l := range crashes {
+		out.printf("    %6.1f s before, %s: %s%s\n", own.At.Sub(l.At).Seconds(), l.Node, l.Message, formatFields(l))
+	}
 	return out.err
 }
 
@@ -173,7 +198,7 @@
 	var names []string
 	for name := range l.fields {
 		switch name {
-		case "ts", "level", "msg", "event", "node":
+		case "ts", "level", "msg", "event", "node", "fingerprint":
 		default:
 			names = append(names, name)
 		}
--- a/internal/tier/exchange.go
+++ b/internal/tier/exchange.go
@@ -44,7 +44,7 @@
 	if nodes := push.GetNodes(); len(nodes) > 0 {
 		h.tier.relay(h.tier.roster.Merge(h.tier.clock(), statesOf(nodes)))
 	}
-	if newMarks := h.tier.engine.MergeMarks(h.tier.clock(), push.GetMarks()); len(newMarks) > 0 {
+	if newMarks := h.tier.engine.MergeMarks(h.tier.clock(), push.GetFrom(), push.GetMarks()); len(newMarks) > 0 {
 		h.tier.propagateMarks(newMarks)
 	}
 }
--- a/internal/tier/metrics.go
+++ b/internal/tier/metrics.go
@@ -44,6 +44,8 @@
 		"nodes.known":               func() int64 { return int64(len(t.roster.Members())) },
 		"nodes.live":                func() int64 { return int64(len(t.roster.Live(t.clock()))) },
 		"nodes.active":              func() int64 { return int64(len(t.roster.Active(t.clock()))) },
+		"quarantine.marks":          func() int64 { return int64(t.engine.QuarantineMarks()) },
+		"quarantine.unconfirmed":    func() int64 { return int64(t.engine.UnconfirmedCrashes()) },
 		"quarantine.dropped":        func() int64 { return int64(t.marks.Dropped()) },
 		"intake.limit":              func() int64 { return t.minLimit() },
 		"replies.bytes":             func() int64 { return t.engine.ReplyMemory() },
