--- a/internal/cmd/platform.go
+++ b/internal/cmd/platform.go
@@ -61,7 +61,7 @@
 	}
 	store := site.NewStore(settings.StoreAddress)
 	var t *tier.Tier
-	t, err = tier.New(settings, tier.Adapter{Source: store, Codec: site.Codec{}, Dial: tier.Dial, Directory: site.DirectoryHandler, Checks: site.ReadyHandler}, logger.Logger, time.Now)
+	t, err = tier.New(settings, tier.Adapter{Source: store, Codec: site.Codec{}, Dial: tier.Dial, ListenPeers: tier.ListenPeers, Directory: site.DirectoryHandler, Checks: site.ReadyHandler}, logger.Logger, time.Now)
 	if err != nil {
 		return withCode(exitSettings, err)
 	}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -45,8 +45,9 @@
 type Adapter struct {
 	Source follow.Source
 	Codec  edge.Codec
-	// Dial opens connections to searchers.
-	Dial pool.Dial
+	// Dial opens connections to searchers, ListenPeers the UDP socket for the traffic between nodes.
+	Dial        pool.Dial
+	ListenPeers func(address string) (net.PacketConn, error)
 	// Directory and Checks serve the platform's calls.
 	Directory func(Discovery) *fiber.App
 	Checks    func(Discovery) *fiber.App
@@ -167,7 +168,7 @@
 	if t.sockets.metrics, err = net.Listen("tcp", s.MetricsAddress); err != nil {
 		return errors.Wrap(err, "metrics address")
 	}
-	if t.sockets.peers, err = net.ListenPacket("udp", s.PeerAddress); err != nil {
+	if t.sockets.peers, err = t.adapter.ListenPeers(s.PeerAddress); err != nil {
 		return errors.Wrap(err, "peer address")
 	}
 	var keys *certs.Credentials
@@ -187,6 +188,9 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
+// ListenPeers opens the UDP socket for the traffic between nodes.
+func ListenPeers(address string) (net.PacketConn, error) { return net.ListenPacket("udp", address) }
+
 // CallerAddresses implements Discovery.
 func (t *Tier) CallerAddresses(region, zone string) ([]string, time.Duration) {
 	return t.roster.CallerAddresses(t.clock(), region, zone), min(maxDirectoryValidity, t.settings.Load().DirectoryValid)
