Count crashes by process, since a searcher may start again under its id

What callers saw: a request went on to crash a searcher each time that it had come back. Cause: a crash was recorded under the id of the searcher. A process that starts again under its id counted once, so that the request stayed below the two crashes from which it is refused. TestCrashesAreCountedByProcess failed before. Change: marks name a process by id, address and start. Builds of before name ids only; a crash that both see counts twice with them, which refuses a request earlier, during an upgrade only. Ruled out: counting attempts instead of processes, which counts dropped replies.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -2,6 +2,7 @@
 package fleet
 
 import (
+	"fmt"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -65,6 +66,9 @@
 	Started int64
 }
 
+// String returns the id, the address and the start of the process, which no two processes share.
+func (k Key) String() string { return fmt.Sprintf("%s@%s/%d", k.ID, k.Address, k.Started) }
+
 // Snapshot is an immutable state of the registry.
 type Snapshot struct {
 	byID     map[string]*Searcher
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -167,7 +167,8 @@
 	c.suspicions = kept
 	c.mu.Unlock()
 	for _, fingerprint := range confirmed {
-		c.marks.RecordExclusiveLoss(now, fingerprint, searcher.ID)
+		// A searcher that starts again under its id may crash again, so processes are counted.
+		c.marks.RecordExclusiveLoss(now, fingerprint, searcher.String())
 	}
 	return confirmed
 }
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -75,6 +75,19 @@
 	}
 }
 
+// Guards against a request that goes on to crash a searcher which starts again under its id, since crashes are counted by id.
+func TestCrashesAreCountedByProcess(t *testing.T) {
+	e := newEngine(func() time.Time { return start })
+	for born := range int64(2) {
+		process := fleet.Key{ID: "i-0", Address: "10.0.0.1:80", Started: born}
+		e.crashes.suspect(start, 1, process)
+		e.searcherEnded(start, process)
+	}
+	if !e.crashes.quarantined(start, 1) {
+		t.Error("after two processes under one id have crashed: request is not quarantined, want it quarantined")
+	}
+}
+
 // Guards against nodes that pass the same marks to each other endlessly: a mark that returns to its origin or arrives again must not count
 // as new.
 func TestMarksAreNotForwardedTwice(t *testing.T) {
