Count the crashes that different nodes see of a request together

What callers saw: a request that may not be repeated crashed one searcher at each node that it came to. Cause: a node told the others of a request only after its second crash there, or when the request came again to this node; and a request that had been announced was not announced again for 10 s, although its mark had grown. So each node knew one crash of its own, and two are needed. Change: package relay keeps the crashes that all nodes should know (shared) and those that it keeps to itself (private) apart. A crash under up to four requests is shared at once, others when the request comes again or has crashed a second searcher. A mark is announced whenever it grows, and only then; what a node learns is passed on together with what it knew itself. An answer of a searcher clears a request that is not quarantined, since crashes at different nodes now count together.

--- a/internal/quar/table.go
+++ b/internal/quar/table.go
@@ -235,6 +235,20 @@
 	return marks
 }
 
+// Mark returns the replicated mark of a request, or nil if there is none.
+func (t *Table) Mark(now time.Time, fingerprint uint64) *wire.QuarantineMark {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	m, ok := t.marks[fingerprint]
+	if !ok || !now.Before(m.expires) {
+		return nil
+	}
+	return m.toWire(now, fingerprint)
+}
+
+// Has reports whether there is a mark of a request.
+func (t *Table) Has(now time.Time, fingerprint uint64) bool { return t.Mark(now, fingerprint) != nil }
+
 // Merge adds the marks of another node: the union of the searchers and the later expiry, which is at most Expiry from now. It returns
 // true when a mark, a searcher or an expiry later by more than expirySlack was new and should be forwarded.
 func (t *Table) Merge(now time.Time, marks []*wire.QuarantineMark) bool {
--- a/internal/relay/attempt_log.go
+++ b/internal/relay/attempt_log.go
@@ -122,7 +122,7 @@
 	if event == wire.Event_EVENT_REQUEST_REPEATED && !f.attemptLog.notable() {
 		return
 	}
-	if f.attemptLog.lostConnection() || f.engine.crashes.suspected(now, f.fingerprint) {
+	if f.attemptLog.lostConnection() || f.engine.crashes.marks.suspected(now, f.fingerprint) {
 		fields = append(fields, zap.String("fingerprint", formatFingerprint(f.fingerprint)))
 	}
 	f.engine.logger.Log(event, append(fields,
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -34,37 +34,14 @@
 
 // crashTracker identifies the requests that crash searchers. It is safe for concurrent use.
 type crashTracker struct {
-	marks *quar.Table
+	marks *crashMarks
 
 	mu         sync.Mutex
 	suspicions []suspicion
-	// announced maps the fingerprints that were sent to other nodes to the time until which they are not sent again.
-	announced map[uint64]time.Time
 }
 
-const (
-	// announceInterval is the minimum time between two announcements of the same request to other nodes.
-	announceInterval = 10 * time.Second
-	// maxAnnounced bounds the size of announced.
-	maxAnnounced = 1024
-)
-
 func newCrashTracker(marks *quar.Table) *crashTracker {
-	return &crashTracker{marks: marks, announced: make(map[uint64]time.Time)}
-}
-
-// shouldAnnounce reports whether a fingerprint is due to be sent to other nodes, and records it as sent.
-func (c *crashTracker) shouldAnnounce(now time.Time, fingerprint uint64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if now.Before(c.announced[fingerprint]) {
-		return false
-	}
-	if len(c.announced) >= maxAnnounced {
-		clear(c.announced)
-	}
-	c.announced[fingerprint] = now.Add(announceInterval)
-	return true
+	return &crashTracker{marks: newCrashMarks(marks)}
 }
 
 // fingerprint identifies a request independently of its id, so that repetitions of it are recognized.
@@ -124,7 +101,8 @@
 
 // acquit drops the suspicions against a request that a searcher has answered. A request that crashes searchers crashes each one that runs it,
 // while a request over many shards is often running on several of those that a common cause took away.
-func (c *crashTracker) acquit(fingerprint uint64) {
+func (c *crashTracker) acquit(now time.Time, fingerprint uint64) {
+	c.marks.clear(now, fingerprint)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.suspicions = slices.DeleteFunc(c.suspicions, func(s suspicion) bool { return s.fingerprint == fingerprint })
@@ -152,9 +130,10 @@
 	return len(c.suspicions)
 }
 
-// confirmCrash marks the requests that a searcher was running when it ended, and returns their fingerprints.
+// confirmCrash removes the suspicions against a searcher that ended, and returns the fingerprints of the requests that it was running, each once.
 func (c *crashTracker) confirmCrash(now time.Time, searcher fleet.Key) []uint64 {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	var confirmed []uint64
 	kept := c.suspicions[:0]
 	for _, s := range c.suspicions {
@@ -165,28 +144,8 @@
 		}
 	}
 	c.suspicions = kept
-	c.mu.Unlock()
-	for _, fingerprint := range confirmed {
-		// A searcher that starts again under its id may crash again, so processes are counted.
-		c.marks.RecordExclusiveLoss(now, fingerprint, searcher.String())
-	}
-	return confirmed
-}
-
-// suspected reports whether a request was running on a searcher that crashed.
-func (c *crashTracker) suspected(now time.Time, fingerprint uint64) bool {
-	_, clear := c.marks.Check(now, fingerprint).(quar.Clear)
-	return !clear
-}
-
-// export returns the mark of a fingerprint, or nil when there is none.
-func (c *crashTracker) export(now time.Time, fingerprint uint64) []*wire.QuarantineMark {
-	for _, mark := range c.marks.Export(now) {
-		if mark.GetFingerprint() == fingerprint {
-			return []*wire.QuarantineMark{mark}
-		}
-	}
-	return nil
+	slices.Sort(confirmed)
+	return slices.Compact(confirmed)
 }
 
 const (
@@ -244,14 +203,7 @@
 	return e.balancer.reachedOther(since, ep)
 }
 
-// quarantined reports whether a request has crashed so many searchers that it must not run any more.
-func (c *crashTracker) quarantined(now time.Time, fingerprint uint64) bool {
-	_, ok := c.marks.Check(now, fingerprint).(quar.Quarantined)
-	return ok
-}
-
-// searcherEnded records that a searcher process has ended. A crash marks all requests that were running there, most of which did not cause
-// it. Other nodes are therefore told only of requests that are quarantined after crashes of several searchers.
+// searcherEnded records that a searcher process has ended, and tells other nodes of the requests that they should know.
 func (e *Engine) searcherEnded(now time.Time, searcher fleet.Key) {
 	confirmed := e.crashes.confirmCrash(now, searcher)
 	if len(confirmed) == 0 {
@@ -260,8 +212,11 @@
 	e.logger.Log(wire.Event_EVENT_SEARCHER_LOST, zap.String("searcher", searcher.ID), zap.Int("requests", len(confirmed)),
 		zap.Strings("fingerprints", formatFingerprints(confirmed)))
 	for _, fingerprint := range confirmed {
-		if e.crashes.quarantined(now, fingerprint) {
+		changed := e.crashes.marks.record(now, fingerprint, searcher, len(confirmed))
+		if e.crashes.marks.quarantined(now, fingerprint) {
 			e.logger.Log(wire.Event_EVENT_QUARANTINED, zap.String("fingerprint", formatFingerprint(fingerprint)))
+		}
+		if changed {
 			e.announceMark(now, fingerprint)
 		}
 	}
@@ -277,17 +232,21 @@
 
 // QuarantineMarks returns the number of requests that are known to have crashed searchers, and UnconfirmedCrashes the number of broken
 // connections of which it is not known yet whether their searchers ended.
-func (e *Engine) QuarantineMarks() int    { return e.crashes.marks.Len() }
+func (e *Engine) QuarantineMarks() int    { return e.crashes.marks.shared.Len() }
 func (e *Engine) UnconfirmedCrashes() int { return e.crashes.unconfirmed() }
 
-// announceMark sends the mark of a request to other nodes unless it was sent within announceInterval.
+// announceMark sends the mark of a request to other nodes.
 func (e *Engine) announceMark(now time.Time, fingerprint uint64) {
-	announce := e.onMarks.Load()
-	if announce == nil || !e.crashes.shouldAnnounce(now, fingerprint) {
-		return
+	announce, mark := e.onMarks.Load(), e.crashes.marks.shared.Mark(now, fingerprint)
+	if announce != nil && mark != nil {
+		(*announce)([]*wire.QuarantineMark{mark})
 	}
-	if marks := e.crashes.export(now, fingerprint); len(marks) > 0 {
-		(*announce)(marks)
+}
+
+// announceRepeated tells other nodes of a request that returns after a searcher was lost while running it: it is a likely cause of the crash.
+func (e *Engine) announceRepeated(now time.Time, fingerprint uint64) {
+	if e.crashes.marks.suspected(now, fingerprint) && e.crashes.marks.share(now, fingerprint) {
+		e.announceMark(now, fingerprint)
 	}
 }
 
@@ -296,15 +255,18 @@
 	e.onMarks.Store(&announce)
 }
 
-// MergeMarks merges the marks that a node sent and returns those that were new.
+// MergeMarks merges the marks that a node sent and returns those that other nodes may lack, with what this node knows of them.
 func (e *Engine) MergeMarks(now time.Time, from string, marks []*wire.QuarantineMark) []*wire.QuarantineMark {
-	var added []*wire.QuarantineMark
+	var changed []*wire.QuarantineMark
 	for _, mark := range marks {
-		if e.crashes.marks.Merge(now, []*wire.QuarantineMark{mark}) {
-			e.logger.Log(wire.Event_EVENT_MARK_LEARNED, zap.String("fingerprint", formatFingerprint(mark.GetFingerprint())),
-				zap.Strings("searchers", mark.GetSearchers()), zap.String("from", from))
-			added = append(added, mark)
+		if !e.crashes.marks.merge(now, mark) {
+			continue
+		}
+		e.logger.Log(wire.Event_EVENT_MARK_LEARNED, zap.String("fingerprint", formatFingerprint(mark.GetFingerprint())),
+			zap.Strings("searchers", mark.GetSearchers()), zap.String("from", from))
+		if merged := e.crashes.marks.shared.Mark(now, mark.GetFingerprint()); merged != nil {
+			changed = append(changed, merged)
 		}
 	}
-	return added
+	return changed
 }
--- /dev/null
+++ b/internal/relay/crash_marks.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/fireflylanding/fireflylanding/internal/fleet"
+	"github.com/fireflylanding/fireflylanding/internal/quar"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// maxCandidates is the number of requests that a searcher ran for this node up to which its crash is blamed on each of them. A crash under more
+// requests is kept to this node: a common cause would otherwise have all nodes tell each other of harmless requests.
+const maxCandidates = 4
+
+// crashMarks holds the crashes by request: those that all nodes should know, and those that this node keeps to itself since the request is
+// one of many that may have caused them. It is safe for concurrent use.
+type crashMarks struct {
+	shared  *quar.Table
+	private *quar.Table
+}
+
+func newCrashMarks(shared *quar.Table) *crashMarks {
+	return &crashMarks{shared: shared, private: quar.New(quar.Settings{})}
+}
+
+// record records that a searcher ended while it ran a request, which was one of several candidates. It reports whether other nodes should be
+// told.
+func (m *crashMarks) record(now time.Time, fingerprint uint64, searcher fleet.Key, candidates int) bool {
+	// A searcher that starts again under its id may crash again, so processes are counted.
+	m.private.RecordExclusiveLoss(now, fingerprint, searcher.String())
+	if candidates > maxCandidates && !m.shared.Has(now, fingerprint) && m.private.Check(now, fingerprint) != (quar.Quarantined{}) {
+		return false
+	}
+	return m.share(now, fingerprint)
+}
+
+// share makes what this node has kept to itself of a request known to all nodes. It reports whether other nodes should be told.
+func (m *crashMarks) share(now time.Time, fingerprint uint64) bool {
+	mark := m.private.Mark(now, fingerprint)
+	return mark != nil && m.shared.Merge(now, []*wire.QuarantineMark{mark})
+}
+
+// merge merges the mark of another node. It reports whether other nodes should be told.
+func (m *crashMarks) merge(now time.Time, mark *wire.QuarantineMark) bool {
+	learned := m.shared.Merge(now, []*wire.QuarantineMark{mark})
+	return m.share(now, mark.GetFingerprint()) || learned
+}
+
+// clear drops the suspicion of a request that a searcher has answered, unless it is quarantined.
+func (m *crashMarks) clear(now time.Time, fingerprint uint64) {
+	if m.suspected(now, fingerprint) {
+		m.private.RecordCompletion(now, fingerprint, true)
+		m.shared.RecordCompletion(now, fingerprint, true)
+	}
+}
+
+// suspected reports whether a request was running on a searcher that crashed.
+func (m *crashMarks) suspected(now time.Time, fingerprint uint64) bool {
+	return m.private.Check(now, fingerprint) != (quar.Clear{}) || m.shared.Check(now, fingerprint) != (quar.Clear{})
+}
+
+// quarantined reports whether a request has crashed so many searchers that it must not run any more.
+func (m *crashMarks) quarantined(now time.Time, fingerprint uint64) bool {
+	return m.shared.Check(now, fingerprint) == (quar.Quarantined{})
+}
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -65,8 +65,8 @@
 				}
 				e.searcherEnded(now, searcherKey(i))
 			}
-			if test.repeated && e.crashes.suspected(now, poison) {
-				e.announceMark(now, poison)
+			if test.repeated {
+				e.announceRepeated(now, poison)
 			}
 			if announced != test.want {
 				t.Errorf("got %d marks announced, want %d", announced, test.want)
@@ -83,11 +83,72 @@
 		e.crashes.suspect(start, 1, process)
 		e.searcherEnded(start, process)
 	}
-	if !e.crashes.quarantined(start, 1) {
+	if !e.crashes.marks.quarantined(start, 1) {
 		t.Error("after two processes under one id have crashed: request is not quarantined, want it quarantined")
 	}
 }
 
+// Guards against a request that other nodes go on to run, since they were told of its first crash and not of the next ones.
+func TestMarkThatGrowsIsAnnounced(t *testing.T) {
+	e, other := newEngine(func() time.Time { return start }), newEngine(func() time.Time { return start })
+	e.OnQuarantineMarks(func(marks []*wire.QuarantineMark) { other.MergeMarks(start, "first", marks) })
+	for i := range 2 {
+		e.crashes.suspect(start, 1, searcherKey(i))
+		e.searcherEnded(start, searcherKey(i))
+		e.announceRepeated(start, 1)
+		if got, want := other.crashes.marks.quarantined(start, 1), i == 1; got != want {
+			t.Errorf("after %d crashes: got quarantined %v at the other node, want %v", i+1, got, want)
+		}
+	}
+}
+
+// Guards against a request that crashes a searcher at each node, none of which knows of the others' crashes.
+func TestCrashesAtDifferentNodesCountTogether(t *testing.T) {
+	tests := map[string]struct {
+		candidates int
+		// repeated is set if the request comes again at the first node before it crashes a searcher of the second one.
+		repeated bool
+		want     bool
+	}{
+		"alone":                           {candidates: 1, want: true},
+		"with a few others":               {candidates: maxCandidates, want: true},
+		"with many others":                {candidates: maxCandidates + 1, want: false},
+		"with many others, it came again": {candidates: maxCandidates + 1, repeated: true, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			first, second := newEngine(func() time.Time { return start }), newEngine(func() time.Time { return start })
+			first.OnQuarantineMarks(func(marks []*wire.QuarantineMark) { second.MergeMarks(start, "first", marks) })
+			for i, e := range []*Engine{first, second} {
+				for fingerprint := range test.candidates {
+					e.crashes.suspect(start, uint64(1+fingerprint), searcherKey(i))
+				}
+				e.searcherEnded(start, searcherKey(i))
+				if test.repeated {
+					e.announceRepeated(start, 1)
+				}
+			}
+			if got := second.crashes.marks.quarantined(start, 1); got != test.want {
+				t.Errorf("after a crash at each of two nodes: got quarantined %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a harmless request that is refused by all nodes, since it was running on searchers that crashed for another reason and was
+// answered in between.
+func TestAnswerClearsSuspicion(t *testing.T) {
+	e := newEngine(func() time.Time { return start })
+	for i := range 2 {
+		e.crashes.suspect(start, 1, searcherKey(i))
+		e.searcherEnded(start, searcherKey(i))
+		e.crashes.acquit(start, 1)
+	}
+	if e.crashes.marks.quarantined(start, 1) {
+		t.Error("request that was answered after each crash is quarantined, want it to run")
+	}
+}
+
 // Guards against nodes that pass the same marks to each other endlessly: a mark that returns to its origin or arrives again must not count
 // as new.
 func TestMarksAreNotForwardedTwice(t *testing.T) {
@@ -96,14 +157,14 @@
 		a.crashes.suspect(start, 1, searcherKey(i))
 		a.searcherEnded(start, searcherKey(i))
 	}
-	marks := a.crashes.export(start, 1)
+	marks := []*wire.QuarantineMark{a.crashes.marks.shared.Mark(start, 1)}
 	if got := len(b.MergeMarks(start.Add(30*time.Millisecond), "a", marks)); got != 1 {
 		t.Fatalf("first merge: got %d new marks, want 1", got)
 	}
-	if !b.crashes.quarantined(start.Add(time.Second), 1) {
+	if !b.crashes.marks.quarantined(start.Add(time.Second), 1) {
 		t.Error("receiving node: request is not quarantined, want it quarantined")
 	}
-	back := b.crashes.export(start.Add(60*time.Millisecond), 1)
+	back := []*wire.QuarantineMark{b.crashes.marks.shared.Mark(start.Add(60*time.Millisecond), 1)}
 	if got := len(a.MergeMarks(start.Add(90*time.Millisecond), "b", back)); got != 0 {
 		t.Errorf("sent back to the origin: got %d new marks, want 0", got)
 	}
@@ -138,14 +199,14 @@
 	e.crashes.suspect(time.Now(), request, searcher.Key())
 	e.searcherUnreachable(ep)
 	e.tasks.Wait()
-	if e.crashes.suspected(time.Now(), request) {
+	if e.crashes.marks.suspected(time.Now(), request) {
 		t.Error("while another connection is open: request is marked, want no mark")
 	}
 	accepted.Close()
 	time.Sleep(20 * time.Millisecond)
 	e.searcherUnreachable(ep)
 	e.tasks.Wait()
-	if e.crashes.suspected(time.Now(), request) {
+	if e.crashes.marks.suspected(time.Now(), request) {
 		t.Error("while this node reaches no other searcher: request is marked, want no mark")
 	}
 	other := &endpoint{searcher: fleet.NewSearcher("i-1", "one", "127.0.0.1:1", "z", 2, false, 1, 1), pool: pool.New("127.0.0.1:1", 1, dial, func(time.Duration, error) {}), link: &reach.Link{}}
@@ -153,7 +214,7 @@
 	other.link.Reached(time.Now().Add(probeDelay))
 	e.searcherUnreachable(ep)
 	e.tasks.Wait()
-	if !e.crashes.suspected(time.Now(), request) {
+	if !e.crashes.marks.suspected(time.Now(), request) {
 		t.Error("after all connections closed, another searcher is reached: request is not marked, want a mark")
 	}
 }
@@ -202,7 +263,7 @@
 			for _, ep := range lost {
 				e.searcherEnded(start, ep.searcher.Key())
 			}
-			if got := e.crashes.quarantined(start, f.fingerprint); got != test.wantQuarantined {
+			if got := e.crashes.marks.quarantined(start, f.fingerprint); got != test.wantQuarantined {
 				t.Errorf("got quarantined %v, want %v", got, test.wantQuarantined)
 			}
 		})
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -202,11 +202,8 @@
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	f := newFanout(e, now, request)
-	if e.crashes.suspected(now, f.fingerprint) {
-		// A request that returns after a searcher was lost while running it is a likely cause of the crash, so other nodes are told.
-		e.announceMark(now, f.fingerprint)
-	}
-	if e.crashes.quarantined(now, f.fingerprint) {
+	e.announceRepeated(now, f.fingerprint)
+	if e.crashes.marks.quarantined(now, f.fingerprint) {
 		return f.reject(wire.Reason_REASON_QUARANTINED)
 	}
 	if e.Stranded() && !f.servable(now) {
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -243,7 +243,7 @@
 		f.engine.countReason(wire.Reason_REASON_RETRY_ATTEMPTS)
 		return false
 	}
-	if f.engine.crashes.quarantined(now, f.fingerprint) {
+	if f.engine.crashes.marks.quarantined(now, f.fingerprint) {
 		f.engine.countReason(wire.Reason_REASON_QUARANTINED)
 		return false
 	}
