Send a mark that has grown at once

What callers saw: a request crashed four searchers at two nodes 100 ms apart, 3 are allowed (TestCrashingRequest). Cause: a node sends marks once in 250 ms. Change: the outbox counts marks and messages in an interval, at most 16 in 4 messages, instead of sending one message an interval. Many marks that come at once still share a message.

--- a/internal/quar/outbox.go
+++ b/internal/quar/outbox.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// sendInterval is the minimum time between two batches of marks that a node sends, and maxBatch the number of marks in one. Together
-	// they bound what a node spends on marks, however many requests crash searchers at once.
+	// Within sendInterval a node sends at most maxBatch marks, in maxMessages messages at most, however many requests crash searchers at once.
 	sendInterval = 250 * time.Millisecond
 	maxBatch     = 16
+	maxMessages  = 4
 	// maxWaiting is the number of marks that wait to be sent. Further ones are dropped: each node also marks what it sees itself.
 	maxWaiting = 256
 )
@@ -22,8 +22,11 @@
 	mu sync.Mutex
 	// waiting holds one mark per fingerprint, the oldest first.
 	waiting []*wire.QuarantineMark
-	sentAt  time.Time
-	dropped uint64
+	// since is the start of the current interval, in which sent marks were sent in so many messages.
+	since    time.Time
+	sent     int
+	messages int
+	dropped  uint64
 }
 
 // NewOutbox returns an empty outbox.
@@ -45,17 +48,24 @@
 	}
 }
 
-// Take returns the marks to send now: none while the latest batch is more recent than sendInterval.
+// Take returns the marks to send now, in one message: none once the interval's marks or messages are used up.
 func (o *Outbox) Take(now time.Time) []*wire.QuarantineMark {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.waiting) == 0 || (!o.sentAt.IsZero() && now.Sub(o.sentAt) < sendInterval) {
+	if len(o.waiting) == 0 {
+		return nil
+	}
+	if o.since.IsZero() || now.Sub(o.since) >= sendInterval {
+		o.since, o.sent, o.messages = now, 0, 0
+	}
+	n := min(maxBatch-o.sent, len(o.waiting))
+	if n == 0 || o.messages == maxMessages {
 		return nil
 	}
-	n := min(maxBatch, len(o.waiting))
 	batch := slices.Clone(o.waiting[:n])
 	o.waiting = slices.Delete(o.waiting, 0, n)
-	o.sentAt = now
+	o.sent += n
+	o.messages++
 	return batch
 }
 
--- a/internal/quar/outbox_test.go
+++ b/internal/quar/outbox_test.go
@@ -15,6 +15,23 @@
 	return marks
 }
 
+// Guards against a mark that waits for the next interval although it has grown: other nodes run a request that has crashed two searchers as long
+// as they know of one. And against a message for each of many marks.
+func TestMarkThatGrowsIsSentAtOnce(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	o := NewOutbox()
+	for i := range maxMessages + 2 {
+		o.Add(marksOf(1, 1))
+		want := 1
+		if i >= maxMessages {
+			want = 0
+		}
+		if got := len(o.Take(now.Add(time.Duration(i) * time.Millisecond))); got != want {
+			t.Errorf("message %d: got %d marks, want %d", i, got, want)
+		}
+	}
+}
+
 // Guards against a burst of marks that takes the network and the processor of all nodes, and against a single mark that waits for others.
 func TestOutbox(t *testing.T) {
 	tests := map[string]struct {
