Let nodes that have missed quarantine marks pull them from others

What callers saw: a request that all nodes refused went on to crash searchers at nodes that started later or had been cut off from the others. Cause: marks were pushed once, when they were made. Nothing brought them to a node that was not there at that moment; entries of the platform's store and states of nodes are compared at each exchange, marks were not. The class: state that one node learns and all act on, and that is sent only when it changes. Change: each exchange of states carries the hash of the marks, as the digests of serve do; a node pulls the marks of a node with another hash, at most once a second, and not again from one that had less. A node of an older build states no hash and is not asked. Ruled out: repeating pushes at intervals, which costs the same whether nodes lack marks or not.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
-	"github.com/fireflylanding/fireflylanding/internal/quar"
 	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -40,9 +39,7 @@
 	suspicions []suspicion
 }
 
-func newCrashTracker(marks *quar.Table) *crashTracker {
-	return &crashTracker{marks: newCrashMarks(marks)}
-}
+func newCrashTracker() *crashTracker { return &crashTracker{marks: newCrashMarks()} }
 
 // fingerprint identifies a request independently of its id, so that repetitions of it are recognized.
 func fingerprint(r *route.Route, request *Request) uint64 {
@@ -255,6 +252,12 @@
 	e.onMarks.Store(&announce)
 }
 
+// Marks returns the marks of the requests that all nodes should know, and MarksHash their hash, which is 0 if there are none.
+func (e *Engine) Marks(now time.Time) []*wire.QuarantineMark {
+	return e.crashes.marks.shared.Export(now)
+}
+func (e *Engine) MarksHash(now time.Time) uint64 { return e.crashes.marks.hash(now) }
+
 // MergeMarks merges the marks that a node sent and returns those that other nodes may lack, with what this node knows of them.
 func (e *Engine) MergeMarks(now time.Time, from string, marks []*wire.QuarantineMark) []*wire.QuarantineMark {
 	var changed []*wire.QuarantineMark
--- a/internal/relay/crash_marks.go
+++ b/internal/relay/crash_marks.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
@@ -12,15 +13,20 @@
 // requests is kept to this node: a common cause would otherwise have all nodes tell each other of harmless requests.
 const maxCandidates = 4
 
+// maxMarks bounds the requests that all nodes know to have crashed searchers, which a node that starts takes over in one message.
+const maxMarks = 512
+
 // crashMarks holds the crashes by request: those that all nodes should know, and those that this node keeps to itself since the request is
 // one of many that may have caused them. It is safe for concurrent use.
 type crashMarks struct {
 	shared  *quar.Table
 	private *quar.Table
+	// latestHash is the hash of the shared marks when it was last computed.
+	latestHash atomic.Pointer[marksHash]
 }
 
-func newCrashMarks(shared *quar.Table) *crashMarks {
-	return &crashMarks{shared: shared, private: quar.New(quar.Settings{})}
+func newCrashMarks() *crashMarks {
+	return &crashMarks{shared: quar.New(quar.Settings{MaxMarks: maxMarks}), private: quar.New(quar.Settings{})}
 }
 
 // record records that a searcher ended while it ran a request, which was one of several candidates. It reports whether other nodes should be
@@ -46,6 +52,25 @@
 	return m.share(now, mark.GetFingerprint()) || learned
 }
 
+// hashAge is the age up to which the hash of the marks is used again, since it goes into each exchange with another node.
+const hashAge = 100 * time.Millisecond
+
+// marksHash is the hash of the shared marks at a time.
+type marksHash struct {
+	at    time.Time
+	value uint64
+}
+
+// hash returns the hash of the shared marks, 0 if there are none.
+func (m *crashMarks) hash(now time.Time) uint64 {
+	if h := m.latestHash.Load(); h != nil && now.Sub(h.at) < hashAge {
+		return h.value
+	}
+	h := &marksHash{at: now, value: m.shared.Hash(now)}
+	m.latestHash.Store(h)
+	return h.value
+}
+
 // clear drops the suspicion of a request that a searcher has answered, unless it is quarantined.
 func (m *crashMarks) clear(now time.Time, fingerprint uint64) {
 	if m.suspected(now, fingerprint) {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -15,7 +15,6 @@
 	"github.com/fireflylanding/fireflylanding/internal/health"
 	"github.com/fireflylanding/fireflylanding/internal/pace"
 	"github.com/fireflylanding/fireflylanding/internal/pool"
-	"github.com/fireflylanding/fireflylanding/internal/quar"
 	"github.com/fireflylanding/fireflylanding/internal/reach"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
@@ -27,7 +26,7 @@
 	registry := metrics.NewRegistry()
 	dial := func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }
 	budget := Budget{Share: 0.2, Allowance: 10, Window: 10 * time.Second}
-	return New(nil, budget, Location{}, quar.New(quar.Settings{}), dial, events.Discard(), reason.NewCounters(registry, "reasons"), registry, now)
+	return New(nil, budget, Location{}, dial, events.Discard(), reason.NewCounters(registry, "reasons"), registry, now)
 }
 
 func searcherKey(i int) fleet.Key { return fleet.Key{ID: fmt.Sprintf("i-%d", i)} }
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -18,7 +18,6 @@
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
 	"github.com/fireflylanding/fireflylanding/internal/intake"
 	"github.com/fireflylanding/fireflylanding/internal/meter"
-	"github.com/fireflylanding/fireflylanding/internal/quar"
 	"github.com/fireflylanding/fireflylanding/internal/reach"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/route"
@@ -80,12 +79,12 @@
 }
 
 // New returns an engine without searchers. It opens connections to searchers with dial.
-func New(codec Codec, b Budget, location Location, marks *quar.Table, dial func(ctx context.Context, address string) (net.Conn, error),
+func New(codec Codec, b Budget, location Location, dial func(ctx context.Context, address string) (net.Conn, error),
 	logger *events.Logger, counters *reason.Counters, registry metrics.Registry, clock func() time.Time) *Engine {
 	e := &Engine{
 		codec:     codec,
 		replies:   meter.NewBudget(defaultReplyMemory),
-		crashes:   newCrashTracker(marks),
+		crashes:   newCrashTracker(),
 		logger:    logger,
 		counters:  counters,
 		clock:     clock,
--- a/internal/tier/exchange.go
+++ b/internal/tier/exchange.go
@@ -51,11 +51,19 @@
 
 // Pull implements peer.Handler.
 func (h handler) Pull(_ context.Context, pull *wire.Pull) *wire.Push {
+	if pull.GetQuarantine() {
+		return wire.Push_builder{From: h.tier.settings.Load().Node, Marks: h.tier.engine.Marks(h.tier.clock())}.Build()
+	}
 	return h.tier.entriesAfter(epoch.Revision(pull.GetEntriesAfter()))
 }
 
 func (t *Tier) digest(now time.Time, states []roster.State) *wire.Digest {
-	return wire.Digest_builder{Id: t.settings.Load().Node, Nodes: nodeStates(states), Source: t.position(now)}.Build()
+	return wire.Digest_builder{
+		Id:             t.settings.Load().Node,
+		Nodes:          nodeStates(states),
+		Source:         t.position(now),
+		QuarantineHash: t.engine.MarksHash(now),
+	}.Build()
 }
 
 func nodeStates(states []roster.State) []*wire.NodeState {
@@ -101,8 +109,15 @@
 	states := statesOf(digest.GetNodes())
 	t.relay(t.roster.Merge(now, states))
 	t.roster.RecordContact(now, digest.GetId())
-	if len(states) > 0 && t.observePosition(now, states[0], positionOf(digest.GetSource())) {
-		t.pullEntries(states[0].PeerAddress)
+	if len(states) == 0 {
+		return states
+	}
+	sender := states[0]
+	if t.observePosition(now, sender, positionOf(digest.GetSource())) {
+		t.pullEntries(sender.PeerAddress)
+	}
+	if t.repair.Begin(now, t.engine.MarksHash(now), digest.GetQuarantineHash()) {
+		t.pullMarks(sender.PeerAddress)
 	}
 	return states
 }
@@ -192,6 +207,21 @@
 	})
 }
 
+// pullMarks takes over the quarantine marks of a node. They are not passed on: nodes that lack them pull them as well.
+func (t *Tier) pullMarks(address string) {
+	t.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+		defer cancel()
+		push, err := t.peers.Pull(ctx, shards.NewVM("", "", "", "", address), wire.Pull_builder{Quarantine: true}.Build())
+		learned := 0
+		if err == nil {
+			learned = len(t.engine.MergeMarks(t.clock(), push.GetFrom(), push.GetMarks()))
+		}
+		// After an error a later exchange pulls again.
+		t.repair.End(err == nil && learned == 0)
+	})
+}
+
 func (t *Tier) entriesAfter(revision epoch.Revision) *wire.Push {
 	batch := t.follower.EntriesAfter(revision)
 	entries := make([]*wire.SourceEntry, len(batch.Entries))
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -77,8 +77,10 @@
 	edge     *edge.Server
 	peers    *peer.Transport
 	detector *wake.Detector
-	marks    *quar.Outbox
-	sockets  sockets
+	// marks holds the quarantine marks that wait to be sent; repair decides when marks are pulled from nodes that have others.
+	marks   *quar.Outbox
+	repair  *quar.Repair
+	sockets sockets
 	// stopping is set on SIGTERM. refusingRequests is set later in the stop time, when a request might not end any more.
 	stopping         atomic.Bool
 	refusingRequests atomic.Bool
@@ -118,6 +120,7 @@
 		fleet:     fleet.New(),
 		detector:  wake.New(wake.Settings{TickInterval: tickInterval}),
 		marks:     quar.NewOutbox(),
+		repair:    quar.NewRepair(),
 		startedAt: clock(),
 		urgent:    make(map[string]roster.State),
 	}
@@ -133,7 +136,7 @@
 		Cores:         settings.CPUCapacity,
 	}, roster.Settings{})
 	location := relay.Location{Zone: settings.Zone, Region: settings.Region, Regions: settings.Regions}
-	t.engine = relay.New(adapter.Codec, settings.budget(), location, quar.New(quar.Settings{}), adapter.Dial, t.logger, t.counters, t.registry, clock)
+	t.engine = relay.New(adapter.Codec, settings.budget(), location, adapter.Dial, t.logger, t.counters, t.registry, clock)
 	t.follower = follow.New(adapter.Source, t.fleet, follow.Settings{ApplyWithin: settings.ApplyWithin}, follow.Hooks{
 		IsReader:      t.isReader,
 		OnChange:      t.rebuild,
