--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -73,6 +73,8 @@
 type Snapshot struct {
 	byID     map[string]*Searcher
 	services map[string][]*Searcher
+	// replaced holds the processes at whose address another process has registered since.
+	replaced []Key
 }
 
 // Service returns the searchers of a service that accept new work, sorted by id. The caller must not modify the result.
@@ -81,6 +83,10 @@
 // All returns the searchers by id. The caller must not modify the result.
 func (s *Snapshot) All() map[string]*Searcher { return s.byID }
 
+// Replaced returns the registered processes that have ended, since another one has registered at their address. The caller must not modify the
+// result.
+func (s *Snapshot) Replaced() []Key { return s.replaced }
+
 // Registry tracks the registrations of searchers. Snapshots are read without a lock. It is safe for concurrent use.
 type Registry struct {
 	current atomic.Pointer[Snapshot]
@@ -240,6 +246,11 @@
 			latest[s.address] = s
 		}
 	}
+	for _, s := range r.byID {
+		if latest[s.address] != s {
+			snapshot.replaced = append(snapshot.replaced, s.Key())
+		}
+	}
 	for _, s := range latest {
 		if !s.leaving {
 			snapshot.services[s.service] = append(snapshot.services[s.service], s)
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -17,6 +17,7 @@
 	"github.com/fireflylanding/fireflylanding/internal/pool"
 	"github.com/fireflylanding/fireflylanding/internal/reach"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
+	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
@@ -87,6 +88,36 @@
 	}
 }
 
+// Guards against crashes that are not taken for such, since the next process at the searcher's address accepts connections at once.
+func TestNextProcessConfirmsCrash(t *testing.T) {
+	const service, address = "one", "10.0.0.1:80"
+	crashed := fleet.NewSearcher("i-0", service, address, "z", 2, false, 1, 1)
+	tests := map[string]func(e *Engine, ep *endpoint){
+		"it replies": func(e *Engine, ep *endpoint) {
+			f := &fanout{engine: e, parts: make([]part, 1), pending: 1, attempts: make(map[*attempt]struct{}), signal: make(chan struct{}, 1), done: true}
+			a := &attempt{part: &f.parts[0], endpoint: ep, sentAt: start, record: &attemptRecord{}}
+			a.ticket = ep.tracker.Begin(start, 0)
+			f.attemptEnded(a, result{reason: wire.Reason_REASON_WRONG_SEARCHER, sent: true})
+		},
+		"it registers": func(e *Engine, _ *endpoint) {
+			registry := fleet.New()
+			next := fleet.NewSearcher("i-1", service, address, "z", 2, false, 2, 2)
+			registry.Apply(start, []*fleet.Searcher{crashed, next}, nil, time.Time{})
+			e.Update(registry.Snapshot(), &route.Table{})
+		},
+	}
+	for name, happens := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := newEngine(func() time.Time { return start })
+			e.crashes.suspect(start, 1, crashed.Key())
+			happens(e, e.balancer.newEndpoint(crashed, 1))
+			if !e.crashes.marks.suspected(start, 1) {
+				t.Error("request that was running when the searcher ended is not marked, want a mark")
+			}
+		})
+	}
+}
+
 // Guards against a request that other nodes go on to run, since they were told of its first crash and not of the next ones.
 func TestMarkThatGrowsIsAnnounced(t *testing.T) {
 	e, other := newEngine(func() time.Time { return start }), newEngine(func() time.Time { return start })
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -111,8 +111,8 @@
 // Update installs the searchers of a snapshot and the services of a route table.
 func (e *Engine) Update(snapshot *fleet.Snapshot, table *route.Table) {
 	e.pruneLimiters(table)
-	for _, removed := range e.balancer.update(snapshot, table) {
-		e.searcherEnded(e.clock(), removed)
+	for _, ended := range append(e.balancer.update(snapshot, table), snapshot.Replaced()...) {
+		e.searcherEnded(e.clock(), ended)
 	}
 }
 
