Drop the oldest broken connections instead of the latest once too many await confirmation

After 1,024 broken connections within 8 s, as when many connections are reset at once, further ones were not recorded, so that a request which crashes searchers in those seconds stayed unknown. Evidence: TestCrashAmongManyBrokenConnections failed before. Change: one entry for each request and searcher, and the oldest goes when there is no room.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -20,7 +20,7 @@
 	// crashConfirmWindow is the time after a broken connection within which the end of the searcher process confirms a crash. Lost replies
 	// break connections as well, without a crash of the searcher.
 	crashConfirmWindow = 8 * time.Second
-	// maxSuspicions bounds the broken connections that await confirmation.
+	// maxSuspicions bounds the broken connections that await confirmation. The oldest are dropped first.
 	maxSuspicions = 1024
 )
 
@@ -35,7 +35,8 @@
 type crashTracker struct {
 	marks *crashMarks
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// suspicions holds one entry for each request and searcher, the oldest first.
 	suspicions []suspicion
 }
 
@@ -79,9 +80,11 @@
 func (c *crashTracker) suspect(now time.Time, fingerprint uint64, searcher fleet.Key) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.suspicions) < maxSuspicions {
-		c.suspicions = append(c.suspicions, suspicion{fingerprint: fingerprint, searcher: searcher, at: now})
+	c.suspicions = slices.DeleteFunc(c.suspicions, func(s suspicion) bool { return s.fingerprint == fingerprint && s.searcher == searcher })
+	if len(c.suspicions) == maxSuspicions {
+		c.suspicions = slices.Delete(c.suspicions, 0, 1)
 	}
+	c.suspicions = append(c.suspicions, suspicion{fingerprint: fingerprint, searcher: searcher, at: now})
 }
 
 // latestSuspicion returns the time of the latest broken connection to a searcher that awaits confirmation.
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -118,6 +118,19 @@
 	}
 }
 
+// Guards against crashes that are overlooked after many connections broke for another reason.
+func TestCrashAmongManyBrokenConnections(t *testing.T) {
+	e := newEngine(func() time.Time { return start })
+	for i := range maxSuspicions {
+		e.crashes.suspect(start, uint64(100+i), searcherKey(i))
+	}
+	e.crashes.suspect(start, 1, searcherKey(0))
+	e.searcherEnded(start, searcherKey(0))
+	if !e.crashes.marks.suspected(start, 1) {
+		t.Error("request that was running when the searcher ended is not marked, want a mark")
+	}
+}
+
 // Guards against a request that other nodes go on to run, since they were told of its first crash and not of the next ones.
 func TestMarkThatGrowsIsAnnounced(t *testing.T) {
 	e, other := newEngine(func() time.Time { return start }), newEngine(func() time.Time { return start })
