Take a small share of the retry budget while the other nodes are not known yet

Cause: a node divided the budget that all nodes share by the nodes that it knew, which is itself alone for up to 1.5 s after its start. Change: while a node may not know the others it assumes 64, as it does for connections already, from its first moment on. Looked through for the same cause: entries and removals (compared at each exchange), holds of removals (in each exchange), limits of searchers (no share while the others are not known), reach of nodes (in each state), marks of serve (digests): none has it. Nodes that are cut off keep counting towards the budget, since their last load is known.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -241,9 +241,17 @@
 		maps.Equal(n.ByRegion, other.ByRegion) && n.Members.Equal(other.Members)
 }
 
-// assumedNodes is the number of nodes that a node assumes for its share of connections while it may not know the others yet.
+// assumedNodes is the number of nodes that a node assumes for its shares of connections and of the budget while it may not know the others yet.
 const assumedNodes = 64
 
+// sharing returns the number of nodes that share the budget of extra attempts.
+func (n NodeCounts) sharing() int {
+	if n.Discovering {
+		return max(n.Active, assumedNodes)
+	}
+	return max(n.Active, 1)
+}
+
 // setNodes recomputes this node's share of the connections of every searcher.
 func (b *balancer) setNodes(nodes NodeCounts) {
 	if nodes.Members == nil || nodes.Discovering {
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -118,7 +118,7 @@
 
 // SetNodes recomputes this node's share of the searchers' connections and of the retry and hedge budget.
 func (e *Engine) SetNodes(nodes NodeCounts) {
-	e.nodes.Store(int64(max(nodes.Active, 1)))
+	e.nodes.Store(int64(nodes.sharing()))
 	e.active.Store(nodes.SelfActive && !nodes.Discovering)
 	e.balancer.setNodes(nodes)
 }
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -151,6 +151,7 @@
 	if err := t.openSockets(settings); err != nil {
 		return nil, err
 	}
+	t.engine.SetNodes(t.nodeCounts(clock()))
 	t.engine.OnQuarantineMarks(t.propagateMarks)
 	t.registerGauges()
 	return t, nil
