--- a/internal/quar/mark.go
+++ b/internal/quar/mark.go
@@ -58,11 +58,10 @@
 
 // verdict returns how to treat the fingerprint.
 func (m *mark) verdict() Verdict {
-	n := m.countedLosses()
-	if n >= quarantineThreshold {
+	if m.quarantined() {
 		return Quarantined{}
 	}
-	if n == 0 && m.cleared {
+	if m.countedLosses() == 0 && m.cleared {
 		return Clear{}
 	}
 	return Suspect{}
@@ -78,6 +77,9 @@
 	return n
 }
 
+// quarantined reports whether enough losses count.
+func (m *mark) quarantined() bool { return m.countedLosses() >= quarantineThreshold }
+
 // recordLoss counts a loss that this node observed. It returns false when the searcher was already counted.
 func (m *mark) recordLoss(searcher string, e lossRecord) bool {
 	known, ok := m.searchers[searcher]
--- a/internal/quar/table.go
+++ b/internal/quar/table.go
@@ -119,7 +119,7 @@
 		t.recent = append(t.recent, loss{at: now, fingerprint: fingerprint, searcher: searcher})
 	}
 	m.trim(now)
-	t.evict()
+	t.evict(now)
 }
 
 // RecordExclusiveLoss records that an attempt lost its searcher abruptly while it ran alone there, as a suspect request does. Such a loss
@@ -137,7 +137,7 @@
 	m.recordExclusiveLoss(searcher)
 	t.extend(now, m)
 	m.trim(now)
-	t.evict()
+	t.evict(now)
 }
 
 func (t *Table) disabled() bool {
@@ -203,7 +203,7 @@
 	if !ok {
 		return true
 	}
-	if m.countedLosses() >= quarantineThreshold {
+	if m.quarantined() {
 		return false
 	}
 	m.dismissLosses(now)
@@ -261,7 +261,7 @@
 			anyNew = true
 		}
 	}
-	t.evict()
+	t.evict(now)
 	return anyNew
 }
 
@@ -314,25 +314,36 @@
 	maps.DeleteFunc(t.marks, func(_ uint64, m *mark) bool { return !now.Before(m.expires) })
 }
 
-// evict drops the marks that expire first when there are more than MaxMarks; ties are broken by fingerprint. It makes room for several
-// marks at once, since each eviction sorts them. The caller holds mu.
-func (t *Table) evict() {
+// evict drops marks when there are more than MaxMarks: expired ones, then those of requests that are not quarantined, then the others, each the
+// ones that expire first before others; ties are broken by fingerprint. It makes room for several marks at once, since each eviction sorts them. The caller holds mu.
+func (t *Table) evict(now time.Time) {
+	if len(t.marks) > t.settings.MaxMarks {
+		t.removeExpired(now)
+	}
 	if len(t.marks) > t.settings.MaxMarks {
 		keep := t.settings.MaxMarks - t.settings.MaxMarks/evictFraction
-		for _, fingerprint := range t.byExpiry()[:len(t.marks)-keep] {
+		for _, fingerprint := range t.inEvictionOrder()[:len(t.marks)-keep] {
 			delete(t.marks, fingerprint)
 		}
 	}
 	t.count.Store(int64(len(t.marks)))
 }
 
-func (t *Table) byExpiry() []uint64 {
+// inEvictionOrder returns the fingerprints in the order of eviction.
+func (t *Table) inEvictionOrder() []uint64 {
 	fingerprints := make([]uint64, 0, len(t.marks))
 	for fingerprint := range t.marks {
 		fingerprints = append(fingerprints, fingerprint)
 	}
 	slices.SortFunc(fingerprints, func(a, b uint64) int {
-		return cmp.Or(t.marks[a].expires.Compare(t.marks[b].expires), cmp.Compare(a, b))
+		first, second := t.marks[a], t.marks[b]
+		if first.quarantined() != second.quarantined() {
+			if second.quarantined() {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(first.expires.Compare(second.expires), cmp.Compare(a, b))
 	})
 	return fingerprints
 }
--- a/internal/quar/table_test.go
+++ b/internal/quar/table_test.go
@@ -224,6 +224,29 @@
 	}
 }
 
+// Guards against a quarantined request that runs again, since many requests lost searchers after it and its mark made room for theirs.
+func TestQuarantinedMarkOutlastsOthers(t *testing.T) {
+	const limit = 32
+	table := New(Settings{MaxMarks: limit})
+	table.RecordExclusiveLoss(at(0), 0, "a")
+	table.RecordExclusiveLoss(at(0), 0, "b")
+	for k := range uint64(10 * limit) {
+		table.RecordExclusiveLoss(at(time.Second), 1+k, "c")
+	}
+	if got, want := table.Check(at(time.Second), 0), (Quarantined{}); got != want {
+		t.Errorf("after other losses: got %#v, want %#v", got, want)
+	}
+	// Expired marks must not take the room of later ones.
+	for k := range uint64(2 * limit) {
+		table.RecordExclusiveLoss(at(DefaultExpiry*time.Duration(k+1)), 1000+k, "a")
+		table.RecordExclusiveLoss(at(DefaultExpiry*time.Duration(k+1)), 1000+k, "b")
+	}
+	table.RecordExclusiveLoss(at(DefaultExpiry*2*limit+time.Second), 2000, "a")
+	if got, want := table.Check(at(DefaultExpiry*2*limit+time.Second), 2000), (Suspect{}); got != want {
+		t.Errorf("after expired marks: got %#v, want %#v", got, want)
+	}
+}
+
 // TestFingerprint guards against requests with different fields that share a fingerprint.
 func TestFingerprint(t *testing.T) {
 	all := map[uint64]string{}
