Play requests that crash each searcher that runs them in the soak

Change: three callers, one for each kind of route, repeat a crashing request at random nodes through all faults and drills: kills, pauses, stops, a restored store, nodes without links to searchers, named limits, departures unseen by one node. Planted cases on both sides.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -13,14 +13,16 @@
 type exchange struct {
 	request       stand.Request
 	nonIdempotent bool
-	shards        []string
-	topK          int
-	minCoverage   float64
-	node          string
-	sentAt        time.Time
-	endedAt       time.Time
-	answer        stand.Answer
-	err           error
+	// crasher is set if the request crashes each searcher that runs it. Its path and body identify it among the requests that do.
+	crasher     bool
+	shards      []string
+	topK        int
+	minCoverage float64
+	node        string
+	sentAt      time.Time
+	endedAt     time.Time
+	answer      stand.Answer
+	err         error
 }
 
 // run is one execution of a request that a searcher began.
@@ -57,6 +59,8 @@
 	drainBound time.Duration
 	// quiet holds the intervals without a fault, which begin after the recovery time that the promises allow.
 	quiet []interval
+	// disturbances are those of single nodes within quiet intervals.
+	disturbances []disturbance
 	// violations are those that were found while the soak ran.
 	violations []Violation
 }
@@ -102,6 +106,7 @@
 	}
 	checkDrain(e, exchangeByID, report)
 	checkLimits(e, exchangeByID, report)
+	checkCrashers(e, exchangeByID, report)
 	return found
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -70,6 +70,19 @@
 	}}}
 }
 
+// crash adds a crashing request that ran three times, and retries of it that ran from the given times after the third on.
+func (e *evidence) crash(after ...time.Duration) {
+	e.quiet = []interval{{from: start.Add(-time.Minute), to: start.Add(time.Minute)}}
+	for i, at := range append([]time.Duration{0, 0, 0}, after...) {
+		s := single().exchanges[0]
+		s.crasher, s.nonIdempotent, s.err = true, false, io.EOF
+		s.request.ID, s.request.Path, s.sentAt = fmt.Sprintf("%s%d", crasherPrefix, i), "/unsafe/crasher", start.Add(at)
+		r := single().runs[0]
+		r.ID, r.URI, r.StartTime = s.request.ID, s.request.Path, s.sentAt
+		e.exchanges, e.runs = append(e.exchanges, s), append(e.runs, r)
+	}
+}
+
 // Guards against a soak that does not detect a violated promise: each kind of violation is injected into sound evidence.
 func TestCheckFindsPlantedViolations(t *testing.T) {
 	tests := map[string]struct {
@@ -115,7 +128,22 @@
 				e.exchanges[i].node = fmt.Sprintf("n%d", i)
 			}
 		}},
-		"beyond the limit": {evidence: single, inject: func(e *evidence) { e.nameLimit(12) }, want: "limit"},
+		"beyond the limit":                {evidence: single, inject: func(e *evidence) { e.nameLimit(12) }, want: "limit"},
+		"crashing request, retried early": {evidence: single, inject: func(e *evidence) { e.crash(1, 2, 3, 4, contactTime) }},
+		"crashing request, three late retries": {evidence: single, inject: func(e *evidence) {
+			e.crash(contactTime+1, contactTime+2, contactTime+3)
+		}},
+		"crashing request, four late retries": {evidence: single, inject: func(e *evidence) {
+			e.crash(contactTime+1, contactTime+2, contactTime+3, contactTime+4)
+		}, want: "crash"},
+		"crashing request, four late retries at a disturbed node": {evidence: single, inject: func(e *evidence) {
+			e.crash(contactTime+1, contactTime+2, contactTime+3, contactTime+4)
+			e.disturbances = []disturbance{{node: "n", during: e.quiet[0]}}
+		}},
+		"crashing request, four late retries during faults": {evidence: single, inject: func(e *evidence) {
+			e.crash(contactTime+1, contactTime+2, contactTime+3, contactTime+4)
+			e.quiet = nil
+		}},
 		"new work after leaving, during a fault": {evidence: single, inject: func(e *evidence) {
 			e.departures = []departure{{searcher: searcher, leavingSince: start.Add(-4 * time.Second)}}
 		}},
--- a/internal/soak/drills.go
+++ b/internal/soak/drills.go
@@ -111,6 +111,7 @@
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
 	held := heldSockets(p.pid())
+	r.fleet.cutOff = p.pid
 	for _, s := range r.fleet.searchers {
 		s.proxy.cutCaller(held, p.pid)
 	}
@@ -120,6 +121,7 @@
 func (r *runner) endSearcherCut() {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
+	r.fleet.cutOff = nil
 	for _, s := range r.fleet.searchers {
 		s.proxy.endCut()
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -220,10 +220,12 @@
 		r.checkStrandedNode(ctx)
 	}
 	endLimits := r.limitSearchers()
+	cutAt := time.Now()
 	cut := r.loseSearchersUnseen(ctx)
 	delay.Sleep(ctx, quietPhase)
 	endLimits()
 	cut.restoreStoreLink()
+	r.recordDisturbance(cut, interval{from: cutAt, to: time.Now()})
 	r.mu.Lock()
 	r.cutOff = ""
 	r.evidence.quiet = append(r.evidence.quiet, interval{from: from, to: time.Now()})
@@ -280,6 +282,7 @@
 	p := r.randomNode()
 	from := time.Now()
 	p.stop(syscall.SIGTERM, grace)
+	defer func() { r.recordDisturbance(p, interval{from: from, to: time.Now().Add(contactTime)}) }()
 	ran := make(map[string]bool)
 	for _, executed := range r.fleet.runs() {
 		ran[executed.ID] = true
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -149,6 +149,11 @@
 	// searchers are all that were ever started. searcherCount is the number of ids that were assigned.
 	searchers     []*proxiedSearcher
 	searcherCount int
+	// cutOff returns the id of the process that is cut off from the searchers; it is nil if none is.
+	cutOff func() int
+	// closed is set when the fleet ends; searchers that stop then have not crashed. onCrash handles the crash of a searcher.
+	closed  bool
+	onCrash func(s *proxiedSearcher)
 }
 
 // zoneRegions maps each zone of the soak to its region; each zone is in a region of its own.
@@ -229,9 +234,20 @@
 		return nil, err
 	}
 	s := &proxiedSearcher{Searcher: searcher, proxy: p, zone: zone}
+	searcher.CrashOn(isCrasher)
 	f.mu.Lock()
 	f.searchers = append(f.searchers, s)
+	if f.cutOff != nil {
+		p.cutCaller(nil, f.cutOff)
+	}
 	f.mu.Unlock()
+	go func() {
+		<-s.Done()
+		if !f.isClosed() {
+			s.proxy.close()
+			f.onCrash(s)
+		}
+	}()
 	f.store.Register(searcher, p.address(), zone, "ready")
 	return s, nil
 }
@@ -262,6 +278,12 @@
 	return list
 }
 
+func (f *fleet) isClosed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closed
+}
+
 // close stops all nodes, searchers and proxies, and the store.
 func (f *fleet) close() {
 	for _, p := range f.nodes {
@@ -271,6 +293,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.closed = true
 	for _, s := range f.searchers {
 		s.Close()
 		s.proxy.close()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -95,6 +95,9 @@
 	for i := range s.Callers {
 		tasks.Go(func() { r.runCaller(callers, i) })
 	}
+	for i := range crasherKinds {
+		tasks.Go(func() { r.runCrasher(callers, i) })
+	}
 	for range s.Rounds {
 		r.round(ctx)
 	}
@@ -109,7 +112,11 @@
 	r.evidence.runs = r.fleet.runs()
 	report := Report{Requests: len(r.evidence.exchanges), Faults: r.faults}
 	for _, s := range r.evidence.exchanges {
-		if s.err == nil && s.answer.Status == http.StatusOK {
+		switch {
+		case s.crasher:
+			// No searcher answers it.
+			report.Requests--
+		case s.err == nil && s.answer.Status == http.StatusOK:
 			report.Served++
 		}
 	}
@@ -133,6 +140,7 @@
 	if r.fleet, err = startFleet(r.settings.Binary, r.settings.Directory, r.settings.Nodes, logs); err != nil {
 		return err
 	}
+	r.fleet.onCrash = r.revive
 	for i := range r.settings.Shards {
 		r.shards = append(r.shards, fmt.Sprintf("shard%d", i))
 	}
