Stop adding crashes to the mark of a request that all nodes refuse

Cause: a request over shards crashes a searcher of each shard. Change: a node shares its crashes of a request only until the request is quarantined. Runs that were in flight at several nodes may still add some.

--- a/internal/relay/crash_marks.go
+++ b/internal/relay/crash_marks.go
@@ -40,8 +40,12 @@
 	return m.share(now, fingerprint)
 }
 
-// share makes what this node has kept to itself of a request known to all nodes. It reports whether other nodes should be told.
+// share makes what this node has kept to itself of a request known to all nodes, unless they refuse the request already. It reports whether other
+// nodes should be told.
 func (m *crashMarks) share(now time.Time, fingerprint uint64) bool {
+	if m.quarantined(now, fingerprint) {
+		return false
+	}
 	mark := m.private.Mark(now, fingerprint)
 	return mark != nil && m.shared.Merge(now, []*wire.QuarantineMark{mark})
 }
