Own the signals of the process from its first statement to its last

What callers saw: requests in flight at a node that was being stopped got no answer, seconds before its stop time was over. Cause: the handler of SIGHUP lived as long as the watch on the settings, which ends with SIGTERM. signal.Stop restored the default action, so that a later SIGHUP ended the process. Before the watch began there was no handler either. Change: package sigs receives the signals from the first statement of main on and never gives them back; commands that end by themselves restore the default actions before they run. platform, standins and serve share it. Open: until the runtime of Go has started and the packages are initialised, some ms, SIGHUP has its default action.

--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
+
+	"github.com/fireflylanding/fireflylanding/internal/sigs"
 )
 
 // Exit codes. They are part of the interface for scripts.
@@ -50,9 +52,9 @@
 }
 
 // Main runs the command with the given arguments and returns the exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
+func Main(signals *sigs.Owner, args []string, stdout, stderr io.Writer) int {
 	var err error
-	if err = root(stdout, stderr).Run(context.Background(), args); err == nil {
+	if err = root(signals, stdout, stderr).Run(context.Background(), args); err == nil {
 		return exitOK
 	}
 	fmt.Fprintln(stderr, "fireflylanding:", err)
@@ -63,7 +65,10 @@
 	return exitFailure
 }
 
-func root(stdout, stderr io.Writer) *cli.Command {
+// runsUntilStopped holds the subcommands that run until a signal stops them. The others end by themselves, or at once by a signal.
+var runsUntilStopped = map[string]bool{"serve": true, "platform": true, "standins": true}
+
+func root(signals *sigs.Owner, stdout, stderr io.Writer) *cli.Command {
 	command := &cli.Command{
 		Name:      "fireflylanding",
 		Usage:     "query tier over many shards",
@@ -82,14 +87,14 @@
 		Commands: []*cli.Command{
 			demoCommand(stdout, stderr),
 			benchCommand(stdout, stderr),
-			serveCommand(stderr),
-			platformCommand(stdout),
+			serveCommand(signals, stderr),
+			platformCommand(signals, stdout),
 			explainCommand(stdout),
 			soakCommand(stdout),
 			checkCommand(stdout),
 			askCommand(stdout),
 			statusCommand(stdout),
-			standinsCommand(stdout),
+			standinsCommand(signals, stdout),
 			capacityCommand(stdout, stderr),
 		},
 		// Main prints errors and determines the exit code.
@@ -105,6 +110,12 @@
 	// The library only calls the handler of the command whose flags are wrong.
 	for _, sub := range command.Commands {
 		sub.OnUsageError = usageError
+		if !runsUntilStopped[sub.Name] {
+			sub.Before = func(ctx context.Context, _ *cli.Command) (context.Context, error) {
+				signals.Release()
+				return ctx, nil
+			}
+		}
 	}
 	return command
 }
--- a/internal/cmd/main_test.go
+++ b/internal/cmd/main_test.go
@@ -13,12 +13,13 @@
 	"github.com/fireflylanding/fireflylanding/internal/fakes"
 	"github.com/fireflylanding/fireflylanding/internal/local"
 	"github.com/fireflylanding/fireflylanding/internal/plans"
+	"github.com/fireflylanding/fireflylanding/internal/sigs"
 )
 
 // run runs the command with the arguments and returns the exit code, standard output and standard error.
 func run(args ...string) (int, string, string) {
 	var stdout, stderr bytes.Buffer
-	code := Main(append([]string{"fireflylanding"}, args...), &stdout, &stderr)
+	code := Main(sigs.New(), append([]string{"fireflylanding"}, args...), &stdout, &stderr)
 	return code, stdout.String(), stderr.String()
 }
 
--- a/internal/cmd/platform.go
+++ b/internal/cmd/platform.go
@@ -4,8 +4,6 @@
 	"context"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflylanding/fireflylanding/internal/events"
+	"github.com/fireflylanding/fireflylanding/internal/sigs"
 	"github.com/fireflylanding/fireflylanding/internal/tier"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 	site "github.com/fireflylanding/fireflylanding/platform"
@@ -22,7 +21,7 @@
 // reloadInterval is the interval at which the settings file is checked for changes, since it may change without a signal.
 const reloadInterval = 2 * time.Second
 
-func platformCommand(stdout io.Writer) *cli.Command {
+func platformCommand(signals *sigs.Owner, stdout io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:  "platform",
 		Usage: "run one node on the platform until SIGTERM; SIGHUP reloads the settings",
@@ -42,13 +41,13 @@
 					return withCode(exitUsage, errors.New("no settings file is given"))
 				}
 			}
-			return runPlatformNode(ctx, path, command.String("log-level"), stdout)
+			return runPlatformNode(ctx, signals, path, command.String("log-level"), stdout)
 		},
 	}
 }
 
 // runPlatformNode runs a node on the platform until SIGTERM or SIGINT.
-func runPlatformNode(ctx context.Context, path, level string, stdout io.Writer) error {
+func runPlatformNode(ctx context.Context, signals *sigs.Owner, path, level string, stdout io.Writer) error {
 	var logger *events.BoundedLogger
 	var err error
 	if logger, err = events.NewBoundedLogger(stdout, level); err != nil {
@@ -65,10 +64,10 @@
 	if err != nil {
 		return withCode(exitSettings, err)
 	}
-	stop, stopped := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	stop, stopped := signals.Stopping(ctx)
 	defer stopped()
 	var tasks conc.WaitGroup
-	tasks.Go(func() { watchSettings(stop, path, t, logger.Logger) })
+	tasks.Go(func() { watchSettings(stop, signals.Hangups(), path, t, logger.Logger) })
 	defer tasks.Wait()
 	if cut := t.Run(stop); cut > 0 {
 		return withCode(exitCutOff, errors.Newf("%d requests were cut off", cut))
@@ -77,10 +76,7 @@
 }
 
 // watchSettings reloads the settings on SIGHUP and when the file has changed, until ctx ends. Invalid settings are logged and ignored.
-func watchSettings(ctx context.Context, path string, t *tier.Tier, logger *events.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func watchSettings(ctx context.Context, hangups <-chan struct{}, path string, t *tier.Tier, logger *events.Logger) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	lastModified := modificationTime(path)
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"io"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,10 +11,11 @@
 
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/node"
+	"github.com/fireflylanding/fireflylanding/internal/sigs"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
-func serveCommand(stderr io.Writer) *cli.Command {
+func serveCommand(signals *sigs.Owner, stderr io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:  "serve",
 		Usage: "run one node until SIGTERM; a second signal aborts the graceful shutdown",
@@ -32,13 +30,13 @@
 			if settings, err = loadSettings(command.String("config")); err != nil {
 				return err
 			}
-			return serve(ctx, settings, stderr)
+			return serve(ctx, signals, settings, stderr)
 		},
 	}
 }
 
 // serve runs a node. The first signal starts the graceful shutdown and the second aborts it.
-func serve(ctx context.Context, settings *wire.Settings, stderr io.Writer) error {
+func serve(ctx context.Context, signals *sigs.Owner, settings *wire.Settings, stderr io.Writer) error {
 	var logger *events.Logger
 	var err error
 	if logger, err = events.New(stderr, settings.GetLog().GetLevel()); err != nil {
@@ -56,20 +54,20 @@
 	kill, killed := context.WithCancel(ctx)
 	defer stopped()
 	defer killed()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ended := make(chan struct{})
 	var tasks conc.WaitGroup
 	tasks.Go(func() {
 		for _, end := range []context.CancelFunc{stopped, killed} {
-			if _, ok := <-signals; !ok {
+			select {
+			case <-signals.Terminations():
+				end()
+			case <-ended:
 				return
 			}
-			end()
 		}
 	})
 	defer tasks.Wait()
-	defer close(signals)
-	defer signal.Stop(signals)
+	defer close(ended)
 	if cut := n.Run(stop, kill); cut > 0 {
 		return withCode(exitCutOff, errors.Newf("%d requests were cut off", cut))
 	}
--- a/internal/cmd/serve_test.go
+++ b/internal/cmd/serve_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/fireflylanding/fireflylanding/internal/conf"
+	"github.com/fireflylanding/fireflylanding/internal/sigs"
 )
 
 // Guards against goroutines that outlive a node, such as the one that waits for signals.
@@ -21,7 +22,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
-	if err := serve(ctx, settings, io.Discard); err != nil {
+	if err := serve(ctx, sigs.New(), settings, io.Discard); err != nil {
 		t.Errorf("got %v, want a clean end", err)
 	}
 	// The connection and worker cleaners of fasthttp stop on their own within 10 s.
--- /dev/null
+++ b/internal/cmd/signals_test.go
@@ -0,0 +1,206 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/fireflylanding/fireflylanding/platform/stand"
+)
+
+const (
+	// signalTimeout bounds the time in which a node starts and in which it ends after SIGTERM, whose grace is 6 s.
+	signalTimeout = 15 * time.Second
+	// runTime is the time that a searcher takes for a request that is in flight while a node stops.
+	runTime = 2 * time.Second
+)
+
+// nodeOutput keeps what a process prints. It is safe for concurrent use.
+type nodeOutput struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (o *nodeOutput) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+func (o *nodeOutput) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
+// signalledNode is a node in a process of its own.
+type signalledNode struct {
+	*exec.Cmd
+	stand.NodeConfig
+	output nodeOutput
+}
+
+// nodesStarted counts the nodes that tests have started, each of which has an address of its own.
+var nodesStarted atomic.Int64
+
+// startSignalledNode starts a node as a process of its own. With configured set, the store has a route to a searcher.
+func startSignalledNode(t *testing.T, binary string, configured bool) *signalledNode {
+	t.Helper()
+	store, err := stand.StartStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	searcher, err := stand.StartSearcher("i-one", "one", 4, runTime)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(searcher.Close)
+	if configured {
+		store.Register(searcher, searcher.Address(), "z", "ready")
+		store.PutConfig(1, []stand.Route{{Host: "h", Prefix: "/a/", Service: "one", Unsafe: true, TimeoutMS: 5000, GoalMS: 4000}}, []string{"one"})
+	}
+	ports := make([]int, 5)
+	for i := range ports {
+		network := "tcp"
+		if i == len(ports)-1 {
+			network = "udp"
+		}
+		address, err := stand.FreeAddress(network)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if ports[i], err = strconv.Atoi(address[strings.LastIndex(address, ":")+1:]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ip := fmt.Sprintf("127.220.%d.%d", os.Getpid()%250, 1+nodesStarted.Add(1)%250)
+	config := stand.NodeConfig{
+		Node: "front-1", IP: ip, Zone: "z", Zones: map[string]string{"z": "r"}, CallerPort: ports[0], ReadyPort: ports[1], DirectoryPort: ports[2],
+		ControlPort: ports[3], PeerPort: ports[4], SeedIPs: []string{ip}, StoreAddress: store.Address(),
+	}
+	data, err := config.SettingsFile()
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(settings, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n := &signalledNode{Cmd: exec.Command(binary, "platform", "--settings", settings), NodeConfig: config}
+	n.Stdout, n.Stderr = &n.output, &n.output
+	if err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(n.output.String())
+		}
+	})
+	return n
+}
+
+// awaitSignalled waits until a condition holds.
+func awaitSignalled(t *testing.T, condition string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(signalTimeout); !holds(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: condition not met within %v", condition, signalTimeout)
+		}
+	}
+}
+
+// Guards against a node that ends, or cuts off a request, because a signal comes at a stage at which it has no handler: while it starts, without a
+// configuration, while it serves, or while it shuts down.
+func TestSignalsAtEachStage(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "fireflylanding")
+	if output, err := exec.Command("go", "build", "-o", binary, "github.com/fireflylanding/fireflylanding").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, output)
+	}
+	tests := map[string]struct {
+		seed       uint64
+		configured bool
+		// early is set if the signals come as soon as the process prints its first line, terminated if they come after a SIGTERM.
+		early, terminated bool
+	}{
+		"starting":                {seed: 1, configured: true, early: true},
+		"without a configuration": {seed: 2},
+		"serving":                 {seed: 3, configured: true},
+		"shutting down":           {seed: 4, configured: true, terminated: true},
+		"shutting down, again":    {seed: 5, configured: true, terminated: true},
+		"stopped while starting":  {seed: 6, configured: true, early: true, terminated: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := startSignalledNode(t, binary, test.configured)
+			exited := make(chan error, 1)
+			go func() { exited <- n.Wait() }()
+			client, address := stand.NewClient(), n.IP+":"+strconv.Itoa(n.CallerPort)
+			ready := func() bool { return stand.IsReady(t.Context(), client, n.IP+":"+strconv.Itoa(n.ReadyPort)) }
+			awaitSignalled(t, "the node has begun to start", func() bool { return n.output.String() != "" })
+			answered := make(chan int, 1)
+			inFlight := test.configured && !test.early
+			if inFlight {
+				awaitSignalled(t, "the node is ready", ready)
+				go func() {
+					ctx, cancel := context.WithTimeout(context.Background(), signalTimeout)
+					defer cancel()
+					answer, err := stand.Send(ctx, client, address, stand.Request{ID: "00000000000000a1", Method: http.MethodPost, Host: "h", Path: "/a/1", Timeout: 5 * time.Second})
+					if err != nil {
+						answer.Status = 0
+					}
+					answered <- answer.Status
+				}()
+				time.Sleep(runTime / 10)
+			}
+			signals := []syscall.Signal{syscall.SIGHUP, syscall.SIGCONT, syscall.SIGHUP}
+			if test.terminated {
+				signals = append(signals, syscall.SIGTERM)
+				_ = n.Process.Signal(syscall.SIGTERM)
+			}
+			random := rand.New(rand.NewPCG(test.seed, 0))
+			for range 40 {
+				_ = n.Process.Signal(signals[random.IntN(len(signals))])
+				time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
+			}
+			if inFlight {
+				if got := <-answered; got != http.StatusOK {
+					t.Errorf("request in flight: got status %d, want 200", got)
+				}
+			}
+			if !test.terminated {
+				select {
+				case err := <-exited:
+					t.Fatalf("the process ended: %v", err)
+				default:
+				}
+				if test.configured {
+					awaitSignalled(t, "the node is ready", ready)
+				}
+				_ = n.Process.Signal(syscall.SIGTERM)
+			}
+			select {
+			case err := <-exited:
+				if err != nil {
+					t.Errorf("got exit %v, want a graceful one", err)
+				}
+			case <-time.After(signalTimeout):
+				_ = n.Process.Kill()
+				t.Errorf("the process is still running %v after SIGTERM", signalTimeout)
+			}
+		})
+	}
+}
--- a/internal/cmd/standins.go
+++ b/internal/cmd/standins.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,13 +14,14 @@
 	"github.com/fireflylanding/fireflylanding/internal/fakes"
 	"github.com/fireflylanding/fireflylanding/internal/plans"
 	"github.com/fireflylanding/fireflylanding/internal/shards"
+	"github.com/fireflylanding/fireflylanding/internal/sigs"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
 // listPollInterval is the interval at which the list files are checked for changes.
 const listPollInterval = time.Second
 
-func standinsCommand(stdout io.Writer) *cli.Command {
+func standinsCommand(signals *sigs.Owner, stdout io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:  "standins",
 		Usage: "run a simulated platform and simulated searchers, to try out nodes as separate processes",
@@ -36,7 +35,7 @@
 			&cli.StringFlag{Name: "uses", Usage: "publish this `FILE` as the list of uses, and republish it when it changes"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
-			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+			ctx, stop := signals.Stopping(ctx)
 			defer stop()
 			return runStandins(ctx, command, stdout)
 		},
--- a/main.go
+++ b/main.go
@@ -6,8 +6,9 @@
 	"os"
 
 	"github.com/fireflylanding/fireflylanding/internal/cmd"
+	"github.com/fireflylanding/fireflylanding/internal/sigs"
 )
 
 func main() {
-	os.Exit(cmd.Main(os.Args, os.Stdout, os.Stderr))
+	os.Exit(cmd.Main(sigs.New(), os.Args, os.Stdout, os.Stderr))
 }
