Measure pauses, links and the end of a stop by the monotonic clock

While the time of day is stepped forward, a pause that a searcher asked for with Retry-After ended early (BUDGET), evidence on links became old, and the requests of a stopping node ended early. Cause: times were kept in atomics as Unix nanoseconds, which drop the monotonic reading. Change: package mono turns times into integers by the monotonic clock. Not done: the soak does not step the clock of a node.

--- a/internal/pace/pacer.go
+++ b/internal/pace/pacer.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/fireflylanding/fireflylanding/internal/mono"
 )
 
 // Pacer is what one searcher asks of this node. It is safe for concurrent use.
@@ -17,7 +19,7 @@
 	region   string
 	// tokens holds the requests that this node may send now, nil while the searcher names no limit.
 	tokens atomic.Pointer[rate.Limiter]
-	// pausedUntil is the time until which the searcher wants no requests from this node, in Unix nanoseconds; 0 means that it never asked.
+	// pausedUntil is the time until which the searcher wants no requests from this node, as package mono has it; 0 means that it never asked.
 	pausedUntil atomic.Int64
 
 	mu      sync.Mutex
@@ -45,20 +47,20 @@
 // Pause records that the searcher wants no requests from this node for a while, and reports whether it is not paused yet. A shorter pause
 // does not end a longer one.
 func (p *Pacer) Pause(now time.Time, pause time.Duration) (first bool) {
-	until := now.Add(min(pause, maxPause)).UnixNano()
+	until := mono.Nanos(now.Add(min(pause, maxPause)))
 	for {
 		known := p.pausedUntil.Load()
 		if known >= until {
 			return false
 		}
 		if p.pausedUntil.CompareAndSwap(known, until) {
-			return known <= now.UnixNano()
+			return known <= mono.Nanos(now)
 		}
 	}
 }
 
 // Paused reports whether the searcher wants no requests from this node now.
-func (p *Pacer) Paused(now time.Time) bool { return p.pausedUntil.Load() > now.UnixNano() }
+func (p *Pacer) Paused(now time.Time) bool { return p.pausedUntil.Load() > mono.Nanos(now) }
 
 // Available reports whether a request may be sent.
 func (p *Pacer) Available(now time.Time) bool {
--- a/internal/reach/link.go
+++ b/internal/reach/link.go
@@ -3,10 +3,12 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/fireflylanding/fireflylanding/internal/mono"
 )
 
 // Link holds the evidence on whether this node reaches one searcher. The zero value holds none. It is safe for concurrent use. All times are
-// in Unix nanoseconds; 0 means never.
+// those of package mono; 0 means never.
 type Link struct {
 	// reachedAt is the time of the latest reply, or of a new connection that stayed open.
 	reachedAt atomic.Int64
@@ -25,32 +27,32 @@
 
 // Sent records that a request is sent. Requests that got no reply count together only if they follow each other within evidenceWindow.
 func (l *Link) Sent(now time.Time) {
-	previous := l.sentAt.Swap(now.UnixNano())
-	if now.UnixNano()-previous >= int64(evidenceWindow) {
-		l.unansweredSince.Store(now.UnixNano())
+	previous := l.sentAt.Swap(mono.Nanos(now))
+	if mono.Nanos(now)-previous >= int64(evidenceWindow) {
+		l.unansweredSince.Store(mono.Nanos(now))
 		return
 	}
-	l.unansweredSince.CompareAndSwap(0, now.UnixNano())
+	l.unansweredSince.CompareAndSwap(0, mono.Nanos(now))
 }
 
 // Reached records a reply, or a new connection that stayed open.
 func (l *Link) Reached(now time.Time) {
-	l.reachedAt.Store(now.UnixNano())
+	l.reachedAt.Store(mono.Nanos(now))
 	l.unansweredSince.Store(0)
 }
 
 // Connected records a new connection.
-func (l *Link) Connected(now time.Time) { l.connectedAt.Store(now.UnixNano()) }
+func (l *Link) Connected(now time.Time) { l.connectedAt.Store(mono.Nanos(now)) }
 
 // Failed records that no connection could be opened.
-func (l *Link) Failed(now time.Time) { l.failedAt.Store(now.UnixNano()) }
+func (l *Link) Failed(now time.Time) { l.failedAt.Store(mono.Nanos(now)) }
 
 // Broke records that a new connection broke before it carried a reply.
-func (l *Link) Broke(now time.Time) { l.brokenAt.Store(now.UnixNano()) }
+func (l *Link) Broke(now time.Time) { l.brokenAt.Store(mono.Nanos(now)) }
 
 // Probed records the outcome of a probe: a connection that was opened only to learn whether the searcher is reached.
 func (l *Link) Probed(now time.Time, reached bool) {
-	probe := now.UnixNano() &^ 1
+	probe := mono.Nanos(now) &^ 1
 	if reached {
 		probe |= 1
 		l.Reached(now)
@@ -63,7 +65,7 @@
 // recentProbe returns the outcome of a recent probe.
 func (l *Link) recentProbe(now time.Time) (reached, ok bool) {
 	probe := l.probedAt.Load()
-	return probe&1 == 1, probe != 0 && now.UnixNano()-probe < int64(evidenceWindow)
+	return probe&1 == 1, probe != 0 && mono.Nanos(now)-probe < int64(evidenceWindow)
 }
 
 // evidence is what is known of a link lately.
@@ -89,7 +91,7 @@
 	if l.silent() {
 		lostAt = max(lostAt, l.sentAt.Load())
 	}
-	oldest := now.UnixNano() - int64(evidenceWindow)
+	oldest := mono.Nanos(now) - int64(evidenceWindow)
 	switch {
 	case lostAt > oldest:
 		return lost
@@ -105,7 +107,7 @@
 
 // ReachedSince reports whether the searcher was reached at or after a time.
 func (l *Link) ReachedSince(at time.Time) bool {
-	return max(l.reachedAt.Load(), l.connectedAt.Load()) >= at.UnixNano()
+	return max(l.reachedAt.Load(), l.connectedAt.Load()) >= mono.Nanos(at)
 }
 
 // GaveUp records that a request that was sent at sentAt ended without a reply.
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -18,6 +18,7 @@
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
 	"github.com/fireflylanding/fireflylanding/internal/intake"
 	"github.com/fireflylanding/fireflylanding/internal/meter"
+	"github.com/fireflylanding/fireflylanding/internal/mono"
 	"github.com/fireflylanding/fireflylanding/internal/reach"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/route"
@@ -60,7 +61,7 @@
 	// active is set while callers are routed to this node.
 	active   atomic.Bool
 	inFlight atomic.Int64
-	// endBy is the time in Unix nanoseconds by which all requests are answered, 0 unless the node stops.
+	// endBy is the time as package mono has it by which all requests are answered, 0 unless the node stops.
 	endBy atomic.Int64
 	// reach is the share of the searchers that this node reaches, as of the last tick.
 	reach atomic.Pointer[reach.Reach]
@@ -191,7 +192,7 @@
 }
 
 // EndBy makes all requests end with an answer by a time, those in flight and later ones.
-func (e *Engine) EndBy(at time.Time) { e.endBy.Store(at.UnixNano()) }
+func (e *Engine) EndBy(at time.Time) { e.endBy.Store(mono.Nanos(at)) }
 
 // InFlight returns the number of requests that have no answer yet.
 func (e *Engine) InFlight() int { return int(e.inFlight.Load()) }
--- a/internal/relay/fanout.go
+++ b/internal/relay/fanout.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflylanding/fireflylanding/internal/intake"
+	"github.com/fireflylanding/fireflylanding/internal/mono"
 	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -209,8 +210,8 @@
 
 // end returns the time by which the request is answered: its deadline, or the end of the node's stop.
 func (f *fanout) end() time.Time {
-	if nanoseconds := f.engine.endBy.Load(); nanoseconds != 0 && nanoseconds < f.deadline.UnixNano() {
-		return time.Unix(0, nanoseconds)
+	if end := f.engine.endBy.Load(); end != 0 && end < mono.Nanos(f.deadline) {
+		return mono.Time(end)
 	}
 	return f.deadline
 }
