Copy a request before it can end

An attempt copied the request after it had counted as sent. Change: the copy is made under the lock that the end of the request takes.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -63,12 +63,16 @@
 	return a.sending
 }
 
-// beginSending reports whether the request may be sent, which is not so any more after endBy.
-func (a *attempt) beginSending() bool {
+// beginSending returns the message to send, which build copies from the request. It returns false after endBy, when the caller's connection may
+// already use the request's buffer for the next one.
+func (a *attempt) beginSending(build func() []byte) (message []byte, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sending = !a.ended
-	return a.sending
+	if !a.sending {
+		return nil, false
+	}
+	return build(), true
 }
 
 // attachConn sets the connection of the attempt and applies its cutoff.
@@ -131,15 +135,16 @@
 		return result{reason: wire.Reason_REASON_SEARCHER_PAUSED, waited: waited}
 	}
 	remaining := a.deadline.Sub(now)
-	if remaining < minRemaining || !a.beginSending() {
+	var message []byte
+	ok := false
+	if remaining >= minRemaining {
+		message, ok = a.beginSending(func() []byte { return e.attemptMessage(a, request, remaining) })
+	}
+	if !ok {
 		a.detachConn()
 		a.endpoint.pool.Put(conn, e.clock(), 0)
 		return result{reason: wire.Reason_REASON_EXPIRED, waited: waited}
 	}
-	message := make([]byte, 0, len(request.Head)+len(request.Body)+attemptHeadBytes)
-	message = append(message, request.Head...)
-	message = e.codec.AppendAttempt(message, remaining, a.endpoint.searcher.ID())
-	message = append(message, request.Body...)
 	// A searcher may reply before it has read a long body, so the reply is read even after a failed write.
 	_, writeErr := conn.Write(message)
 	sentAt := e.clock()
@@ -151,6 +156,14 @@
 	return r
 }
 
+// attemptMessage returns the bytes of the request as the attempt sends them.
+func (e *Engine) attemptMessage(a *attempt, request *Request, remaining time.Duration) []byte {
+	message := make([]byte, 0, len(request.Head)+len(request.Body)+attemptHeadBytes)
+	message = append(message, request.Head...)
+	message = e.codec.AppendAttempt(message, remaining, a.endpoint.searcher.ID())
+	return append(message, request.Body...)
+}
+
 // attemptHeadBytes is the space reserved for the head fields that differ between attempts.
 const attemptHeadBytes = 128
 
--- a/internal/relay/fanout_test.go
+++ b/internal/relay/fanout_test.go
@@ -101,14 +101,18 @@
 			for a = range f.attempts {
 			}
 			f.mu.Unlock()
-			if test.sending && !a.beginSending() {
+			begins := func() bool {
+				_, ok := a.beginSending(func() []byte { return nil })
+				return ok
+			}
+			if test.sending && !begins() {
 				t.Fatal("got an attempt that may not be sent before its request is finished")
 			}
 			answer, ok := f.finish(f.deadline.Add(-minRemaining)).(Refused)
 			if !ok || answer.NotRun != test.want {
 				t.Errorf("got %+v, want a refusal with not run %v", answer, test.want)
 			}
-			if !test.sending && a.beginSending() {
+			if !test.sending && begins() {
 				t.Error("got an attempt that may be sent after its request was refused as not run")
 			}
 		})
