Let a registration for an unknown service take no searcher's address

Change: only registrations for services of the routes in force count. A searcher of a service that becomes known later takes the address then. Ruled out: ignoring such entries altogether, since a new index is registered seconds before the routes name it.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -99,6 +100,8 @@
 	departed map[Key]time.Time
 	// doubted holds the registrations that are not used yet, by id. A later registration or a removal of the id ends the doubt.
 	doubted map[string]doubt
+	// services are the names of the services that routes may use, nil while they are not known.
+	services map[string]bool
 }
 
 // doubt is a registration that takes effect at a time, unless it is replaced before.
@@ -143,6 +146,24 @@
 	return deferred
 }
 
+// SetServices sets the services that routes may use. A registration for any other service names no searcher and takes no address from one.
+func (r *Registry) SetServices(names []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	services := make(map[string]bool, len(names))
+	for _, name := range names {
+		services[name] = true
+	}
+	if r.services != nil && maps.Equal(r.services, services) {
+		return
+	}
+	r.services = services
+	r.publish()
+}
+
+// usable reports whether a registration is for a service that routes may use.
+func (r *Registry) usable(s *Searcher) bool { return r.services == nil || r.services[s.service] }
+
 // Doubt sets registrations of a restored store aside until the given time whose processes are known as leaving or departed: the copy may be
 // older than their departure. The next Apply ignores them, but not later registrations. Doubt returns the ids; a time that has passed, such as
 // the zero time, sets nothing aside.
@@ -236,18 +257,18 @@
 	return dropped, trusted
 }
 
-// publish stores a new snapshot. If several registrations have the same address, only the latest one identifies the process there.
+// publish stores a new snapshot. If several registrations have the same address, only the latest one that is usable identifies the process there.
 func (r *Registry) publish() {
 	snapshot := &Snapshot{byID: make(map[string]*Searcher, len(r.byID)), services: make(map[string][]*Searcher)}
 	latest := make(map[string]*Searcher, len(r.byID))
 	for id, s := range r.byID {
 		snapshot.byID[id] = s
-		if other, ok := latest[s.address]; !ok || s.registeredAfter(other) {
+		if other, ok := latest[s.address]; r.usable(s) && (!ok || s.registeredAfter(other)) {
 			latest[s.address] = s
 		}
 	}
 	for _, s := range r.byID {
-		if latest[s.address] != s {
+		if r.usable(s) && latest[s.address] != s {
 			snapshot.replaced = append(snapshot.replaced, s.Key())
 		}
 	}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -34,6 +34,15 @@
 		"gone":                               {apply: func(r *Registry) { r.Apply(start, nil, []string{"a"}, time.Time{}) }, want: []string{"b"}},
 		"older registration arrives late":    {apply: func(r *Registry) { r.Apply(start, []*Searcher{searcher("a", "1", 1, true)}, nil, time.Time{}) }, want: []string{"a", "b"}},
 		"address reused by another searcher": {apply: func(r *Registry) { r.Apply(start, []*Searcher{searcher("c", "1", 9, false)}, nil, time.Time{}) }, want: []string{"b", "c"}},
+		"address claimed for an unknown service": {apply: func(r *Registry) {
+			r.SetServices([]string{"s"})
+			r.Apply(start, []*Searcher{NewSearcher("c", "other", "1", "z", 2, false, 1, 9)}, nil, time.Time{})
+		}, want: []string{"a", "b"}},
+		"address reused for a service that becomes known": {apply: func(r *Registry) {
+			r.SetServices([]string{"s"})
+			r.Apply(start, []*Searcher{NewSearcher("c", "other", "1", "z", 2, false, 1, 9)}, nil, time.Time{})
+			r.SetServices([]string{"s", "other"})
+		}, want: []string{"b"}},
 		"gone, then registered again": {apply: func(r *Registry) {
 			r.Apply(start, nil, []string{"a"}, time.Time{})
 			r.Apply(start, []*Searcher{searcher("a", "1", 7, false)}, nil, time.Time{})
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -71,6 +71,7 @@
 		return
 	}
 	t.engineUpdates.Lock()
+	t.fleet.SetServices(table.ServiceNames())
 	t.engine.Update(t.fleet.Snapshot(), table)
 	t.engineUpdates.Unlock()
 	if t.ready.CompareAndSwap(false, true) {
