--- a/internal/quar/table.go
+++ b/internal/quar/table.go
@@ -314,8 +314,9 @@
 	maps.DeleteFunc(t.marks, func(_ uint64, m *mark) bool { return !now.Before(m.expires) })
 }
 
-// evict drops marks when there are more than MaxMarks: expired ones, then those of requests that are not quarantined, then the others, each the
-// ones that expire first before others; ties are broken by fingerprint. It makes room for several marks at once, since each eviction sorts them. The caller holds mu.
+// evict drops marks when there are more than MaxMarks: expired ones first, then those of requests that are not quarantined, then the others. Of
+// each kind the ones that expire first go first; ties are broken by fingerprint. It makes room for several marks at once, since each eviction
+// sorts them. The caller holds mu.
 func (t *Table) evict(now time.Time) {
 	if len(t.marks) > t.settings.MaxMarks {
 		t.removeExpired(now)
