Forget the crashes that a node kept to itself once their request is answered

A request that lost a searcher with more than four candidates, was answered, lost another one the same way and came again was refused by all nodes: the first loss was only dismissed in the node's own table, and counted again when both were shared. Evidence: TestAnswerClearsSuspicion/many_candidates failed before.

--- a/internal/quar/table.go
+++ b/internal/quar/table.go
@@ -210,6 +210,14 @@
 	return true
 }
 
+// Forget removes the mark of a request, as if it had lost no searcher.
+func (t *Table) Forget(fingerprint uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.marks, fingerprint)
+	t.count.Store(int64(len(t.marks)))
+}
+
 // NeedsCanary reports whether the request must go to one shard first: it is not known to complete, or it is marked.
 func (t *Table) NeedsCanary(now time.Time, fingerprint uint64) bool {
 	if t.disabled() {
--- a/internal/relay/crash_marks.go
+++ b/internal/relay/crash_marks.go
@@ -78,7 +78,7 @@
 // clear drops the suspicion of a request that a searcher has answered, unless it is quarantined.
 func (m *crashMarks) clear(now time.Time, fingerprint uint64) {
 	if m.suspected(now, fingerprint) {
-		m.private.RecordCompletion(now, fingerprint, true)
+		m.private.Forget(fingerprint)
 		m.shared.RecordCompletion(now, fingerprint, true)
 	}
 }
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -181,14 +181,24 @@
 // Guards against a harmless request that is refused by all nodes, since it was running on searchers that crashed for another reason and was
 // answered in between.
 func TestAnswerClearsSuspicion(t *testing.T) {
-	e := newEngine(func() time.Time { return start })
-	for i := range 2 {
-		e.crashes.suspect(start, 1, searcherKey(i))
-		e.searcherEnded(start, searcherKey(i))
-		e.crashes.acquit(start, 1)
-	}
-	if e.crashes.marks.quarantined(start, 1) {
-		t.Error("request that was answered after each crash is quarantined, want it to run")
+	tests := map[string]int{"few candidates": 1, "many candidates": maxCandidates + 1}
+	for name, candidates := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := newEngine(func() time.Time { return start })
+			for i := range 2 {
+				for fingerprint := range candidates {
+					e.crashes.suspect(start, uint64(1+fingerprint), searcherKey(i))
+				}
+				e.searcherEnded(start, searcherKey(i))
+				if i == 0 {
+					e.crashes.acquit(start, 1)
+				}
+			}
+			e.announceRepeated(start, 1)
+			if e.crashes.marks.quarantined(start, 1) {
+				t.Error("request that was answered between two crashes is quarantined, want it to run")
+			}
+		})
 	}
 }
 
