--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -96,7 +96,7 @@
 	for id, list := range runs {
 		s, ok := exchangeByID[id]
 		if !ok {
-			report("unasked", "request %s ran at %s and no caller sent it", id, list[0].searcher)
+			report("unasked", "request %q, %s %s, ran at %s and no caller sent it", id, list[0].Method, list[0].URI, list[0].searcher)
 			continue
 		}
 		checkRuns(s, list, e, report)
