Ignore SIGHUP from the first instruction of the program on

What callers saw: nothing yet; a node that gets SIGHUP while its runtime starts or its packages are initialized ended, and the platform had to start it again. Cause: Go installs its handler of SIGHUP before packages are initialized, and that handler ends the process until os/signal is told otherwise. No Go code runs early enough: packages are initialized by import path, after those that they import. Ruled out: an initializer of a Go package (other packages come first); blocking the signal (the runtime resets the mask of new threads from it). Change: a constructor in C ignores SIGHUP. The runtime leaves a signal alone that is ignored at its start, and os/signal takes it over in main. Release gives commands that end by themselves the action back that the process inherited, so that a shell's nohup still holds. Without cgo there is no constructor; the deploy file's build line links with cgo. Evidence: TestHangupBeforeMainEndsNoNode sends SIGHUP as soon as /proc shows that the process handles it. TestReleaseRestoresInheritedActions guards the way back.

--- a/internal/cmd/signals_test.go
+++ b/internal/cmd/signals_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/fireflylanding/fireflylanding/internal/sigs"
 	"github.com/fireflylanding/fireflylanding/platform/stand"
 )
 
@@ -122,13 +124,68 @@
 	}
 }
 
-// Guards against a node that ends, or cuts off a request, because a signal comes at a stage at which it has no handler: while it starts, without a
-// configuration, while it serves, or while it shuts down.
-func TestSignalsAtEachStage(t *testing.T) {
+// buildProgram builds the program and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "fireflylanding")
 	if output, err := exec.Command("go", "build", "-o", binary, "github.com/fireflylanding/fireflylanding").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, output)
 	}
+	return binary
+}
+
+// hasHangup reports whether SIGHUP is in one of the signal masks of a process, by their names in /proc: SigIgn for ignored, SigCgt for caught.
+func hasHangup(t *testing.T, process int, masks ...string) bool {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(status)) {
+		name, mask, _ := strings.Cut(strings.TrimSpace(line), ":\t")
+		if !slices.Contains(masks, name) {
+			continue
+		}
+		bits, err := strconv.ParseUint(mask, 16, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if bits&(1<<(syscall.SIGHUP-1)) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a node that SIGHUP ends while its runtime starts and its packages are initialized, before the first statement of main.
+func TestHangupBeforeMainEndsNoNode(t *testing.T) {
+	binary := buildProgram(t)
+	// A child inherits which signals are ignored, which would hide the fault.
+	sigs.New().Release()
+	if hasHangup(t, os.Getpid(), "SigIgn") {
+		t.Fatal("the test ignores SIGHUP")
+	}
+	for range 10 {
+		n := startSignalledNode(t, binary, false)
+		exited := make(chan error, 1)
+		go func() { exited <- n.Wait() }()
+		for !hasHangup(t, n.Process.Pid, "SigIgn", "SigCgt") {
+			time.Sleep(50 * time.Microsecond)
+		}
+		_ = n.Process.Signal(syscall.SIGHUP)
+		awaitSignalled(t, "the node has begun to start, or has ended", func() bool { return n.output.String() != "" || len(exited) > 0 })
+		if len(exited) > 0 {
+			t.Fatalf("the process ended: %v", <-exited)
+		}
+		_ = n.Process.Kill()
+		<-exited
+	}
+}
+
+// Guards against a node that ends, or cuts off a request, because a signal comes at a stage at which it has no handler: while it starts, without a
+// configuration, while it serves, or while it shuts down.
+func TestSignalsAtEachStage(t *testing.T) {
+	binary := buildProgram(t)
 	tests := map[string]struct {
 		seed       uint64
 		configured bool
--- a/internal/sigs/owner.go
+++ b/internal/sigs/owner.go
@@ -1,5 +1,5 @@
 // Package sigs owns the signals of the process from the first statement of the program to its last, so that none of them takes its default
-// action while a node starts, serves or shuts down.
+// action while a node starts, serves or shuts down. A program built with cgo ignores SIGHUP until then, from its first instruction on.
 package sigs
 
 import (
@@ -80,6 +80,7 @@
 // action then.
 func (o *Owner) Release() {
 	signal.Reset(owned...)
+	restoreHangup()
 	o.released.Store(true)
 	select {
 	case s := <-o.terminations:
