Let only a second SIGINT abort the shutdown of serve, and log each signal

What callers saw: a node of `serve` that gets SIGTERM twice, as some supervisors send it, cuts off the requests in flight. Cause: any second signal aborted the graceful shutdown. A second SIGINT still aborts serve, for a person at a terminal; platform is never aborted, since the platform ends the grace itself. Event 108 logs each signal and its effect: a node that ended by a signal could not be told from one that crashed, and an ignored signal left no trace.

--- a/internal/cmd/platform.go
+++ b/internal/cmd/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -64,11 +65,15 @@
 	if err != nil {
 		return withCode(exitSettings, err)
 	}
-	stop, stopped := signals.Stopping(ctx)
+	stop, stopped := context.WithCancel(ctx)
 	defer stopped()
+	ended := make(chan struct{})
 	var tasks conc.WaitGroup
+	// The platform kills a node at the end of its grace, so that nothing has to abort it.
+	tasks.Go(func() { stopOnSignals(signals, stopped, nil, ended, logger.Logger) })
 	tasks.Go(func() { watchSettings(stop, signals.Hangups(), path, t, logger.Logger) })
 	defer tasks.Wait()
+	defer close(ended)
 	if cut := t.Run(stop); cut > 0 {
 		return withCode(exitCutOff, errors.Newf("%d requests were cut off", cut))
 	}
@@ -85,6 +90,7 @@
 		case <-ctx.Done():
 			return
 		case <-hangups:
+			logSignal(logger, syscall.SIGHUP, effectReload)
 		case <-ticker.C:
 			if modificationTime(path).Equal(lastModified) {
 				continue
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -18,7 +18,7 @@
 func serveCommand(signals *sigs.Owner, stderr io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:  "serve",
-		Usage: "run one node until SIGTERM; a second signal aborts the graceful shutdown",
+		Usage: "run one node until SIGTERM or SIGINT; a second SIGINT aborts the graceful shutdown",
 		Description: `Example:
    fireflylanding serve --config node.ini`,
 		Flags: []cli.Flag{
@@ -35,7 +35,7 @@
 	}
 }
 
-// serve runs a node. The first signal starts the graceful shutdown and the second aborts it.
+// serve runs a node. The first SIGTERM or SIGINT starts the graceful shutdown and the second SIGINT aborts it.
 func serve(ctx context.Context, signals *sigs.Owner, settings *wire.Settings, stderr io.Writer) error {
 	var logger *events.Logger
 	var err error
@@ -51,24 +51,15 @@
 		return err
 	}
 	stop, stopped := context.WithCancel(ctx)
-	kill, killed := context.WithCancel(ctx)
+	abort, aborted := context.WithCancel(ctx)
 	defer stopped()
-	defer killed()
+	defer aborted()
 	ended := make(chan struct{})
 	var tasks conc.WaitGroup
-	tasks.Go(func() {
-		for _, end := range []context.CancelFunc{stopped, killed} {
-			select {
-			case <-signals.Terminations():
-				end()
-			case <-ended:
-				return
-			}
-		}
-	})
+	tasks.Go(func() { stopOnSignals(signals, stopped, aborted, ended, logger) })
 	defer tasks.Wait()
 	defer close(ended)
-	if cut := n.Run(stop, kill); cut > 0 {
+	if cut := n.Run(stop, abort); cut > 0 {
 		return withCode(exitCutOff, errors.Newf("%d requests were cut off", cut))
 	}
 	return nil
--- a/internal/sigs/owner.go
+++ b/internal/sigs/owner.go
@@ -19,7 +19,7 @@
 // Owner receives the signals of the process. It is safe for concurrent use.
 type Owner struct {
 	received chan os.Signal
-	// hangups holds at most one SIGHUP that was not handled yet, terminations the first two SIGTERM or SIGINT.
+	// hangups holds at most one SIGHUP that was not handled yet, terminations at most two SIGTERM or SIGINT.
 	hangups      chan struct{}
 	terminations chan os.Signal
 	released     atomic.Bool
@@ -60,7 +60,7 @@
 // Hangups returns the channel that receives a value after one or more SIGHUP.
 func (o *Owner) Hangups() <-chan struct{} { return o.hangups }
 
-// Terminations returns the channel that receives the first two SIGTERM or SIGINT; later ones have no effect.
+// Terminations returns the channel that receives SIGTERM and SIGINT. It buffers two of them; further ones are lost.
 func (o *Owner) Terminations() <-chan os.Signal { return o.terminations }
 
 // Stopping returns a context that ends with ctx or at the first SIGTERM or SIGINT, also one that has arrived before.
