Keep a node running when the reader of its output is gone

A node whose log reader ends or is restarted ended by SIGPIPE with its next log line; requests in flight got no answer. Go ends a process that writes to a broken pipe at standard output or error, unless SIGPIPE is taken by os/signal. Change: the owner of signals takes SIGPIPE too, on a channel of its own that is never read, so that a flood of them can't displace a SIGTERM. The write then returns an error, which the logger ignores as before. Release gives the default action back, so that "status | head" still ends. Evidence: TestLostOutputEndsNoNode failed before (5 of 5 requests after the loss without an answer, exit by "broken pipe"), and passes now. Ruled out: counting the lost lines as dropped (event 504) was tried and taken back: the line that reports the count is lost as well.

--- a/internal/cmd/signals_test.go
+++ b/internal/cmd/signals_test.go
@@ -59,6 +59,16 @@
 
 // startSignalledNode starts a node as a process of its own. With configured set, the store has a route to a searcher.
 func startSignalledNode(t *testing.T, binary string, configured bool) *signalledNode {
+	t.Helper()
+	n := newSignalledNode(t, binary, configured)
+	if err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// newSignalledNode returns a node that is not started yet.
+func newSignalledNode(t *testing.T, binary string, configured bool) *signalledNode {
 	t.Helper()
 	store, err := stand.StartStore()
 	if err != nil {
@@ -103,9 +113,6 @@
 	}
 	n := &signalledNode{Cmd: exec.Command(binary, "platform", "--settings", settings), NodeConfig: config}
 	n.Stdout, n.Stderr = &n.output, &n.output
-	if err := n.Start(); err != nil {
-		t.Fatal(err)
-	}
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Log(n.output.String())
@@ -182,6 +189,56 @@
 	}
 }
 
+// ready reports whether the node is ready.
+func (n *signalledNode) ready(ctx context.Context) bool {
+	return stand.IsReady(ctx, stand.NewClient(), n.IP+":"+strconv.Itoa(n.ReadyPort))
+}
+
+// ask sends a request and returns the status of its answer, 0 if there was none.
+func (n *signalledNode) ask(id, path string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), signalTimeout)
+	defer cancel()
+	answer, err := stand.Send(ctx, stand.NewClient(), n.IP+":"+strconv.Itoa(n.CallerPort),
+		stand.Request{ID: id, Method: http.MethodPost, Host: "h", Path: path, Timeout: 5 * time.Second})
+	if err != nil {
+		return 0
+	}
+	return answer.Status
+}
+
+// Guards against a node that ends by SIGPIPE with its next log line, because the reader of its output is gone.
+func TestLostOutputEndsNoNode(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer reader.Close()
+	n := newSignalledNode(t, buildProgram(t), true)
+	n.Stdout = writer
+	if err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	exited := make(chan error, 1)
+	go func() { exited <- n.Wait() }()
+	_ = writer.Close()
+	awaitSignalled(t, "the node is ready", func() bool { return n.ready(t.Context()) })
+	_ = reader.Close()
+	// The node logs each request that it refuses.
+	for range 5 {
+		if got := n.ask("00000000000000a1", "/unknown/"); got != http.StatusNotFound {
+			t.Errorf("got status %d, want 404", got)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if got := n.ask("00000000000000a2", "/a/1"); got != http.StatusOK {
+		t.Errorf("got status %d, want 200", got)
+	}
+	_ = n.Process.Signal(syscall.SIGTERM)
+	if err := <-exited; err != nil {
+		t.Errorf("got exit %v, want a graceful one", err)
+	}
+}
+
 // Guards against a node that ends, or cuts off a request, because a signal comes at a stage at which it has no handler: while it starts, without a
 // configuration, while it serves, or while it shuts down.
 func TestSignalsAtEachStage(t *testing.T) {
@@ -205,22 +262,13 @@
 			n := startSignalledNode(t, binary, test.configured)
 			exited := make(chan error, 1)
 			go func() { exited <- n.Wait() }()
-			client, address := stand.NewClient(), n.IP+":"+strconv.Itoa(n.CallerPort)
-			ready := func() bool { return stand.IsReady(t.Context(), client, n.IP+":"+strconv.Itoa(n.ReadyPort)) }
+			ready := func() bool { return n.ready(t.Context()) }
 			awaitSignalled(t, "the node has begun to start", func() bool { return n.output.String() != "" })
 			answered := make(chan int, 1)
 			inFlight := test.configured && !test.early
 			if inFlight {
 				awaitSignalled(t, "the node is ready", ready)
-				go func() {
-					ctx, cancel := context.WithTimeout(context.Background(), signalTimeout)
-					defer cancel()
-					answer, err := stand.Send(ctx, client, address, stand.Request{ID: "00000000000000a1", Method: http.MethodPost, Host: "h", Path: "/a/1", Timeout: 5 * time.Second})
-					if err != nil {
-						answer.Status = 0
-					}
-					answered <- answer.Status
-				}()
+				go func() { answered <- n.ask("00000000000000a1", "/a/1") }()
 				time.Sleep(runTime / 10)
 			}
 			signals := []syscall.Signal{syscall.SIGHUP, syscall.SIGCONT, syscall.SIGHUP}
--- a/internal/sigs/owner.go
+++ b/internal/sigs/owner.go
@@ -6,11 +6,12 @@
 	"context"
 	"os"
 	"os/signal"
+	"slices"
 	"sync/atomic"
 	"syscall"
 )
 
-// owned are the signals whose default action ends the process.
+// owned are the signals that other processes send and whose default action ends the process.
 var owned = []os.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT}
 
 // maxPending bounds the signals that arrive while others are handled. Further ones are lost, which changes nothing: all kinds are pending then.
@@ -22,7 +23,9 @@
 	// hangups holds at most one SIGHUP that was not handled yet, terminations at most two SIGTERM or SIGINT.
 	hangups      chan struct{}
 	terminations chan os.Signal
-	released     atomic.Bool
+	// brokenPipes is not read: a write to an output that nobody reads returns an error instead of ending the process.
+	brokenPipes chan os.Signal
+	released    atomic.Bool
 }
 
 // New returns the owner of the signals of the process, which then have no default action until Release.
@@ -31,8 +34,10 @@
 		received:     make(chan os.Signal, maxPending),
 		hangups:      make(chan struct{}, 1),
 		terminations: make(chan os.Signal, 2),
+		brokenPipes:  make(chan os.Signal, 1),
 	}
 	signal.Notify(o.received, owned...)
+	signal.Notify(o.brokenPipes, syscall.SIGPIPE)
 	go o.run()
 	return o
 }
@@ -79,7 +84,7 @@
 // Release restores the default actions, for a command that ends by itself. A SIGTERM, SIGINT or SIGHUP that has arrived before takes its default
 // action then.
 func (o *Owner) Release() {
-	signal.Reset(owned...)
+	signal.Reset(append(slices.Clone(owned), syscall.SIGPIPE)...)
 	restoreHangup()
 	o.released.Store(true)
 	select {
--- a/internal/sigs/owner_test.go
+++ b/internal/sigs/owner_test.go
@@ -19,6 +19,8 @@
 	// roleReleased owns the signals and gives them back. roleDetached is the same for a process that is started with SIGHUP ignored.
 	roleReleased = "released"
 	roleDetached = "detached"
+	// roleWriting writes to its output until it ends.
+	roleWriting = "writing"
 )
 
 // childLifetime bounds the life of a child that no signal ends.
@@ -31,6 +33,11 @@
 		New().Release()
 		fmt.Println("released")
 		time.Sleep(childLifetime)
+	case roleWriting:
+		New().Release()
+		for deadline := time.Now().Add(childLifetime); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			fmt.Println("released")
+		}
 	case roleDetached:
 		signal.Ignore(syscall.SIGHUP)
 		if err := os.Setenv(roleVariable, roleReleased); err == nil {
@@ -43,7 +50,7 @@
 	}
 }
 
-// startRole starts a child process with a role and waits until it has released its signals.
+// startRole starts a child process with a role and waits until it has released its signals. No one reads its output afterwards.
 func startRole(t *testing.T, role string) *exec.Cmd {
 	t.Helper()
 	child := exec.Command(os.Args[0])
@@ -59,6 +66,9 @@
 	if _, err := bufio.NewReader(output).ReadString('\n'); err != nil {
 		t.Fatal(err)
 	}
+	if err := output.Close(); err != nil {
+		t.Fatal(err)
+	}
 	return child
 }
 
@@ -76,6 +86,7 @@
 		"hangup":            {role: roleReleased, signals: []syscall.Signal{syscall.SIGHUP}, end: syscall.SIGHUP},
 		"terminate":         {role: roleReleased, signals: []syscall.Signal{syscall.SIGTERM}, end: syscall.SIGTERM},
 		"interrupt":         {role: roleReleased, signals: []syscall.Signal{syscall.SIGINT}, end: syscall.SIGINT},
+		"broken pipe":       {role: roleWriting, end: syscall.SIGPIPE},
 		"hangup is ignored": {role: roleDetached, signals: []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}, end: syscall.SIGTERM},
 	}
 	for name, test := range tests {
