Reload the settings during a graceful shutdown too

Settings that change within the stop time, such as the address of the store or the budget of retries, took no effect for its rest, up to 6 s in which the node still serves. The watch on the settings ended with SIGTERM, not with the process. Change: settingsWatcher runs until the node has ended. It is a file and a type of its own. Evidence: TestSettingsReloadDuringShutdown failed before (no "settings reloaded" in the log), and passes now.

--- a/internal/cmd/platform.go
+++ b/internal/cmd/platform.go
@@ -3,25 +3,17 @@
 import (
 	"context"
 	"io"
-	"os"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc"
-	"github.com/urfave/cli/v3"
-	"go.uber.org/zap"
-
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/sigs"
 	"github.com/fireflylanding/fireflylanding/internal/tier"
-	"github.com/fireflylanding/fireflylanding/internal/wire"
 	site "github.com/fireflylanding/fireflylanding/platform"
+	"github.com/sourcegraph/conc"
+	"github.com/urfave/cli/v3"
 )
 
-// reloadInterval is the interval at which the settings file is checked for changes, since it may change without a signal.
-const reloadInterval = 2 * time.Second
-
 func platformCommand(signals *sigs.Owner, stdout io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:  "platform",
@@ -56,7 +48,8 @@
 	}
 	defer logger.Close()
 	var settings tier.Settings
-	if settings, err = site.ReadSettings(path); err != nil {
+	var watcher *settingsWatcher
+	if settings, watcher, err = readWatchedSettings(path, logger.Logger); err != nil {
 		return withCode(exitSettings, err)
 	}
 	store := site.NewStore(settings.StoreAddress)
@@ -71,7 +64,7 @@
 	var tasks conc.WaitGroup
 	// The platform kills a node at the end of its grace, so that nothing has to abort it.
 	tasks.Go(func() { stopOnSignals(signals, stopped, nil, ended, logger.Logger) })
-	tasks.Go(func() { watchSettings(stop, signals.Hangups(), path, t, logger.Logger) })
+	tasks.Go(func() { watcher.run(signals.Hangups(), t.Apply, ended) })
 	defer tasks.Wait()
 	defer close(ended)
 	if cut := t.Run(stop); cut > 0 {
@@ -79,41 +72,3 @@
 	}
 	return nil
 }
-
-// watchSettings reloads the settings on SIGHUP and when the file has changed, until ctx ends. Invalid settings are logged and ignored.
-func watchSettings(ctx context.Context, hangups <-chan struct{}, path string, t *tier.Tier, logger *events.Logger) {
-	ticker := time.NewTicker(reloadInterval)
-	defer ticker.Stop()
-	lastModified := modificationTime(path)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-			logSignal(logger, syscall.SIGHUP, effectReload)
-		case <-ticker.C:
-			if modificationTime(path).Equal(lastModified) {
-				continue
-			}
-		}
-		lastModified = modificationTime(path)
-		settings, err := site.ReadSettings(path)
-		if err == nil {
-			err = t.Apply(settings)
-		}
-		if err != nil {
-			logger.Log(wire.Event_EVENT_SETTINGS_REJECTED, zap.Error(err))
-			continue
-		}
-		logger.Log(wire.Event_EVENT_SETTINGS_RELOADED)
-	}
-}
-
-// modificationTime returns the modification time of a file, or the zero time if it cannot be read.
-func modificationTime(path string) time.Time {
-	info, err := os.Stat(path)
-	if err != nil {
-		return time.Time{}
-	}
-	return info.ModTime()
-}
--- /dev/null
+++ b/internal/cmd/settings_watcher.go
@@ -0,0 +1,74 @@
+package cmd
+
+import (
+	"os"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fireflylanding/fireflylanding/internal/events"
+	"github.com/fireflylanding/fireflylanding/internal/tier"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+	site "github.com/fireflylanding/fireflylanding/platform"
+)
+
+// reloadInterval is the interval at which the settings file is checked for changes, since it may change without a signal.
+const reloadInterval = 2 * time.Second
+
+// settingsWatcher reloads the settings file of a node on SIGHUP and when it has changed.
+type settingsWatcher struct {
+	path   string
+	logger *events.Logger
+	// lastModified is the modification time of the file when it was last read.
+	lastModified time.Time
+}
+
+// readWatchedSettings reads a settings file, and returns a watcher of its later changes.
+func readWatchedSettings(path string, logger *events.Logger) (tier.Settings, *settingsWatcher, error) {
+	w := &settingsWatcher{path: path, logger: logger}
+	settings, err := w.read()
+	return settings, w, err
+}
+
+func (w *settingsWatcher) read() (tier.Settings, error) {
+	w.lastModified = modificationTime(w.path)
+	return site.ReadSettings(w.path)
+}
+
+// run applies changed settings until ended is closed. Invalid settings are logged and ignored.
+func (w *settingsWatcher) run(hangups <-chan struct{}, apply func(tier.Settings) error, ended <-chan struct{}) {
+	w.lastModified = modificationTime(w.path)
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ended:
+			return
+		case <-hangups:
+			logSignal(w.logger, syscall.SIGHUP, effectReload)
+		case <-ticker.C:
+			if modificationTime(w.path).Equal(w.lastModified) {
+				continue
+			}
+		}
+		settings, err := w.read()
+		if err == nil {
+			err = apply(settings)
+		}
+		if err != nil {
+			w.logger.Log(wire.Event_EVENT_SETTINGS_REJECTED, zap.Error(err))
+			continue
+		}
+		w.logger.Log(wire.Event_EVENT_SETTINGS_RELOADED)
+	}
+}
+
+// modificationTime returns the modification time of a file, or the zero time if it cannot be read.
+func modificationTime(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/internal/cmd/signals_test.go
+++ b/internal/cmd/signals_test.go
@@ -206,6 +206,23 @@
 	return answer.Status
 }
 
+// Guards against settings that change while a node shuts down and never take effect, since nothing handles SIGHUP any more.
+func TestSettingsReloadDuringShutdown(t *testing.T) {
+	n := startSignalledNode(t, buildProgram(t), true)
+	exited := make(chan error, 1)
+	go func() { exited <- n.Wait() }()
+	awaitSignalled(t, "the node is ready", func() bool { return n.ready(t.Context()) })
+	_ = n.Process.Signal(syscall.SIGTERM)
+	awaitSignalled(t, "the shutdown has begun", func() bool { return strings.Contains(n.output.String(), "graceful shutdown started") })
+	_ = n.Process.Signal(syscall.SIGHUP)
+	if err := <-exited; err != nil {
+		t.Errorf("got exit %v, want a graceful one", err)
+	}
+	if got, want := n.output.String(), "settings reloaded"; !strings.Contains(got, want) {
+		t.Errorf("got a log without %q", want)
+	}
+}
+
 // Guards against a node that ends by SIGPIPE with its next log line, because the reader of its output is gone.
 func TestLostOutputEndsNoNode(t *testing.T) {
 	reader, writer, err := os.Pipe()
