Notice settings that change while a node starts

A settings file that changes without SIGHUP after it was read and before the watch began, which includes opening all sockets, took no effect until the next change. Cause: the watch compared with the modification time at its own start, not with that of the file that was read. Change: the modification time is taken before each reading. Evidence: TestSettingsChangedWhileStartingTakeEffect fails with the earlier comparison put back (no reload within 4 s), and passes now.

--- a/internal/cmd/settings_watcher.go
+++ b/internal/cmd/settings_watcher.go
@@ -20,7 +20,7 @@
 type settingsWatcher struct {
 	path   string
 	logger *events.Logger
-	// lastModified is the modification time of the file when it was last read.
+	// lastModified is the modification time from before the file was last read, so that no change is missed.
 	lastModified time.Time
 }
 
@@ -38,7 +38,6 @@
 
 // run applies changed settings until ended is closed. Invalid settings are logged and ignored.
 func (w *settingsWatcher) run(hangups <-chan struct{}, apply func(tier.Settings) error, ended <-chan struct{}) {
-	w.lastModified = modificationTime(w.path)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
