Keep a node that is stopped while it starts out of the directory

A node that gets SIGTERM before its first routes was listed in the directory of all nodes as soon as the routes came, and refused all callers 3 s later. Cause: the node becomes ready once it has routes, whatever its phase; "ready" replaced "stopping" in its published state. Ruled out for the platform's readiness check: it looks at the stop itself (Tier.Ready). Change: Roster.SetPhase never leaves the phase "stopping".

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -145,10 +145,14 @@
 	return r.self
 }
 
-// SetPhase changes the phase of this node and advances its heartbeat, so that the change propagates.
+// SetPhase changes the phase of this node and advances its heartbeat, so that the change propagates. A node that is stopping stays so, since a
+// node may be stopped before it is ready.
 func (r *Roster) SetPhase(phase Phase) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.self.Phase == Stopping {
+		return
+	}
 	r.self.Phase = phase
 	r.self.Heartbeat++
 	r.changed = true
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -426,3 +426,18 @@
 		}
 	}
 }
+
+// Guards against a node that is stopped while it starts and lists itself in the directory once its first routes arrive.
+func TestStoppingNodeIsNotReadyAgain(t *testing.T) {
+	r := New(state("a", Starting, 1, 0), Settings{})
+	r.SetPhase(Stopping)
+	r.SetPhase(Ready)
+	if got := r.Self().Phase; got != Stopping {
+		t.Errorf("got phase %v, want %v", got, Stopping)
+	}
+	other := New(state("b", Ready, 1, 1), Settings{})
+	other.Merge(start, []State{r.Self()})
+	if got, want := sortedCallerAddresses(other, start, "r", "z"), []string{"b:1"}; !slices.Equal(got, want) {
+		t.Errorf("got addresses %v, want %v", got, want)
+	}
+}
