End a node within its stop time when a caller has sent a part of a request

What callers saw: nothing. The platform saw nodes that it had to kill at the end of their grace. Cause: with no request in flight the end of the process waited for the shutdown of the caller listener without a bound. A connection whose request is incomplete stays open until the operator's header timeout, which may be longer than the grace. Ruled out: connections that are idle, or whose head is incomplete: the library closes these. Change: the shutdown of the listener has a context that ends 250 ms before the grace does. The bound for requests in flight stays (500 ms before it). The stand-in's header timeout can be set. Evidence: TestUnfinishedRequestDelaysNoShutdown, case "half a body", failed before with a header timeout of 30 s ("still running 6s after SIGTERM"); all cases pass now with 12 s.

--- a/internal/cmd/signals_test.go
+++ b/internal/cmd/signals_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -24,6 +25,8 @@
 const (
 	// signalTimeout bounds the time in which a node starts and in which it ends after SIGTERM, whose grace is 6 s.
 	signalTimeout = 15 * time.Second
+	// stopTime is the grace of the nodes.
+	stopTime = 6 * time.Second
 	// runTime is the time that a searcher takes for a request that is in flight while a node stops.
 	runTime = 2 * time.Second
 )
@@ -80,6 +83,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(searcher.Close)
+	// A request may be incomplete for longer than a node may take to stop.
+	store.SetHeaderTimeout(2 * stopTime)
 	if configured {
 		store.Register(searcher, searcher.Address(), "z", "ready")
 		store.PutConfig(1, []stand.Route{{Host: "h", Prefix: "/a/", Service: "one", Unsafe: true, TimeoutMS: 5000, GoalMS: 4000}}, []string{"one"})
@@ -223,6 +228,44 @@
 	}
 }
 
+// Guards against a node that outlives its stop time, and is killed, because a caller has sent only a part of a request.
+func TestUnfinishedRequestDelaysNoShutdown(t *testing.T) {
+	tests := map[string]string{
+		"no byte":     "",
+		"half a head": "POST /a/1 HTTP/1.1\r\nHost: h\r\n",
+		"half a body": "POST /a/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: 00000000000000a1\r\nContent-Length: 10\r\n\r\nhalf",
+	}
+	binary := buildProgram(t)
+	for name, bytes := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := startSignalledNode(t, binary, true)
+			exited := make(chan error, 1)
+			go func() { exited <- n.Wait() }()
+			awaitSignalled(t, "the node is ready", func() bool { return n.ready(t.Context()) })
+			conn, err := net.Dial("tcp", n.IP+":"+strconv.Itoa(n.CallerPort))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := conn.Write([]byte(bytes)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+			_ = n.Process.Signal(syscall.SIGTERM)
+			select {
+			case err := <-exited:
+				if err != nil {
+					t.Errorf("got exit %v, want a graceful one", err)
+				}
+			case <-time.After(stopTime):
+				_ = n.Process.Kill()
+				t.Errorf("the process is still running %v after SIGTERM", stopTime)
+			}
+		})
+	}
+}
+
 // Guards against a node that ends by SIGPIPE with its next log line, because the reader of its output is gone.
 func TestLostOutputEndsNoNode(t *testing.T) {
 	reader, writer, err := os.Pipe()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -3,6 +3,7 @@
 package edge
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -90,8 +91,8 @@
 	return s.http.Serve(&listener{Listener: l, limits: s.limits})
 }
 
-// Shutdown closes the listener and idle connections, and waits for requests in flight, at most until the server's own timeouts.
-func (s *Server) Shutdown() error { return s.http.Shutdown() }
+// Shutdown closes the listener and idle connections, and waits until the other connections have closed or ctx ends, whose error it returns then.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
 
 // Connections returns the number of open connections.
 func (s *Server) Connections() int { return int(s.http.GetOpenConnectionsCount()) }
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -23,6 +23,8 @@
 	// requests that the stop ends.
 	shutdownMargin = 500 * time.Millisecond
 	answerTime     = 200 * time.Millisecond
+	// exitMargin is kept between the end of the process and the end of the stop time, whatever connections are still open.
+	exitMargin = 250 * time.Millisecond
 	// drainPollInterval is how often a stopping node checks for open connections.
 	drainPollInterval = 10 * time.Millisecond
 	// earlyShutdownDelay is the time after which a stopping node without connections stops early.
@@ -149,7 +151,10 @@
 	closed := make(chan struct{})
 	t.background.Go(func() {
 		defer close(closed)
-		t.logListenerError("callers", t.edge.Shutdown())
+		// Connections on which a caller has sent a part of a request may stay open for longer.
+		ctx, cancel := context.WithTimeout(context.Background(), started.Add(stopTime-exitMargin).Sub(t.clock()))
+		defer cancel()
+		t.logListenerError("callers", t.edge.Shutdown(ctx))
 	})
 	timer := time.NewTimer(started.Add(stopTime - shutdownMargin).Sub(t.clock()))
 	defer timer.Stop()
