End the nodes of a soak when a signal ends the soak

A soak that failed to start left its nodes too. Change: soak shuts down on SIGTERM, SIGINT and SIGHUP, and says so instead of reporting on a run that was cut short. A fleet that did not start as a whole is closed. Ruled out: demo, bench, ask, check, status, explain and capacity start no process and hold nothing for others; they keep the default actions. The product's path is not touched.

--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -65,8 +65,8 @@
 	return exitFailure
 }
 
-// runsUntilStopped holds the subcommands that run until a signal stops them. The others end by themselves, or at once by a signal.
-var runsUntilStopped = map[string]bool{"serve": true, "platform": true, "standins": true}
+// handlesSignals holds the subcommands that shut down when a signal stops them. The others end at once.
+var handlesSignals = map[string]bool{"serve": true, "platform": true, "standins": true, "soak": true}
 
 func root(signals *sigs.Owner, stdout, stderr io.Writer) *cli.Command {
 	command := &cli.Command{
@@ -90,7 +90,7 @@
 			serveCommand(signals, stderr),
 			platformCommand(signals, stdout),
 			explainCommand(stdout),
-			soakCommand(stdout),
+			soakCommand(signals, stdout),
 			checkCommand(stdout),
 			askCommand(stdout),
 			statusCommand(stdout),
@@ -110,7 +110,7 @@
 	// The library only calls the handler of the command whose flags are wrong.
 	for _, sub := range command.Commands {
 		sub.OnUsageError = usageError
-		if !runsUntilStopped[sub.Name] {
+		if !handlesSignals[sub.Name] {
 			sub.Before = func(ctx context.Context, _ *cli.Command) (context.Context, error) {
 				signals.Release()
 				return ctx, nil
--- a/internal/cmd/signals_test.go
+++ b/internal/cmd/signals_test.go
@@ -266,6 +266,58 @@
 	}
 }
 
+// children returns the processes that a process has started and that still run.
+func children(t *testing.T, process int) []int {
+	t.Helper()
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", process))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all []int
+	for _, file := range files {
+		// A thread may end meanwhile.
+		list, _ := os.ReadFile(file)
+		for field := range strings.FieldsSeq(string(list)) {
+			child, err := strconv.Atoi(field)
+			if err != nil {
+				t.Fatal(err)
+			}
+			all = append(all, child)
+		}
+	}
+	return all
+}
+
+// Guards against a soak that a signal ends at once, without ending the nodes that it has started.
+func TestStoppedSoakLeavesNoProcess(t *testing.T) {
+	binary := buildProgram(t)
+	const nodes = 3
+	for name, signal := range map[string]syscall.Signal{"terminate": syscall.SIGTERM, "interrupt": syscall.SIGINT, "hangup": syscall.SIGHUP} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			soak := exec.Command(binary, "soak", "--nodes", strconv.Itoa(nodes), "--shards", "1", "--callers", "2")
+			if err := soak.Start(); err != nil {
+				t.Fatal(err)
+			}
+			var started []int
+			awaitSignalled(t, "the nodes are started", func() bool {
+				started = children(t, soak.Process.Pid)
+				return len(started) == nodes
+			})
+			_ = soak.Process.Signal(signal)
+			if err := soak.Wait(); err == nil {
+				t.Error("got a success, want a failure")
+			}
+			for _, node := range started {
+				if err := syscall.Kill(node, 0); err == nil {
+					t.Errorf("node process %d still runs", node)
+					_ = syscall.Kill(node, syscall.SIGKILL)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a node that ends by SIGPIPE with its next log line, because the reader of its output is gone.
 func TestLostOutputEndsNoNode(t *testing.T) {
 	reader, writer, err := os.Pipe()
--- a/internal/cmd/soak.go
+++ b/internal/cmd/soak.go
@@ -9,10 +9,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/fireflylanding/fireflylanding/internal/sigs"
 	"github.com/fireflylanding/fireflylanding/internal/soak"
 )
 
-func soakCommand(stdout io.Writer) *cli.Command {
+func soakCommand(signals *sigs.Owner, stdout io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:  "soak",
 		Usage: "run this program as several processes on loopback, inject random faults and check the promises",
@@ -29,6 +30,8 @@
 			&cli.IntFlag{Name: "callers", Usage: "number of callers", Value: 12},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
+			ctx, stop := signals.Ending(ctx)
+			defer stop()
 			return runSoak(ctx, command, stdout)
 		},
 	}
@@ -52,6 +55,10 @@
 			Binary: binary, Seed: seed, Rounds: command.Int("rounds"), Nodes: command.Int("nodes"), Shards: command.Int("shards"),
 			Callers: command.Int("callers"), Directory: directory,
 		})
+		if err == nil {
+			// The report of a soak that was cut short is incomplete.
+			err = context.Cause(ctx)
+		}
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
 		}
--- a/internal/sigs/owner.go
+++ b/internal/sigs/owner.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync/atomic"
 	"syscall"
+
+	"github.com/cockroachdb/errors"
 )
 
 // owned are the signals that other processes send and whose default action ends the process.
@@ -70,15 +72,28 @@
 
 // Stopping returns a context that ends with ctx or at the first SIGTERM or SIGINT, also one that has arrived before.
 func (o *Owner) Stopping(ctx context.Context) (context.Context, context.CancelFunc) {
-	stopping, stop := context.WithCancel(ctx)
+	return o.until(ctx, nil)
+}
+
+// Ending returns a context that ends like that of Stopping or at the first SIGHUP, for a command that has nothing to reload.
+func (o *Owner) Ending(ctx context.Context) (context.Context, context.CancelFunc) {
+	return o.until(ctx, o.hangups)
+}
+
+// until returns a context that ends with ctx, at the first SIGTERM or SIGINT, or at the first value of hangups, which may be nil. Its cause names
+// the signal.
+func (o *Owner) until(ctx context.Context, hangups <-chan struct{}) (context.Context, context.CancelFunc) {
+	stopping, stop := context.WithCancelCause(ctx)
 	go func() {
 		select {
-		case <-o.terminations:
-			stop()
+		case s := <-o.terminations:
+			stop(errors.Newf("ended by signal: %v", s))
+		case <-hangups:
+			stop(errors.Newf("ended by signal: %v", syscall.SIGHUP))
 		case <-stopping.Done():
 		}
 	}()
-	return stopping, stop
+	return stopping, func() { stop(nil) }
 }
 
 // Release restores the default actions, for a command that ends by itself. A SIGTERM, SIGINT or SIGHUP that has arrived before takes its default
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -161,7 +161,7 @@
 
 var zoneNames = []string{"z1", "z2", "z3"}
 
-// startFleet starts a store and the nodes, before any route is configured.
+// startFleet starts a store and the nodes, before any route is configured. With an error it returns what has been started, nil if nothing was.
 func startFleet(binary, directory string, nodes int, logs func(node string) io.Writer) (*fleet, error) {
 	f := &fleet{directory: directory}
 	var err error
@@ -173,12 +173,12 @@
 		seeds = append(seeds, nodeIP(i))
 	}
 	if nodes > hostsPerBlock {
-		return nil, errors.Newf("%d nodes, want at most %d", nodes, hostsPerBlock)
+		return f, errors.Newf("%d nodes, want at most %d", nodes, hostsPerBlock)
 	}
 	for i := range nodes {
 		var storeLink *proxy
 		if storeLink, err = startProxy(f.store.Address()); err != nil {
-			return nil, err
+			return f, err
 		}
 		m := stand.NodeConfig{
 			Node: fmt.Sprintf("front-%d", i), IP: nodeIP(i), Zone: zoneNames[i%len(zoneNames)], Zones: zoneRegions,
@@ -188,10 +188,10 @@
 		p := &process{machine: m, settings: filepath.Join(directory, m.Node+".json"), binary: binary, storeLink: storeLink, log: logs(m.Node)}
 		p.arguments = []string{"platform", "--settings", p.settings}
 		if err := f.writeSettings(p); err != nil {
-			return nil, err
+			return f, err
 		}
 		if err := p.start(); err != nil {
-			return nil, err
+			return f, err
 		}
 		f.nodes = append(f.nodes, p)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -86,10 +86,13 @@
 	r := &runner{settings: s, random: rand.New(rand.NewPCG(s.Seed, s.Seed)), drillRandom: rand.New(rand.NewPCG(s.Seed, drillStream))}
 	r.evidence.allowed = make(map[string][]string)
 	r.evidence.drainBound = drainBound
-	if err := r.start(ctx); err != nil {
+	err := r.start(ctx)
+	if r.fleet != nil {
+		defer r.fleet.close()
+	}
+	if err != nil {
 		return Report{}, err
 	}
-	defer r.fleet.close()
 	callers, cancel := context.WithCancel(ctx)
 	var tasks conc.WaitGroup
 	for i := range s.Callers {
