--- a/internal/cmd/signals_test.go
+++ b/internal/cmd/signals_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -146,27 +145,14 @@
 	return binary
 }
 
-// hasHangup reports whether SIGHUP is in one of the signal masks of a process, by their names in /proc: SigIgn for ignored, SigCgt for caught.
+// hasHangup reports whether SIGHUP is in one of the signal masks of a process.
 func hasHangup(t *testing.T, process int, masks ...string) bool {
 	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process))
+	found, err := stand.InSignalMasks(process, syscall.SIGHUP, masks...)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for line := range strings.Lines(string(status)) {
-		name, mask, _ := strings.Cut(strings.TrimSpace(line), ":\t")
-		if !slices.Contains(masks, name) {
-			continue
-		}
-		bits, err := strconv.ParseUint(mask, 16, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if bits&(1<<(syscall.SIGHUP-1)) != 0 {
-			return true
-		}
-	}
-	return false
+	return found
 }
 
 // Guards against a node that SIGHUP ends while its runtime starts and its packages are initialized, before the first statement of main.
@@ -174,14 +160,14 @@
 	binary := buildProgram(t)
 	// A child inherits which signals are ignored, which would hide the fault.
 	sigs.New().Release()
-	if hasHangup(t, os.Getpid(), "SigIgn") {
+	if hasHangup(t, os.Getpid(), stand.IgnoredSignals) {
 		t.Fatal("the test ignores SIGHUP")
 	}
 	for range 10 {
 		n := startSignalledNode(t, binary, false)
 		exited := make(chan error, 1)
 		go func() { exited <- n.Wait() }()
-		for !hasHangup(t, n.Process.Pid, "SigIgn", "SigCgt") {
+		for !hasHangup(t, n.Process.Pid, stand.IgnoredSignals, stand.CaughtSignals) {
 			time.Sleep(50 * time.Microsecond)
 		}
 		_ = n.Process.Signal(syscall.SIGHUP)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -277,11 +277,12 @@
 	return cut
 }
 
-// checkGracefulStop stops a node with SIGTERM and starts it again: no request that it had read may end without an answer.
+// checkGracefulStop stops a node with SIGTERM and starts it again, both while further signals arrive: no request that it had read may end without an
+// answer.
 func (r *runner) checkGracefulStop(ctx context.Context) {
 	p := r.randomNode()
 	from := time.Now()
-	p.stop(syscall.SIGTERM, grace)
+	r.stopUnderSignals(p)
 	defer func() { r.recordDisturbance(p, interval{from: from, to: time.Now().Add(contactTime)}) }()
 	ran := make(map[string]bool)
 	for _, executed := range r.fleet.runs() {
@@ -297,7 +298,7 @@
 		}
 	}
 	r.mu.Unlock()
-	r.restart(p)
+	r.restartUnderSignals(p)
 	delay.Sleep(ctx, time.Second)
 }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -92,17 +92,32 @@
 	_ = p.command.Process.Signal(s)
 }
 
-// stop sends a signal to the process and waits until it exits; it kills the process after the grace period.
-func (p *process) stop(s syscall.Signal, grace time.Duration) {
+// stop sends a signal to the process and waits until it exits; it kills the process after the grace period. It reports whether the process has
+// exited before that.
+func (p *process) stop(s syscall.Signal, grace time.Duration) bool {
 	p.signal(s)
 	p.mu.Lock()
 	exited := p.exited
 	p.mu.Unlock()
 	select {
 	case <-exited:
+		return true
 	case <-time.After(grace):
 		p.signal(syscall.SIGKILL)
 		<-exited
+		return false
+	}
+}
+
+// ended reports whether the most recently started process has exited.
+func (p *process) ended() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
 	}
 }
 
