--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -19,7 +19,7 @@
 	maxDirectoryValidity = time.Second
 	// drainShare is the share of the stop time during which a stopping node still accepts requests from callers with a cached directory answer.
 	drainShare = 0.58
-	// shutdownMargin is kept between the end of the last connection and the end of the stop time, and answerTime before it for the answers of
+	// shutdownMargin is kept between the end of the last request and the end of the stop time, and answerTime before it for the answers of
 	// requests that the stop ends.
 	shutdownMargin = 500 * time.Millisecond
 	answerTime     = 200 * time.Millisecond
