Keep listeners across a lack of descriptors

What callers saw: after a burst that had taken all descriptors, a node never accepted a caller again, while it was ready and in the directory. Requests on new connections waited for ever. Cause: the accept loops of the HTTP libraries return on each error that is no timeout, EMFILE included. Ruled out: the idle limit and the shutdown of the listener; the log names accept4, "too many open files", event 107, 40 s before the requests. Change: package accept wraps each listener of platform and serve. It waits and tries again on errors of accept that say nothing about the socket, counts them in listeners.NAME.retries, and logs events 109 and 110 once an episode. Other errors still end the listener. Looked at: the loops of follow, spread, tier, node, owner, peer and the watch on the settings.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/fireflylanding/fireflylanding/internal/accept"
 	"github.com/fireflylanding/fireflylanding/internal/admit"
 	"github.com/fireflylanding/fireflylanding/internal/certs"
 	"github.com/fireflylanding/fireflylanding/internal/entry"
@@ -143,6 +144,8 @@
 	n.self = shards.NewVM(s.GetId(), s.GetRegion(), s.GetAvailabilityZone(), s.GetCallerAddress(), s.GetPeerAddress())
 	n.logger = logger.With(zap.String("node", n.self.ID()))
 	n.counters = reason.NewCounters(n.registry, "reasons")
+	n.listeners.Callers = accept.New(listeners.Callers, "callers", n.logger, n.registry, clock)
+	n.listeners.Admin = accept.New(listeners.Admin, "administration", n.logger, n.registry, clock)
 	n.view.Store(view.Empty())
 	n.members = member.New(member.NewNode(n.self.ID(), n.incarnation), member.Settings{})
 	n.detector = wake.New(wake.Settings{TickInterval: tickInterval})
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/fireflylanding/fireflylanding/internal/accept"
 	"github.com/fireflylanding/fireflylanding/internal/certs"
 	"github.com/fireflylanding/fireflylanding/internal/edge"
 	"github.com/fireflylanding/fireflylanding/internal/events"
@@ -100,10 +101,10 @@
 }
 
 type sockets struct {
-	callers   net.Listener
-	checks    net.Listener
-	directory net.Listener
-	metrics   net.Listener
+	callers   *accept.Listener
+	checks    *accept.Listener
+	directory *accept.Listener
+	metrics   *accept.Listener
 	peers     net.PacketConn
 }
 
@@ -160,16 +161,16 @@
 // openSockets opens the sockets and the transport between nodes.
 func (t *Tier) openSockets(s Settings) error {
 	var err error
-	if t.sockets.callers, err = net.Listen("tcp", s.CallerAddress); err != nil {
+	if t.sockets.callers, err = t.listen("callers", s.CallerAddress); err != nil {
 		return errors.Wrap(err, "caller address")
 	}
-	if t.sockets.checks, err = net.Listen("tcp", s.ReadyAddress); err != nil {
+	if t.sockets.checks, err = t.listen("checks", s.ReadyAddress); err != nil {
 		return errors.Wrap(err, "ready address")
 	}
-	if t.sockets.directory, err = net.Listen("tcp", s.DirectoryAddress); err != nil {
+	if t.sockets.directory, err = t.listen("directory", s.DirectoryAddress); err != nil {
 		return errors.Wrap(err, "directory address")
 	}
-	if t.sockets.metrics, err = net.Listen("tcp", s.MetricsAddress); err != nil {
+	if t.sockets.metrics, err = t.listen("metrics", s.MetricsAddress); err != nil {
 		return errors.Wrap(err, "metrics address")
 	}
 	if t.sockets.peers, err = t.adapter.ListenPeers(s.PeerAddress); err != nil {
@@ -183,6 +184,16 @@
 	return err
 }
 
+// listen opens a listener that outlives errors that pass.
+func (t *Tier) listen(name, address string) (*accept.Listener, error) {
+	var l net.Listener
+	var err error
+	if l, err = net.Listen("tcp", address); err != nil {
+		return nil, err
+	}
+	return accept.New(l, name, t.logger, t.registry, t.clock), nil
+}
+
 // keepAlive enables TCP keep-alive probes, which detect a connection that went silent.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}
 
