Read settings again that could not be read when they changed

What operators saw: nothing yet; found while looking for the related paths of the listeners that ended for want of descriptors. Cause: the watch notes the modification time before it reads the file. A read that fails, as it does without descriptors or while the file is written, is not repeated until the file changes once more, so that an accepted change never takes effect. Evidence: TestUnreadableSettingsAreReadAgain failed before ("got no reload within 6s"). Change: a rejected file is read again at each check, every 2 s. A cause is logged once, and again after a SIGHUP.

--- a/internal/cmd/settings_watcher.go
+++ b/internal/cmd/settings_watcher.go
@@ -22,6 +22,9 @@
 	logger *events.Logger
 	// lastModified is the modification time from before the file was last read, so that no change is missed.
 	lastModified time.Time
+	// rejection is the text of the error for which the file was rejected last, empty when it was applied. A rejected file is read again at each
+	// check, since the cause may be that of the moment, such as a lack of descriptors or a file that is not written completely.
+	rejection string
 }
 
 // readWatchedSettings reads a settings file, and returns a watcher of its later changes.
@@ -46,8 +49,9 @@
 			return
 		case <-hangups:
 			logSignal(w.logger, syscall.SIGHUP, effectReload)
+			w.rejection = ""
 		case <-ticker.C:
-			if modificationTime(w.path).Equal(w.lastModified) {
+			if w.rejection == "" && modificationTime(w.path).Equal(w.lastModified) {
 				continue
 			}
 		}
@@ -55,11 +59,20 @@
 		if err == nil {
 			err = apply(settings)
 		}
-		if err != nil {
-			w.logger.Log(wire.Event_EVENT_SETTINGS_REJECTED, zap.Error(err))
-			continue
-		}
+		w.logOutcome(err)
+	}
+}
+
+// logOutcome logs a reload, and each cause of a rejection once.
+func (w *settingsWatcher) logOutcome(err error) {
+	if err == nil {
+		w.rejection = ""
 		w.logger.Log(wire.Event_EVENT_SETTINGS_RELOADED)
+		return
+	}
+	if w.rejection != err.Error() {
+		w.rejection = err.Error()
+		w.logger.Log(wire.Event_EVENT_SETTINGS_REJECTED, zap.Error(err))
 	}
 }
 
--- a/internal/cmd/settings_watcher_test.go
+++ b/internal/cmd/settings_watcher_test.go
@@ -3,16 +3,19 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/tier"
 	"github.com/fireflylanding/fireflylanding/platform/stand"
 )
 
-// Guards against settings that change while a node starts, after they were read and before they are watched, and never take effect.
-func TestSettingsChangedWhileStartingTakeEffect(t *testing.T) {
+// writeNodeSettings writes the settings of a node to a file and returns its path and contents.
+func writeNodeSettings(t *testing.T) (string, []byte) {
+	t.Helper()
 	config := stand.NodeConfig{
 		Node: "front-1", IP: "127.0.0.1", Zone: "z", Zones: map[string]string{"z": "r"}, CallerPort: 1, ReadyPort: 2, DirectoryPort: 3,
 		ControlPort: 4, PeerPort: 5, StoreAddress: "127.0.0.1:6",
@@ -25,6 +28,12 @@
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		t.Fatal(err)
 	}
+	return path, data
+}
+
+// Guards against settings that change while a node starts, after they were read and before they are watched, and never take effect.
+func TestSettingsChangedWhileStartingTakeEffect(t *testing.T) {
+	path, _ := writeNodeSettings(t)
 	logger, err := events.New(t.Output(), "info")
 	if err != nil {
 		t.Fatal(err)
@@ -52,3 +61,50 @@
 	close(ended)
 	<-done
 }
+
+// Guards against changed settings that never take effect, since the file could not be read when the change was noticed, as without descriptors.
+func TestUnreadableSettingsAreReadAgain(t *testing.T) {
+	t.Parallel()
+	path, data := writeNodeSettings(t)
+	var log nodeOutput
+	logger, err := events.New(&log, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, watcher, err := readWatchedSettings(path, logger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	modified := time.Now().Add(time.Second)
+	replace := func(create func() error) {
+		t.Helper()
+		if err := errors.Join(os.RemoveAll(path), create(), os.Chtimes(path, time.Time{}, modified)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// A directory has a modification time but can't be read as a file.
+	replace(func() error { return os.Mkdir(path, 0o700) })
+	applied, ended, done := make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		watcher.run(nil, func(tier.Settings) error {
+			applied <- struct{}{}
+			return nil
+		}, ended)
+	}()
+	defer func() {
+		close(ended)
+		<-done
+	}()
+	awaitSignalled(t, "the change is noticed", func() bool { return strings.Contains(log.String(), "rejected") })
+	time.Sleep(2 * reloadInterval)
+	if got := strings.Count(log.String(), "rejected"); got != 1 {
+		t.Errorf("got %d lines for one unreadable file, want 1", got)
+	}
+	replace(func() error { return os.WriteFile(path, data, 0o600) })
+	select {
+	case <-applied:
+	case <-time.After(3 * reloadInterval):
+		t.Errorf("got no reload within %v", 3*reloadInterval)
+	}
+}
