End a node when one of its loops or listeners has ended

A node whose transport between nodes, copy of the store or listener had ended went on, ready and listed, without it. Cause: Run waited for SIGTERM only. A listener that failed left one line (event 107), a loop that returned none. conc holds a panic back until Wait, which Run calls after SIGTERM; in follow.Run and spread.Engine.Run it was held back by the other loops of the component besides. Evidence: TestNodeWithoutOneOfItsPartsShutsDown: without the supervisor the node runs on after 10 s and is ready, in both cases. The case of the panic failed with the supervisor too until follow.Run let a panic of one loop end the other. Change: package parts runs the loops and listeners of platform and serve. The first that ends before the stop is logged (event 111), and the node shuts down gracefully and exits with code 1, so that the platform starts it anew. Run returns the error. In the tests that read the number of requests cut off, the error is compared too. Not covered: a panic in the exchange with one node or of the watch on the settings is still held back until the stop.

--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -44,6 +44,17 @@
 // Unwrap returns the cause.
 func (e *exitError) Unwrap() error { return e.err }
 
+// nodeError returns the error for a node that cut requests off, or that ended by itself.
+func nodeError(cut int, failure error) error {
+	if failure != nil {
+		return withCode(exitFailure, failure)
+	}
+	if cut > 0 {
+		return withCode(exitCutOff, errors.Newf("%d requests were cut off", cut))
+	}
+	return nil
+}
+
 func withCode(code int, err error) error {
 	if err == nil {
 		return nil
--- a/internal/cmd/platform.go
+++ b/internal/cmd/platform.go
@@ -67,8 +67,5 @@
 	tasks.Go(func() { watcher.run(signals.Hangups(), t.Apply, ended) })
 	defer tasks.Wait()
 	defer close(ended)
-	if cut := t.Run(stop); cut > 0 {
-		return withCode(exitCutOff, errors.Newf("%d requests were cut off", cut))
-	}
-	return nil
+	return nodeError(t.Run(stop))
 }
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -5,7 +5,6 @@
 	"io"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
 
@@ -59,8 +58,5 @@
 	tasks.Go(func() { stopOnSignals(signals, stopped, aborted, ended, logger) })
 	defer tasks.Wait()
 	defer close(ended)
-	if cut := n.Run(stop, abort); cut > 0 {
-		return withCode(exitCutOff, errors.Newf("%d requests were cut off", cut))
-	}
-	return nil
+	return nodeError(n.Run(stop, abort))
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
 	"github.com/fireflylanding/fireflylanding/internal/delay"
@@ -219,11 +219,21 @@
 	f.applyBatch(now, batch, now.Add(-p.Age), holdUntil)
 }
 
-// Run follows the source until ctx ends.
+// Run follows the source until ctx ends. A panic of one of its loops ends the other too.
 func (f *Follower) Run(ctx context.Context) {
-	var tasks conc.WaitGroup
-	defer tasks.Wait()
-	tasks.Go(func() { f.runRemovals(ctx) })
+	loops := pool.New().WithContext(ctx).WithCancelOnError()
+	for _, loop := range []func(context.Context){f.runCalls, f.runRemovals} {
+		loops.Go(func(ctx context.Context) error {
+			loop(ctx)
+			return nil
+		})
+	}
+	// The loops return no error.
+	_ = loops.Wait()
+}
+
+// runCalls calls the source while this node has to read it.
+func (f *Follower) runCalls(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := idlePollInterval
 		if f.mustRead(f.clock()) {
--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -138,7 +138,10 @@
 	var stop, kill context.Context
 	stop, started.stop = context.WithCancel(context.Background())
 	kill, started.kill = context.WithCancel(context.Background())
-	started.tasks.Go(func() { started.interrupted = started.node.Run(stop, kill) })
+	started.tasks.Go(func() {
+		// The node logs the error of a part that ended.
+		started.interrupted, _ = started.node.Run(stop, kill)
+	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !slices.Contains(f.order, id) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/fireflylanding/fireflylanding/internal/lookup"
 	"github.com/fireflylanding/fireflylanding/internal/member"
 	"github.com/fireflylanding/fireflylanding/internal/owner"
+	"github.com/fireflylanding/fireflylanding/internal/parts"
 	"github.com/fireflylanding/fireflylanding/internal/peer"
 	"github.com/fireflylanding/fireflylanding/internal/picker"
 	"github.com/fireflylanding/fireflylanding/internal/plat"
@@ -280,22 +281,24 @@
 }
 
 // Run serves until stop ends and then shuts down gracefully. It shuts down immediately when kill ends. It returns the number of
-// requests that were cut off.
-func (n *Node) Run(stop, kill context.Context) int {
+// requests that were cut off, and the error of the part of the node that ended before, which shuts the node down as well.
+func (n *Node) Run(stop, kill context.Context) (int, error) {
 	n.logger.Log(wire.Event_EVENT_NODE_STARTED, zap.Uint64("incarnation", n.incarnation))
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
 	var tasks, listeners conc.WaitGroup
-	tasks.Go(func() { n.transport.Serve(ctx, handler{node: n}) })
-	tasks.Go(func() { n.engine.Run(ctx) })
-	tasks.Go(func() { n.owner.Run(ctx) })
-	tasks.Go(func() { n.maintain(ctx) })
-	listeners.Go(func() { n.reportListener("callers", n.front.Serve(n.listeners.Callers)) })
-	listeners.Go(func() { n.reportListener("administration", n.status.Serve(n.listeners.Admin)) })
+	supervisor, ending := parts.New(stop, n.logger)
+	supervisor.Loop(&tasks, "peers", func() { n.transport.Serve(ctx, handler{node: n}) })
+	supervisor.Loop(&tasks, "documents", func() { n.engine.Run(ctx) })
+	supervisor.Loop(&tasks, "owner", func() { n.owner.Run(ctx) })
+	supervisor.Loop(&tasks, "maintenance", func() { n.maintain(ctx) })
+	supervisor.Serve(&listeners, "callers", func() error { return n.front.Serve(n.listeners.Callers) })
+	supervisor.Serve(&listeners, "administration", func() error { return n.status.Serve(n.listeners.Admin) })
 	select {
-	case <-stop.Done():
+	case <-ending.Done():
 	case <-kill.Done():
 	}
+	failure := supervisor.Stop()
 	cut := n.shutdown(kill)
 	cancel()
 	n.closeListeners()
@@ -304,11 +307,5 @@
 	listeners.Wait()
 	n.closeComponents()
 	n.logger.Log(wire.Event_EVENT_STOP_DONE, zap.Int("cut", cut))
-	return cut
-}
-
-func (n *Node) reportListener(name string, err error) {
-	if err != nil && !n.phase.stopping() {
-		n.logger.Log(wire.Event_EVENT_LISTENER_FAILED, zap.String("listener", name), zap.Error(err))
-	}
+	return cut, failure
 }
--- a/internal/spread/engine.go
+++ b/internal/spread/engine.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/member"
@@ -211,18 +212,22 @@
 	return true
 }
 
-// Run keeps the documents up to date until ctx is done. It returns after all goroutines of the engine have finished.
+// Run keeps the documents up to date until ctx is done. It returns after all goroutines of the engine have finished. A panic of one of its loops
+// ends the others too.
 func (e *Engine) Run(ctx context.Context) {
 	e.recordContact(e.clock())
 	e.ctxMu.Lock()
 	e.ctx = ctx
 	e.ctxMu.Unlock()
-	var loops conc.WaitGroup
-	loops.Go(func() { e.bootstrap(ctx) })
-	loops.Go(func() { e.exchangeLoop(ctx) })
-	loops.Go(func() { e.watchLoop(ctx) })
-	loops.Go(func() { e.fallbackLoop(ctx) })
-	loops.Wait()
+	loops := pool.New().WithContext(ctx).WithCancelOnError()
+	for _, loop := range []func(context.Context){e.bootstrap, e.exchangeLoop, e.watchLoop, e.fallbackLoop} {
+		loops.Go(func(ctx context.Context) error {
+			loop(ctx)
+			return nil
+		})
+	}
+	// The loops return no error.
+	_ = loops.Wait()
 	e.ctxMu.Lock()
 	e.ctx = nil
 	e.ctxMu.Unlock()
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -154,7 +154,8 @@
 		// Connections on which a caller has sent a part of a request may stay open for longer.
 		ctx, cancel := context.WithTimeout(context.Background(), started.Add(stopTime-exitMargin).Sub(t.clock()))
 		defer cancel()
-		t.logListenerError("callers", t.edge.Shutdown(ctx))
+		// An error means that connections are still open, which closeSockets and the end of the process close.
+		_ = t.edge.Shutdown(ctx)
 	})
 	timer := time.NewTimer(started.Add(stopTime - shutdownMargin).Sub(t.clock()))
 	defer timer.Stop()
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -23,6 +23,7 @@
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
 	"github.com/fireflylanding/fireflylanding/internal/follow"
+	"github.com/fireflylanding/fireflylanding/internal/parts"
 	"github.com/fireflylanding/fireflylanding/internal/peer"
 	"github.com/fireflylanding/fireflylanding/internal/pool"
 	"github.com/fireflylanding/fireflylanding/internal/quar"
@@ -237,8 +238,9 @@
 	return nil
 }
 
-// Run serves until stop ends and then shuts down gracefully. It returns the number of requests that were cut off.
-func (t *Tier) Run(stop context.Context) int {
+// Run serves until stop ends and then shuts down gracefully. It returns the number of requests that were cut off, and the error of the part of
+// the node that ended before, which shuts the node down as well.
+func (t *Tier) Run(stop context.Context) (int, error) {
 	s := t.settings.Load()
 	if s.Cores > 0 {
 		runtime.GOMAXPROCS(s.Cores)
@@ -252,15 +254,17 @@
 	defer cancel()
 	directory, checks := t.adapter.Directory(t), t.adapter.Checks(t)
 	var tasks, listeners conc.WaitGroup
-	tasks.Go(func() { t.peers.Serve(ctx, handler{tier: t}) })
-	tasks.Go(func() { t.follower.Run(ctx) })
-	tasks.Go(func() { t.maintain(ctx) })
-	tasks.Go(func() { t.runHeartbeats(ctx) })
-	listeners.Go(func() { t.logListenerError("callers", t.edge.Serve(t.sockets.callers)) })
-	listeners.Go(func() { t.logListenerError("directory", directory.Listener(t.sockets.directory, listenConfig)) })
-	listeners.Go(func() { t.logListenerError("checks", checks.Listener(t.sockets.checks, listenConfig)) })
-	listeners.Go(func() { t.logListenerError("metrics", t.metricsApp().Listener(t.sockets.metrics, listenConfig)) })
-	<-stop.Done()
+	supervisor, ending := parts.New(stop, t.logger)
+	supervisor.Loop(&tasks, "peers", func() { t.peers.Serve(ctx, handler{tier: t}) })
+	supervisor.Loop(&tasks, "follower", func() { t.follower.Run(ctx) })
+	supervisor.Loop(&tasks, "maintenance", func() { t.maintain(ctx) })
+	supervisor.Loop(&tasks, "heartbeats", func() { t.runHeartbeats(ctx) })
+	supervisor.Serve(&listeners, "callers", func() error { return t.edge.Serve(t.sockets.callers) })
+	supervisor.Serve(&listeners, "directory", func() error { return directory.Listener(t.sockets.directory, listenConfig) })
+	supervisor.Serve(&listeners, "checks", func() error { return checks.Listener(t.sockets.checks, listenConfig) })
+	supervisor.Serve(&listeners, "metrics", func() error { return t.metricsApp().Listener(t.sockets.metrics, listenConfig) })
+	<-ending.Done()
+	failure := supervisor.Stop()
 	cut := t.shutdown()
 	cancel()
 	t.closeSockets()
@@ -271,17 +275,11 @@
 		t.background.Wait()
 	}
 	t.logger.Log(wire.Event_EVENT_STOP_DONE, zap.Int("cut", cut))
-	return cut
+	return cut, failure
 }
 
 var listenConfig = fiber.ListenConfig{DisableStartupMessage: true}
 
-func (t *Tier) logListenerError(name string, err error) {
-	if err != nil && !t.stopping.Load() {
-		t.logger.Log(wire.Event_EVENT_LISTENER_FAILED, zap.String("listener", name), zap.Error(err))
-	}
-}
-
 // closeSockets closes all sockets when the process is about to exit.
 func (t *Tier) closeSockets() {
 	_ = t.sockets.callers.Close()
