Take no stop by a deadline for the failure of a part

Change: the supervisor keeps the error of the part itself. TestSupervisor has the case; TestServeEndsItsGoroutines passes unchanged.

--- a/internal/parts/supervisor.go
+++ b/internal/parts/supervisor.go
@@ -21,16 +21,17 @@
 // Supervisor runs the parts of a node and ends the node when one of them ends first. It is safe for concurrent use.
 type Supervisor struct {
 	logger *events.Logger
-	fail   context.CancelCauseFunc
-	failed context.Context
+	end    context.CancelFunc
+	// failure is the error of the part that ended first, nil if none ended before the stop.
+	failure atomic.Pointer[error]
 	// stopping is set once the parts may end.
 	stopping atomic.Bool
 }
 
 // New returns a supervisor, and a context that ends with stop or when a part has ended before Stop was called.
 func New(stop context.Context, logger *events.Logger) (*Supervisor, context.Context) {
-	failed, fail := context.WithCancelCause(stop)
-	return &Supervisor{logger: logger, fail: fail, failed: failed}, failed
+	ending, end := context.WithCancel(stop)
+	return &Supervisor{logger: logger, end: end}, ending
 }
 
 // Loop runs a part in a group until it returns.
@@ -55,15 +56,18 @@
 			err = errReturned
 		}
 		s.logger.Log(wire.Event_EVENT_PART_ENDED, zap.String("part", part), zap.Error(err))
-		s.fail(errors.Wrap(err, part))
+		err = errors.Wrap(err, part)
+		s.failure.CompareAndSwap(nil, &err)
+		s.end()
 	})
 }
 
 // Stop tells the supervisor that the node shuts down, so that its parts may end. It returns the error of the part for which the node ends, or nil.
 func (s *Supervisor) Stop() error {
 	s.stopping.Store(true)
-	if cause := context.Cause(s.failed); cause != nil && !errors.Is(cause, context.Canceled) {
-		return cause
+	s.end()
+	if failure := s.failure.Load(); failure != nil {
+		return *failure
 	}
 	return nil
 }
--- a/internal/parts/supervisor_test.go
+++ b/internal/parts/supervisor_test.go
@@ -17,8 +17,9 @@
 	broken := errors.New("broken")
 	tests := map[string]struct {
 		run func() error
-		// stopFirst is set if the node shuts down before the part ends.
+		// stopFirst is set if the node shuts down before the part ends, timeout if the context of the stop ends by its deadline then.
 		stopFirst bool
+		timeout   bool
 		want      string
 	}{
 		"error":              {run: func() error { return broken }, want: "peers: broken"},
@@ -26,15 +27,23 @@
 		"panic":              {run: func() error { panic("no table") }, want: "no table"},
 		"planned stop":       {run: func() error { return nil }, stopFirst: true},
 		"error after a stop": {run: func() error { return broken }, stopFirst: true},
+		"stop by a deadline": {run: func() error { return nil }, stopFirst: true, timeout: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			stop, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			s, ended := New(stop, events.Discard())
 			var group conc.WaitGroup
+			if test.timeout {
+				stop, cancel = context.WithTimeout(context.Background(), time.Microsecond)
+				defer cancel()
+			}
+			s, ended := New(stop, events.Discard())
 			if test.stopFirst {
-				cancel()
+				if !test.timeout {
+					cancel()
+				}
+				<-ended.Done()
 				if err := s.Stop(); err != nil {
 					t.Errorf("got error %v of a planned stop, want none", err)
 				}
