--- a/internal/roster/exchange.go
+++ b/internal/roster/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -148,7 +147,7 @@
 	if len(unknown) == 0 {
 		return nil
 	}
-	return []Exchange{{Address: unknown[rand.IntN(len(unknown))], States: []State{r.self}}}
+	return []Exchange{{Address: unknown[r.random.IntN(len(unknown))], States: []State{r.self}}}
 }
 
 // hasPeerAddress reports whether a known node, this one included, has the peer address.
@@ -193,12 +192,12 @@
 	if len(regions) == 0 {
 		return State{}, false
 	}
-	region := regions[rand.IntN(len(regions))]
+	region := regions[r.random.IntN(len(regions))]
 	first := r.firstNodes(regionLeaders, func(s State) bool { return s.Region == region })
-	return first[rand.IntN(len(first))], true
+	return first[r.random.IntN(len(first))], true
 }
 
-// otherRegions returns the names of the other regions with known nodes.
+// otherRegions returns the names of the other regions with known nodes, sorted.
 func (r *Roster) otherRegions() []string {
 	var regions []string
 	for _, s := range r.otherStates(func(s State) bool { return !r.inRegion(s) }) {
@@ -206,6 +205,7 @@
 			regions = append(regions, s.Region)
 		}
 	}
+	slices.Sort(regions)
 	return regions
 }
 
@@ -276,7 +276,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	partners := r.ringPartners()
-	rand.Shuffle(len(partners), func(i, j int) { partners[i], partners[j] = partners[j], partners[i] })
+	r.random.Shuffle(len(partners), func(i, j int) { partners[i], partners[j] = partners[j], partners[i] })
 	return peerAddresses(partners[:min(n, len(partners))])
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -4,6 +4,7 @@
 package roster
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -96,6 +97,8 @@
 type Settings struct {
 	SuspectAfter time.Duration
 	RemoveAfter  time.Duration
+	// Random draws the partners of exchanges; the roster alone may use it. nil means a source with a random seed.
+	Random *rand.Rand
 }
 
 type record struct {
@@ -109,8 +112,9 @@
 type Roster struct {
 	settings Settings
 
-	mu   sync.Mutex
-	self State
+	mu     sync.Mutex
+	random *rand.Rand
+	self   State
 	// others holds the other nodes by id.
 	others map[string]*record
 	// tableAt is when the region's table was last sent, and crossRegionAt when an exchange with another region was last started.
@@ -135,7 +139,10 @@
 	if s.RemoveAfter <= 0 {
 		s.RemoveAfter = defaultRemoveAfter
 	}
-	return &Roster{settings: s, self: self.normalized(), others: make(map[string]*record)}
+	if s.Random == nil {
+		s.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return &Roster{settings: s, random: s.Random, self: self.normalized(), others: make(map[string]*record)}
 }
 
 // Self returns the state of this node.
