Compare missed quarantine marks both ways instead of pulling all of them

A request that had crashed searchers ran on at nodes that did not know of it. Cause: repair was by pulls alone. A node merged the marks of one other node a second, and each merge changed its hash, so that with two marks made in different regions most pulls went to nodes that had less. Only leaders exchange with other regions, in 300 nodes each about every 6 s. Change: the node that starts an exchange compares by buckets, takes over what it lacks and sends what the other lacks; leaders of zones push that on. An earlier version that is asked replies with all marks, as before.

--- a/internal/quar/repair.go
+++ b/internal/quar/repair.go
@@ -6,57 +6,58 @@
 )
 
 const (
-	// pullInterval is the minimum time between two pulls of marks from other nodes.
-	pullInterval = time.Second
-	// maxUseless bounds the hashes that Repair remembers.
-	maxUseless = 64
+	// compareInterval is the minimum time between two comparisons that a node starts.
+	compareInterval = time.Second
+	// maxSettled bounds the hashes that Repair remembers.
+	maxSettled = 64
 )
 
-// Repair decides when a node pulls the marks of a node whose marks differ from its own, so that a node that starts, wakes or was cut off learns
-// what it has missed. It is safe for concurrent use.
+// Repair decides when a node compares its marks with those of a node whose marks differ, so that nodes that start, wake or were cut off learn what
+// they have missed, and the others what these know. It is safe for concurrent use.
 type Repair struct {
-	mu      sync.Mutex
-	pulling bool
-	// pulledAt is when the latest pull began, and pulled the hash of the other node's marks as it had stated it.
-	pulledAt time.Time
-	pulled   uint64
-	// useless holds the hashes of nodes from which a pull brought nothing new while this node's own hash was ours: those nodes have less.
+	mu        sync.Mutex
+	comparing bool
+	// comparedAt is when the latest comparison began, and compared the hash of the other node's marks as it had stated it.
+	comparedAt time.Time
+	compared   uint64
+	// settled holds the hashes of nodes with which a comparison was completed while this node's own hash was ours. To repeat one would exchange
+	// the same marks, as with a node that has evicted some of them.
 	ours    uint64
-	useless map[uint64]struct{}
+	settled map[uint64]struct{}
 }
 
-// NewRepair returns a Repair for a node that has not pulled yet.
-func NewRepair() *Repair { return &Repair{useless: make(map[uint64]struct{})} }
+// NewRepair returns a Repair for a node that has compared nothing yet.
+func NewRepair() *Repair { return &Repair{settled: make(map[uint64]struct{})} }
 
-// Begin reports whether to pull the marks of a node, given the hash of this node's marks and that of the other's. 0 is the hash of no marks. If
-// so, End must be called after the pull.
+// Begin reports whether to compare marks with a node, given the hash of this node's marks and that of the other's. If so, End must be called after
+// the comparison.
 func (r *Repair) Begin(now time.Time, ours, theirs uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if theirs == 0 || theirs == ours || r.pulling || (!r.pulledAt.IsZero() && now.Sub(r.pulledAt) < pullInterval) {
+	if theirs == ours || r.comparing || (!r.comparedAt.IsZero() && now.Sub(r.comparedAt) < compareInterval) {
 		return false
 	}
 	if ours != r.ours {
 		r.ours = ours
-		clear(r.useless)
+		clear(r.settled)
 	}
-	if _, ok := r.useless[theirs]; ok {
+	if _, ok := r.settled[theirs]; ok {
 		return false
 	}
-	r.pulling, r.pulledAt, r.pulled = true, now, theirs
+	r.comparing, r.comparedAt, r.compared = true, now, theirs
 	return true
 }
 
-// End records that the pull has ended. useless is set if it succeeded and brought nothing new.
-func (r *Repair) End(useless bool) {
+// End records that the comparison has ended. failed is set if some of its messages were lost, so that it may be repeated.
+func (r *Repair) End(failed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.pulling = false
-	if !useless {
+	r.comparing = false
+	if failed {
 		return
 	}
-	if len(r.useless) >= maxUseless {
-		clear(r.useless)
+	if len(r.settled) >= maxSettled {
+		clear(r.settled)
 	}
-	r.useless[r.pulled] = struct{}{}
+	r.settled[r.compared] = struct{}{}
 }
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -261,6 +261,19 @@
 }
 func (e *Engine) MarksHash(now time.Time) uint64 { return e.crashes.marks.hash(now) }
 
+// MarkBuckets returns the hashes of the buckets of this node's marks, for CompareMarks at another node.
+func (e *Engine) MarkBuckets(now time.Time) []uint64 { return e.crashes.marks.shared.Buckets(now) }
+
+// CompareMarks returns the buckets whose hashes differ from those of another node, and this node's marks in them.
+func (e *Engine) CompareMarks(now time.Time, theirs []uint64) ([]uint32, []*wire.QuarantineMark) {
+	return e.crashes.marks.shared.Compare(now, theirs)
+}
+
+// MarksLacking returns this node's marks in the differing buckets that another node, which has sent its marks in them, does not have.
+func (e *Engine) MarksLacking(now time.Time, buckets int, differing []uint32, theirs []*wire.QuarantineMark) []*wire.QuarantineMark {
+	return e.crashes.marks.shared.Lacking(now, buckets, differing, theirs)
+}
+
 // MergeMarks merges the marks that a node sent and returns those that other nodes may lack, with what this node knows of them.
 func (e *Engine) MergeMarks(now time.Time, from string, marks []*wire.QuarantineMark) []*wire.QuarantineMark {
 	var changed []*wire.QuarantineMark
--- a/internal/roster/exchange.go
+++ b/internal/roster/exchange.go
@@ -37,6 +37,13 @@
 	return false
 }
 
+// LeadsZone reports whether this node is one of the leaders of its zone.
+func (r *Roster) LeadsZone() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isZoneLeader()
+}
+
 func (r *Roster) inZone(s State) bool   { return s.Zone == r.self.Zone }
 func (r *Roster) inRegion(s State) bool { return s.Region == r.self.Region }
 
--- a/internal/tier/exchange.go
+++ b/internal/tier/exchange.go
@@ -44,7 +44,9 @@
 	if nodes := push.GetNodes(); len(nodes) > 0 {
 		h.tier.relay(h.tier.roster.Merge(h.tier.clock(), statesOf(nodes)))
 	}
-	if newMarks := h.tier.engine.MergeMarks(h.tier.clock(), push.GetFrom(), push.GetMarks()); len(newMarks) > 0 {
+	newMarks := h.tier.engine.MergeMarks(h.tier.clock(), push.GetFrom(), push.GetMarks())
+	// A node that starts lacks what all others know, so that only the few leaders pass on what they were found to lack.
+	if len(newMarks) > 0 && (!push.GetRepair() || h.tier.roster.LeadsZone()) {
 		h.tier.propagateMarks(newMarks)
 	}
 }
@@ -52,7 +54,7 @@
 // Pull implements peer.Handler.
 func (h handler) Pull(_ context.Context, pull *wire.Pull) *wire.Push {
 	if pull.GetQuarantine() {
-		return wire.Push_builder{From: h.tier.settings.Load().Node, Marks: h.tier.engine.Marks(h.tier.clock())}.Build()
+		return h.tier.marksFor(h.tier.clock(), pull.GetMarkBuckets())
 	}
 	return h.tier.entriesAfter(epoch.Revision(pull.GetEntriesAfter()))
 }
@@ -116,9 +118,6 @@
 	if t.observePosition(now, sender, positionOf(digest.GetSource())) {
 		t.pullEntries(sender.PeerAddress)
 	}
-	if t.repair.Begin(now, t.engine.MarksHash(now), digest.GetQuarantineHash()) {
-		t.pullMarks(sender.PeerAddress)
-	}
 	return states
 }
 
@@ -207,19 +206,49 @@
 	})
 }
 
-// pullMarks takes over the quarantine marks of a node. They are not passed on: nodes that lack them pull them as well.
-func (t *Tier) pullMarks(address string) {
-	t.background.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-		defer cancel()
-		push, err := t.peers.Pull(ctx, shards.NewVM("", "", "", "", address), wire.Pull_builder{Quarantine: true}.Build())
-		learned := 0
-		if err == nil {
-			learned = len(t.engine.MergeMarks(t.clock(), push.GetFrom(), push.GetMarks()))
-		}
-		// After an error a later exchange pulls again.
-		t.repair.End(err == nil && learned == 0)
-	})
+// marksFor returns the marks for a node that compares its own by the hashes of their buckets, or all marks for one that sends no hashes.
+func (t *Tier) marksFor(now time.Time, buckets []uint64) *wire.Push {
+	push := wire.Push_builder{From: t.settings.Load().Node}
+	if len(buckets) == 0 {
+		push.Marks = t.engine.Marks(now)
+	} else {
+		push.Compared = true
+		push.DifferingBuckets, push.Marks = t.engine.CompareMarks(now, buckets)
+	}
+	return push.Build()
+}
+
+// compareMarks compares quarantine marks with a node, takes over those that this node lacks, and sends those that the other lacks.
+func (t *Tier) compareMarks(address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	to := shards.NewVM("", "", "", "", address)
+	buckets := t.engine.MarkBuckets(t.clock())
+	var push *wire.Push
+	var err error
+	if push, err = t.peers.Pull(ctx, to, wire.Pull_builder{Quarantine: true, MarkBuckets: buckets}.Build()); err != nil {
+		return err
+	}
+	differing := push.GetDifferingBuckets()
+	if !push.GetCompared() {
+		// An earlier version of the program has sent all of its marks.
+		differing = allBuckets(len(buckets))
+	}
+	now := t.clock()
+	lacking := t.engine.MarksLacking(now, len(buckets), differing, push.GetMarks())
+	t.engine.MergeMarks(now, push.GetFrom(), push.GetMarks())
+	if len(lacking) == 0 {
+		return nil
+	}
+	return t.peers.Push(ctx, to, wire.Push_builder{From: t.settings.Load().Node, Marks: lacking, Repair: true}.Build())
+}
+
+func allBuckets(n int) []uint32 {
+	buckets := make([]uint32, n)
+	for i := range buckets {
+		buckets[i] = uint32(i)
+	}
+	return buckets
 }
 
 func (t *Tier) entriesAfter(revision epoch.Revision) *wire.Push {
@@ -268,7 +297,12 @@
 			t.peers.Reconnect(address)
 			return
 		}
-		t.merge(t.clock(), answer)
+		now := t.clock()
+		t.merge(now, answer)
+		// Only the node that has started the exchange compares marks, since both have those of the other afterwards.
+		if t.repair.Begin(now, t.engine.MarksHash(now), answer.GetQuarantineHash()) {
+			t.repair.End(t.compareMarks(address) != nil)
+		}
 	})
 }
 
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -79,7 +79,7 @@
 	edge     *edge.Server
 	peers    *peer.Transport
 	detector *wake.Detector
-	// marks holds the quarantine marks that wait to be sent; repair decides when marks are pulled from nodes that have others.
+	// marks holds the quarantine marks that wait to be sent; repair decides when marks are compared with those of another node.
 	marks   *quar.Outbox
 	repair  *quar.Repair
 	sockets sockets
