--- a/internal/cmd/settings_watcher_test.go
+++ b/internal/cmd/settings_watcher_test.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -31,10 +32,10 @@
 	return path, data
 }
 
-// Guards against settings that change while a node starts, after they were read and before they are watched, and never take effect.
-func TestSettingsChangedWhileStartingTakeEffect(t *testing.T) {
-	path, _ := writeNodeSettings(t)
-	logger, err := events.New(t.Output(), "info")
+// newTestWatcher reads a settings file and returns the watcher of its later changes, which logs to output.
+func newTestWatcher(t *testing.T, path string, output io.Writer) *settingsWatcher {
+	t.Helper()
+	logger, err := events.New(output, "info")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,24 +43,43 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := os.Chtimes(path, time.Time{}, time.Now().Add(time.Second)); err != nil {
-		t.Fatal(err)
-	}
+	return watcher
+}
+
+// startTestWatcher runs a watcher until the end of the test. The returned channel receives a value after one or more reloads.
+func startTestWatcher(t *testing.T, watcher *settingsWatcher) <-chan struct{} {
+	t.Helper()
 	applied, ended, done := make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(done)
 		watcher.run(nil, func(tier.Settings) error {
-			applied <- struct{}{}
+			select {
+			case applied <- struct{}{}:
+			default:
+			}
 			return nil
 		}, ended)
 	}()
+	t.Cleanup(func() {
+		close(ended)
+		<-done
+	})
+	return applied
+}
+
+// Guards against settings that change while a node starts, after they were read and before they are watched, and never take effect.
+func TestSettingsChangedWhileStartingTakeEffect(t *testing.T) {
+	path, _ := writeNodeSettings(t)
+	watcher := newTestWatcher(t, path, t.Output())
+	if err := os.Chtimes(path, time.Time{}, time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	applied := startTestWatcher(t, watcher)
 	select {
 	case <-applied:
 	case <-time.After(2 * reloadInterval):
 		t.Errorf("got no reload within %v", 2*reloadInterval)
 	}
-	close(ended)
-	<-done
 }
 
 // Guards against changed settings that never take effect, since the file could not be read when the change was noticed, as without descriptors.
@@ -67,14 +87,7 @@
 	t.Parallel()
 	path, data := writeNodeSettings(t)
 	var log nodeOutput
-	logger, err := events.New(&log, "info")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_, watcher, err := readWatchedSettings(path, logger)
-	if err != nil {
-		t.Fatal(err)
-	}
+	watcher := newTestWatcher(t, path, &log)
 	modified := time.Now().Add(time.Second)
 	replace := func(create func() error) {
 		t.Helper()
@@ -84,18 +97,7 @@
 	}
 	// A directory has a modification time but can't be read as a file.
 	replace(func() error { return os.Mkdir(path, 0o700) })
-	applied, ended, done := make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(done)
-		watcher.run(nil, func(tier.Settings) error {
-			applied <- struct{}{}
-			return nil
-		}, ended)
-	}()
-	defer func() {
-		close(ended)
-		<-done
-	}()
+	applied := startTestWatcher(t, watcher)
 	awaitSignalled(t, "the change is noticed", func() bool { return strings.Contains(log.String(), "rejected") })
 	time.Sleep(2 * reloadInterval)
 	if got := strings.Count(log.String(), "rejected"); got != 1 {
