Draw the order of two tests of exchanges between nodes from seeds

The tests with processes or real connections stay subject to the clock, and the choice of searchers in package relay to unseeded draws.

--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -107,19 +109,21 @@
 	}
 }
 
-// testFleet holds the rosters of nodes in two regions of two zones each, and the targets of the exchanges that each node started.
+// testFleet holds the rosters of nodes in two regions of two zones each, and the targets of the exchanges that each node started. A seed draws
+// their order and their partners.
 type testFleet struct {
+	random   *rand.Rand
 	rosters  map[string]*Roster
 	partners map[string]map[string]bool
 	sent     int
 }
 
-func newFleet(nodes int) *testFleet {
-	f := &testFleet{rosters: make(map[string]*Roster), partners: make(map[string]map[string]bool)}
+func newFleet(seed uint64, nodes int) *testFleet {
+	f := &testFleet{random: rand.New(rand.NewPCG(seed, uint64(nodes))), rosters: make(map[string]*Roster), partners: make(map[string]map[string]bool)}
 	for i := range nodes {
 		s := state(fmt.Sprintf("n%02d", i), Ready, 1, 0)
 		s.Region, s.Zone = fmt.Sprintf("r%d", i%2), fmt.Sprintf("z%d", i%4)
-		f.rosters[s.PeerAddress] = New(s, Settings{})
+		f.rosters[s.PeerAddress] = New(s, Settings{Random: rand.New(rand.NewPCG(seed, uint64(i)))})
 		f.partners[s.PeerAddress] = make(map[string]bool)
 	}
 	return f
@@ -127,10 +131,11 @@
 
 // heartbeat runs one heartbeat of all nodes. All exchanges succeed except those with the dead node.
 func (f *testFleet) heartbeat(now time.Time, dead string) {
-	for address, r := range f.rosters {
+	for _, address := range shuffledAddresses(f.random, f.rosters) {
 		if address == dead {
 			continue
 		}
+		r := f.rosters[address]
 		r.RecordHeartbeat(0)
 		for _, exchange := range r.NextExchanges(now, []string{"n00:2", "n01:2"}) {
 			f.partners[address][exchange.Address] = true
@@ -147,14 +152,30 @@
 	}
 }
 
+// shuffledAddresses returns the addresses of a fleet in an order that random draws.
+func shuffledAddresses(random *rand.Rand, fleet map[string]*Roster) []string {
+	addresses := slices.Sorted(maps.Keys(fleet))
+	random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
+
+// orderSeeds is the number of seeds that draw the order of the nodes in a test.
+const orderSeeds = 10
+
 // Guards against nodes that do not discover each other through seeds, that learn of a change late, or that keep a dead node live; against
 // a node that contacts itself; and against exchanges and connections that grow with the fleet.
 func TestExchanges(t *testing.T) {
+	for seed := range uint64(orderSeeds) {
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) { playExchanges(t, seed) })
+	}
+}
+
+func playExchanges(t *testing.T, seed uint64) {
 	const (
 		nodes    = 40
 		interval = 500 * time.Millisecond
 	)
-	f := newFleet(nodes)
+	f := newFleet(seed, nodes)
 	now := start
 	run := func(d time.Duration, dead string) {
 		for end := now.Add(d); now.Before(end); now = now.Add(interval) {
@@ -312,14 +333,14 @@
 }
 
 // newZone returns rosters of the nodes of one zone that all know each other.
-func newZone(nodes int) []*Roster {
+func newZone(seed uint64, nodes int) []*Roster {
 	var states []State
 	for i := range nodes {
 		states = append(states, state(fmt.Sprintf("n%03d", i), Ready, 1, 1))
 	}
 	var rosters []*Roster
-	for _, s := range states {
-		r := New(s, Settings{})
+	for i, s := range states {
+		r := New(s, Settings{Random: rand.New(rand.NewPCG(seed, uint64(i)))})
 		r.Merge(start, states)
 		rosters = append(rosters, r)
 	}
@@ -361,7 +382,7 @@
 
 func testExchangesPerLeader(t *testing.T, nodes int) {
 	const settled, rounds, want = 10, 12, 30
-	rosters := newZone(nodes)
+	rosters := newZone(1, nodes)
 	exchanges := make(map[string]int)
 	now := start
 	for round := range settled + rounds {
@@ -384,8 +405,15 @@
 
 // Guards against a leader that counts as dead because other nodes contact it only round-robin, and against a dead leader that stays live.
 func TestLeaderLivenessThroughOtherLeaders(t *testing.T) {
+	for seed := range uint64(orderSeeds) {
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) { playLeaderLoss(t, seed) })
+	}
+}
+
+func playLeaderLoss(t *testing.T, seed uint64) {
 	const nodes = 12
-	rosters := newZone(nodes)
+	random := rand.New(rand.NewPCG(seed, nodes))
+	rosters := newZone(seed, nodes)
 	byAddress := make(map[string]*Roster)
 	for _, r := range rosters {
 		byAddress[r.Self().PeerAddress] = r
@@ -394,10 +422,11 @@
 	now := start
 	run := func(d time.Duration, dead string) {
 		for end := now.Add(d); now.Before(end); now = now.Add(500 * time.Millisecond) {
-			for address, r := range byAddress {
+			for _, address := range shuffledAddresses(random, byAddress) {
 				if address == dead {
 					continue
 				}
+				r := byAddress[address]
 				r.RecordHeartbeat(0)
 				for _, exchange := range r.NextExchanges(now, nil) {
 					if other := byAddress[exchange.Address]; exchange.Address != dead {
