Play shortages of descriptors and announced lengths in the soak

In a part of the rounds, by random numbers of their own, a node is left four descriptors while 60 connections come, and must answer on each listener 2 s after they are free; or all searchers announce long chunks while a node gets more queries, and no node may take more than the memory of its settings.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -213,6 +213,7 @@
 		undo[i]()
 	}
 	delay.Sleep(ctx, recoveryPhase)
+	r.checkShortages(ctx, r.scarceRandom)
 	from := time.Now()
 	r.checkGracefulStop(ctx)
 	r.checkConfiguration(ctx)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -68,6 +68,8 @@
 	random   *rand.Rand
 	// drillRandom selects the drills. It is separate, so that the faults of recorded seeds stay the same when drills are added.
 	drillRandom *rand.Rand
+	// scarceRandom selects the shortages, for the same reason.
+	scarceRandom *rand.Rand
 
 	mu           sync.Mutex
 	evidence     evidence
@@ -83,7 +85,7 @@
 
 // Run runs a soak and returns its report. It returns an error only if the fleet does not start.
 func Run(ctx context.Context, s Settings) (Report, error) {
-	r := &runner{settings: s, random: rand.New(rand.NewPCG(s.Seed, s.Seed)), drillRandom: rand.New(rand.NewPCG(s.Seed, drillStream))}
+	r := &runner{settings: s, random: rand.New(rand.NewPCG(s.Seed, s.Seed)), drillRandom: rand.New(rand.NewPCG(s.Seed, drillStream)), scarceRandom: rand.New(rand.NewPCG(s.Seed, scarceStream))}
 	r.evidence.allowed = make(map[string][]string)
 	r.evidence.drainBound = drainBound
 	err := r.start(ctx)
@@ -215,15 +217,11 @@
 
 // randomExchange returns an exchange with a random request to a node, which is not sent yet.
 func (r *runner) randomExchange(random *rand.Rand, node string) exchange {
-	r.mu.Lock()
-	r.requestCount++
-	id := fmt.Sprintf("%08x%08x", uint32(r.settings.Seed), r.requestCount)
-	r.mu.Unlock()
-	s := exchange{node: node, request: stand.Request{ID: id, Method: http.MethodGet, Host: host, Timeout: callerTimeout}}
+	s := r.newExchange(node)
+	id := s.request.ID
 	switch random.IntN(3) {
 	case 0:
-		s.request.Path = "/gather/" + id + "?q=%2F"
-		s.shards, s.topK, s.minCoverage = r.shards, 5, 0.6
+		r.gather(&s)
 	case 1:
 		s.request.Path = "/safe/" + id
 	default:
@@ -232,6 +230,21 @@
 	return s
 }
 
+// newExchange returns an exchange with a node whose request has an id and no path yet.
+func (r *runner) newExchange(node string) exchange {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requestCount++
+	id := fmt.Sprintf("%08x%08x", uint32(r.settings.Seed), r.requestCount)
+	return exchange{node: node, request: stand.Request{ID: id, Method: http.MethodGet, Host: host, Timeout: callerTimeout}}
+}
+
+// gather makes the request of an exchange a query over all shards.
+func (r *runner) gather(s *exchange) {
+	s.request.Path = "/gather/" + s.request.ID + "?q=%2F"
+	s.shards, s.topK, s.minCoverage = r.shards, 5, 0.6
+}
+
 // send sends the request, and records and returns the exchange with its answer.
 func (r *runner) send(client *http.Client, address string, s exchange) exchange {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout+300*time.Millisecond)
