Reject searchers' replies with a malformed status line

Seen by callers: a reply of status 000 reached them as status 200 with the searcher's stamp and body, since the HTTP library reads three digits as any number and writes the status 0 as 200. So did replies of status 099, 600 and 999, of version 0.9 and 2.0, with a blank line first, with control bytes in the reason, and with status 101, which no request asks for. Cause: replies are read by the lenient parser of the HTTP library, and nothing else checked them. Ruled out: the codec and the listener for callers, which pass on what the parser made of a reply. Change: package strict checks the status line before the library reads it. Such a reply is REASON_REPLY_MALFORMED: the request may have run, so that only an idempotent one is tried again, and the caller gets 502. Event 407 names searcher, request and what was wrong.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"os"
@@ -12,6 +13,7 @@
 
 	"github.com/fireflylanding/fireflylanding/internal/health"
 	"github.com/fireflylanding/fireflylanding/internal/pool"
+	"github.com/fireflylanding/fireflylanding/internal/strict"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
@@ -105,6 +107,8 @@
 	freshConn bool
 	// waited is the time that the attempt waited for a connection.
 	waited time.Duration
+	// err is why no reply could be read, or nil.
+	err error
 }
 
 // notRun reports whether it is certain that the searcher did not run the request.
@@ -201,9 +205,9 @@
 	response.SkipBody = request.HeadOnly
 	response.Header.DisableNormalizing()
 	for range maxMismatchedReplies + 1 {
-		if err := readReplyInto(response, conn.Reader(), maxReplyBytes); err != nil {
+		if err := strict.ReadResponse(response, conn.Reader(), maxReplyBytes); err != nil {
 			fasthttp.ReleaseResponse(response)
-			r := result{reason: readReason(err), sent: true}
+			r := result{reason: readReason(err), sent: true, err: err}
 			r.abrupt = r.reason == wire.Reason_REASON_CONNECTION_LOST
 			return r
 		}
@@ -233,8 +237,10 @@
 	switch {
 	case isTimeout(err):
 		return wire.Reason_REASON_CONNECTION_SILENT
-	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &headTooLong):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, bufio.ErrBufferFull), errors.As(err, &headTooLong):
 		return wire.Reason_REASON_REPLY_TOO_LONG
+	case strict.IsMalformed(err):
+		return wire.Reason_REASON_REPLY_MALFORMED
 	default:
 		return wire.Reason_REASON_CONNECTION_LOST
 	}
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -51,6 +51,13 @@
 	return h
 }
 
+// observeMalformed logs a reply that was not a valid HTTP response.
+func (e *Engine) observeMalformed(a *attempt, request *Request, r result) {
+	if r.reason == wire.Reason_REASON_REPLY_MALFORMED {
+		e.logger.Log(wire.Event_EVENT_REPLY_MALFORMED, zap.String("searcher", a.endpoint.searcher.ID()), zap.String("request", request.ID), zap.Error(r.err))
+	}
+}
+
 // observeLeaving stops sending requests to a searcher whose reply states that it leaves.
 func (e *Engine) observeLeaving(a *attempt, r result) {
 	if r.response == nil || !r.head.Leaving || r.reason == wire.Reason_REASON_WRONG_SEARCHER {
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -151,6 +151,7 @@
 	case r.reason == wire.Reason_REASON_CONNECTION_SILENT:
 		a.endpoint.link.GaveUp(now, a.sentAt)
 	}
+	f.engine.observeMalformed(a, f.request, r)
 	f.engine.observeLeaving(a, r)
 	f.engine.observePause(now, a, r)
 	f.engine.observeLimit(now, a, r)
--- /dev/null
+++ b/internal/strict/malformed.go
@@ -0,0 +1,35 @@
+package strict
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MalformedError reports a response that violates the grammar or the framing rules of HTTP/1.1. Nothing of the response may be used, and its
+// connection must be closed.
+type MalformedError struct {
+	part string
+	text string
+}
+
+// maxQuotedBytes bounds how much of a malformed response an error quotes.
+const maxQuotedBytes = 64
+
+func malformed(part string, text []byte) error {
+	return &MalformedError{part: part, text: string(text[:min(len(text), maxQuotedBytes)])}
+}
+
+// Part returns the part of the response that is malformed, such as "status line".
+func (e *MalformedError) Part() string { return e.part }
+
+// Error implements error.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("malformed %s of the response: %q", e.part, e.text)
+}
+
+// IsMalformed reports whether err is or wraps a MalformedError.
+func IsMalformed(err error) bool {
+	var malformed *MalformedError
+	return errors.As(err, &malformed)
+}
