Reject searchers' replies whose field lines or framing are malformed

Seen by callers: a reply in whose head the name of a field held a blank reached them with that line, and with a body that was not the searcher's where the line was to frame the body, such as "Content Length: 66". The same held for a line feed that ends the head early, folded lines, control bytes in chunk extensions, trailers and interim responses with such names, and for Content-Length beside Transfer-Encoding. Cause: the lenient parser of the HTTP library, as for status lines. It tolerates blanks in names and before the colon, ends lines at a bare line feed, and does not look into chunk extensions. Ruled out: control bytes in names and values of fields: the library rejected those already, except for a line feed. Change: strict checks each line by the grammar, finds the framing of the body by RFC 9112 section 6.3, and reads the body itself, so that no second reader can disagree. Folded lines are rejected, as the RFC lets a gateway do. Two sound forms pass that did not before: chunked bodies of later minor versions and white space in chunk extensions (TestOddReply).

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"os"
@@ -233,11 +232,10 @@
 }
 
 func readReason(err error) wire.Reason {
-	var headTooLong *fasthttp.ErrSmallBuffer
 	switch {
 	case isTimeout(err):
 		return wire.Reason_REASON_CONNECTION_SILENT
-	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, bufio.ErrBufferFull), errors.As(err, &headTooLong):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, strict.ErrTooLong):
 		return wire.Reason_REASON_REPLY_TOO_LONG
 	case strict.IsMalformed(err):
 		return wire.Reason_REASON_REPLY_MALFORMED
--- a/internal/strict/malformed.go
+++ b/internal/strict/malformed.go
@@ -6,6 +6,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// ErrTooLong is the error of a response whose head, chunk extensions or trailer section exceed their limits. A body that is too long fails with
+// fasthttp.ErrBodyTooLarge.
+var ErrTooLong = errors.New("head, chunk extensions or trailers of the response are too long")
+
 // MalformedError reports a response that violates the grammar or the framing rules of HTTP/1.1. Nothing of the response may be used, and its
 // connection must be closed.
 type MalformedError struct {
--- a/internal/strict/response.go
+++ b/internal/strict/response.go
@@ -1,4 +1,5 @@
-// Package strict reads HTTP/1.1 responses and rejects malformed ones, which the HTTP library accepts.
+// Package strict reads HTTP/1.1 responses and rejects those that RFC 9110 and RFC 9112 call malformed. The HTTP library accepts many of them, so
+// that what a server sent in error would pass as an answer, or with a body that the server did not send.
 package strict
 
 import (
@@ -10,61 +11,173 @@
 	"github.com/valyala/fasthttp"
 )
 
-// unknownLength is the content length that the HTTP library states for a body that ends with its connection.
-const unknownLength = -2
+const (
+	// maxInterim is the number of interim responses that may precede a final one.
+	maxInterim = 100
+	// maxExtensionBytes and maxTrailerBytes bound all chunk extensions and all trailers of a response.
+	maxExtensionBytes = 16 << 10
+	maxTrailerBytes   = 16 << 10
+	// statusResetContent has no content, although it is framed like a response with content.
+	statusResetContent = 205
+)
 
-// ReadResponse reads a response of at most maxBody bytes of body. A malformed one fails with a *MalformedError. The memory grows with the bytes
-// that have arrived: the HTTP library would allocate the length that a server announces for a body or a chunk before it reads any of it.
+// ReadResponse reads the next final response, of at most maxBody bytes of body. The buffer of r bounds its head. If response.SkipBody is set, the
+// response is one without content, as to a HEAD request. Interim responses and trailers are dropped.
+//
+// The error is a *MalformedError, ErrTooLong, fasthttp.ErrBodyTooLarge, or that of the connection; io.EOF means that it closed before the first
+// byte. The memory for a body grows with the bytes that have arrived, whatever length the server announces. Bytes that remain in r belong to no
+// response.
 func ReadResponse(response *fasthttp.Response, r *bufio.Reader, maxBody int) error {
-	if err := peekStatusLine(r); err != nil {
+	final, err := skipInterim(r)
+	if err != nil {
 		return err
 	}
-	response.StreamBody = true
-	if err := response.ReadLimitBody(r, maxBody); err != nil {
-		return err
+	if length, ok := final.framing.(byLength); ok && length.bytes > int64(maxBody) && !response.SkipBody {
+		return fasthttp.ErrBodyTooLarge
 	}
-	stream := response.BodyStream()
-	if stream == nil {
-		return nil
+	if err := response.Header.Read(r); err != nil {
+		return malformed("head", []byte(err.Error()))
 	}
-	length := response.Header.ContentLength()
-	if length > maxBody {
-		return fasthttp.ErrBodyTooLarge
+	response.ResetBody()
+	if response.SkipBody {
+		return nil
 	}
 	body := bytebufferpool.Get()
 	defer bytebufferpool.Put(body)
-	n, err := body.ReadFrom(io.LimitReader(stream, int64(maxBody)+1))
-	if err != nil {
+	if err := readContent(body, r, final.framing, maxBody); err != nil {
 		return err
 	}
-	if n > int64(maxBody) {
-		return fasthttp.ErrBodyTooLarge
+	if final.status == statusResetContent && len(body.B) > 0 {
+		return malformed(partFraming, []byte("content of status 205"))
 	}
-	// This also closes the stream.
 	response.SetBody(body.B)
-	if length == unknownLength {
+	if _, ok := final.framing.(byClose); ok {
 		response.Header.SetContentLength(len(body.B))
 	}
 	return nil
 }
 
-// peekStatusLine checks the status line of the next response and leaves it in the buffer of r.
-func peekStatusLine(r *bufio.Reader) error {
+// skipInterim drops interim responses and returns the head of the final one.
+func skipInterim(r *bufio.Reader) (head, error) {
+	for range maxInterim {
+		h, err := peekHead(r)
+		if err != nil || !h.interim() {
+			return h, err
+		}
+		if _, err := r.Discard(h.size); err != nil {
+			return head{}, err
+		}
+	}
+	return head{}, ErrTooLong
+}
+
+func readContent(body *bytebufferpool.ByteBuffer, r *bufio.Reader, f framing, maxBody int) error {
+	switch f := f.(type) {
+	case byLength:
+		return appendBytes(body, r, f.bytes)
+	case byChunks:
+		return readChunks(body, r, maxBody)
+	case byClose:
+		n, err := body.ReadFrom(io.LimitReader(r, int64(maxBody)+1))
+		if err == nil && n > int64(maxBody) {
+			err = fasthttp.ErrBodyTooLarge
+		}
+		return err
+	default:
+		return nil
+	}
+}
+
+// appendBytes reads exactly n bytes.
+func appendBytes(body *bytebufferpool.ByteBuffer, r *bufio.Reader, n int64) error {
+	read, err := body.ReadFrom(io.LimitReader(r, n))
+	if err == nil && read < n {
+		err = io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// readChunks reads a chunked body and its trailers.
+func readChunks(body *bytebufferpool.ByteBuffer, r *bufio.Reader, maxBody int) error {
+	extensionBytes := 0
 	for {
-		// The bytes are in the buffer, so that there is no error.
-		arrived, _ := r.Peek(r.Buffered())
-		if i := bytes.IndexByte(arrived, '\n'); i >= 0 {
-			text, ok := bytes.CutSuffix(arrived[:i+1], []byte(crlf))
-			if _, sound := parseStatusLine(text); !ok || !sound {
-				return malformed(partStatusLine, arrived[:i+1])
-			}
-			return nil
+		line, err := readLine(r, partChunk)
+		if err != nil {
+			return err
+		}
+		size, extensions, ok := parseChunkLine(line)
+		if !ok {
+			return malformed(partChunk, line)
+		}
+		if extensionBytes += extensions; extensionBytes > maxExtensionBytes {
+			return ErrTooLong
 		}
-		if !canBeginStatusLine(arrived) {
-			return malformed(partStatusLine, arrived)
+		if size == 0 {
+			return skipTrailers(r)
 		}
-		if _, err := r.Peek(len(arrived) + 1); err != nil {
+		if size > int64(maxBody-len(body.B)) {
+			return fasthttp.ErrBodyTooLarge
+		}
+		if err := appendBytes(body, r, size); err != nil {
+			return err
+		}
+		if err := readChunkEnd(r); err != nil {
+			return err
+		}
+	}
+}
+
+// readChunkEnd reads the line break after the data of a chunk.
+func readChunkEnd(r *bufio.Reader) error {
+	for _, want := range []byte(crlf) {
+		got, err := r.ReadByte()
+		if err != nil {
+			return unexpectedEnd(err)
+		}
+		if got != want {
+			return malformed(partChunk, []byte{got})
+		}
+	}
+	return nil
+}
+
+func skipTrailers(r *bufio.Reader) error {
+	for size := 0; size <= maxTrailerBytes; {
+		line, err := readLine(r, partFieldLine)
+		if err != nil {
 			return err
 		}
+		if len(line) == 0 {
+			return nil
+		}
+		if _, _, ok := parseFieldLine(line); !ok {
+			return malformed(partFieldLine, line)
+		}
+		size += len(line)
+	}
+	return ErrTooLong
+}
+
+// readLine reads a line of a part and returns it without its line break. It is valid until the next read.
+func readLine(r *bufio.Reader, part string) ([]byte, error) {
+	line, err := r.ReadSlice('\n')
+	if err == bufio.ErrBufferFull {
+		return nil, ErrTooLong
+	}
+	if err != nil {
+		return nil, unexpectedEnd(err)
+	}
+	text, ok := bytes.CutSuffix(line, []byte(crlf))
+	if !ok {
+		return nil, malformed(part, line)
+	}
+	return text, nil
+}
+
+// unexpectedEnd returns the error of a read within a response.
+func unexpectedEnd(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
 	}
+	return err
 }
