Reject malformed answers of searchers and of their health endpoints in serve

What the library did reject counted as a lost connection, for which the node closed its other idle connections and asked whether the searcher had crashed. Cause: the client of the HTTP library reads by the same lenient parser, and returns a connection to its pool whatever bytes follow a response. Change: strict.Transport is the transport of the clients for searchers and their health endpoints. It reads by strict.ReadResponse, closes a connection on which bytes follow a response, and checks an idle one before it is used. Conclusion: the class is closed for searchers and health. The evidence by which a silent connection is told from a silent searcher still counts any bytes.

--- a/internal/owner/batch.go
+++ b/internal/owner/batch.go
@@ -202,4 +202,6 @@
 	leaving bool
 	// dialFailed is set if no connection to the searcher's address could be established.
 	dialFailed bool
+	// err is why a reply was malformed.
+	err error
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
 
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/limit"
@@ -177,6 +178,9 @@
 	u.queue.Done(now, item, now.Sub(start))
 	u.observe(now, pool, result, now.Sub(start))
 	o.report(now, u, result)
+	if result.reason == wire.Reason_REASON_REPLY_MALFORMED {
+		o.logMalformed(u, result.err, zap.Uint64("query", t.batch.message.GetQueryId()), zap.Uint64("attempt", t.id()))
+	}
 	o.finish(t, result)
 	o.dispatch(now, u)
 }
--- a/internal/owner/search.go
+++ b/internal/owner/search.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/fireflylanding/fireflylanding/internal/strict"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
@@ -94,6 +95,8 @@
 		return outcome{reason: wire.Reason_REASON_REPLY_MISMATCH}
 	case errors.As(err, &status):
 		return outcome{reason: wire.Reason_REASON_SEARCHER_ERROR}
+	case strict.IsMalformed(err):
+		return outcome{reason: wire.Reason_REASON_REPLY_MALFORMED, err: err}
 	}
 	p.client.CloseIdleConnections()
 	return outcome{reason: wire.Reason_REASON_CONNECTION_LOST, abrupt: refusesConnections(p.searcher.Address())}
@@ -203,6 +206,11 @@
 	}
 }
 
+// logMalformed logs an answer of a searcher that was not a valid HTTP response.
+func (o *Owner) logMalformed(u *upstream, err error, request ...zap.Field) {
+	o.log(wire.Event_EVENT_REPLY_MALFORMED, u, append(request, zap.Error(err))...)
+}
+
 // markLeaving records that a searcher reported that it is leaving, and logs the first such report.
 func (o *Owner) markLeaving(now time.Time, u *upstream) {
 	if u.markLeaving(now) {
@@ -211,8 +219,8 @@
 }
 
 // log logs an event about a searcher.
-func (o *Owner) log(event wire.Event, u *upstream) {
-	o.logger.Log(event, zap.String("collection", u.key.collection), zap.String("searcher", u.key.searcher))
+func (o *Owner) log(event wire.Event, u *upstream, fields ...zap.Field) {
+	o.logger.Log(event, append(fields, zap.String("collection", u.key.collection), zap.String("searcher", u.key.searcher))...)
 }
 
 // pollHealth polls the health endpoint for a leaving signal. The rest of the reply is ignored, since it may be wrong.
@@ -224,6 +232,10 @@
 		if errors.Is(err, errDial) {
 			u.clearLeaving()
 		}
+		if strict.IsMalformed(err) {
+			o.counters.Add(wire.Reason_REASON_REPLY_MALFORMED)
+			o.logMalformed(u, err, zap.String("path", healthPath))
+		}
 		return
 	}
 	if health.GetLeaving() {
--- a/internal/owner/upstream.go
+++ b/internal/owner/upstream.go
@@ -14,6 +14,7 @@
 	"github.com/fireflylanding/fireflylanding/internal/queue"
 	"github.com/fireflylanding/fireflylanding/internal/shards"
 	"github.com/fireflylanding/fireflylanding/internal/stall"
+	"github.com/fireflylanding/fireflylanding/internal/strict"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
@@ -106,7 +107,7 @@
 		MaxConns:                      connections,
 		MaxIdemponentCallAttempts:     1,
 		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxResponseBodySize:           maxReplyBytes,
+		Transport:                     strict.NewTransport(maxReplyBytes),
 		NoDefaultUserAgentHeader:      true,
 		DisableHeaderNamesNormalizing: true,
 		DisablePathNormalizing:        true,
@@ -172,7 +173,7 @@
 		u.latency.Update(elapsed.Nanoseconds())
 	case wire.Reason_REASON_SEARCHER_SHED:
 		p.limit.Observe(now, limit.Shed{})
-	case wire.Reason_REASON_CONNECTION_LOST, wire.Reason_REASON_CONNECT_FAILED, wire.Reason_REASON_DEADLINE:
+	case wire.Reason_REASON_CONNECTION_LOST, wire.Reason_REASON_CONNECT_FAILED, wire.Reason_REASON_DEADLINE, wire.Reason_REASON_REPLY_MALFORMED:
 		p.limit.Observe(now, limit.Lost{})
 	}
 }
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -45,6 +45,17 @@
 // clean reports whether an idle connection is open and has no unread bytes, which would be taken for the next reply.
 func (c *Conn) clean() bool { return c.reader.Buffered() == 0 && Peek(c.raw) == Idle }
 
+// Clean reports whether an idle connection of a client is open and has no unread bytes, which would be taken for the next reply. A connection that
+// cannot be checked counts as clean.
+func Clean(conn net.Conn) bool {
+	checked, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := checked.SyscallConn()
+	return err != nil || Peek(raw) == Idle
+}
+
 // ConnState is the state of a connection as seen without reading from it.
 type ConnState int
 
--- a/internal/stall/conn.go
+++ b/internal/stall/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -72,6 +73,14 @@
 	return c.Conn.Close()
 }
 
+// SyscallConn implements syscall.Conn where the underlying connection does.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		return sc.SyscallConn()
+	}
+	return nil, syscall.ENOTSUP
+}
+
 // LastRead returns when bytes were last read, and false when none were.
 func (c *Conn) LastRead() (time.Time, bool) {
 	read := c.lastRead.Load()
