Reject malformed answers of the configuration service, and bytes that follow an answer

Seen: a malformed answer of the configuration service was taken for a document. So were bytes after an answer, with it or later: the next read of another key got them, "[other]" in place of "[plan]" in the test. Cause: the lenient parser of the HTTP library, as for searchers; and a connection went back to the pool whatever bytes were left on it. Ruled out: the check of the revision, which such an answer passes. Change: the client reads by strict.ReadResponse, and does not use a connection again on which bytes are left or have arrived since.

--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fireflylanding/fireflylanding/internal/epoch"
+	"github.com/fireflylanding/fireflylanding/internal/pool"
 )
 
 const (
@@ -240,14 +241,15 @@
 	return newClientConn(conn), nil
 }
 
-// acquireIdleConn returns the most recently released idle connection, or nil. It closes connections that exceed idleTimeout.
+// acquireIdleConn returns the most recently released idle connection, or nil. It closes connections that exceed idleTimeout and those on which bytes
+// have arrived or that the service has closed.
 func (c *Client) acquireIdleConn() *clientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for n := len(c.idle); n > 0; n = len(c.idle) {
 		conn := c.idle[n-1]
 		c.idle = c.idle[:n-1]
-		if time.Since(conn.lastUsed) < idleTimeout {
+		if time.Since(conn.lastUsed) < idleTimeout && pool.Clean(conn.conn) {
 			return conn
 		}
 		conn.close()
--- a/internal/plat/conn.go
+++ b/internal/plat/conn.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/fireflylanding/fireflylanding/internal/strict"
 )
 
 // clientConn is one connection, which carries one call at a time. The clients of fasthttp take no context and keep a cleaner goroutine
@@ -28,7 +30,7 @@
 func (c *clientConn) do(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, deadline time.Time) (bool, error) {
 	stop := context.AfterFunc(ctx, c.close)
 	err := c.exchange(request, response, deadline)
-	reusable := stop() && err == nil && !response.ConnectionClose()
+	reusable := stop() && err == nil && !response.ConnectionClose() && c.reader.Buffered() == 0
 	return reusable, err
 }
 
@@ -43,7 +45,7 @@
 	if err := c.writer.Flush(); err != nil {
 		return err
 	}
-	return response.ReadLimitBody(c.reader, MaxValueBytes+valueSlackBytes)
+	return strict.ReadResponse(response, c.reader, MaxValueBytes+valueSlackBytes)
 }
 
 // close closes the connection. A call in progress returns an error.
