Reject malformed answers of nodes in pkg/client and the status command

Seen: the client of callers took a malformed answer of an entry or of the directory for an answer, such as one of status 000 or with a blank in the name of a field, and used its connection again; bytes after an answer became the answer to the next question. The status command showed such answers. Ruled out: the decoding of the JSON body, which such an answer passes. Change: both use strict.Transport. A malformed answer is reason bad_answer, and the question may have run, so that a non-idempotent one is not sent again with another token. Conclusion: the class is closed for nodes as they answer callers and operators. Exchanges between nodes are QUIC streams and not HTTP.

--- a/internal/broken/server.go
+++ b/internal/broken/server.go
@@ -16,6 +16,8 @@
 	Closes  bool
 	// Extra is sent on the idle connection, extraDelay after Message. It answers no request.
 	Extra string
+	// Repeat is sent after Message again and again until the client closes the connection.
+	Repeat string
 	// Watched marks the connection for Server.Watched.
 	Watched bool
 }
@@ -131,6 +133,10 @@
 		if _, err := conn.Write([]byte(answer.Message)); err != nil || answer.Closes {
 			return
 		}
+		if answer.Repeat != "" {
+			writeEndless(conn, []byte(answer.Repeat))
+			return
+		}
 		if answer.Extra == "" {
 			continue
 		}
@@ -144,6 +150,14 @@
 	}
 }
 
+func writeEndless(conn net.Conn, repeat []byte) {
+	for {
+		if _, err := conn.Write(repeat); err != nil {
+			return
+		}
+	}
+}
+
 // Sound returns a sound response with a status and a body.
 func Sound(status, fields, body string) string {
 	return "HTTP/1.1 " + status + "\r\n" + fields + length(body) + "\r\n" + body
--- a/internal/cmd/status.go
+++ b/internal/cmd/status.go
@@ -9,9 +9,14 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 	"github.com/valyala/fasthttp"
+
+	"github.com/fireflylanding/fireflylanding/internal/strict"
 )
 
-const statusTimeout = 5 * time.Second
+const (
+	statusTimeout  = 5 * time.Second
+	maxStatusBytes = 64 << 20
+)
 
 func statusCommand(stdout io.Writer) *cli.Command {
 	return &cli.Command{
@@ -38,7 +43,9 @@
 	var code int
 	var body []byte
 	var err error
-	if code, body, err = fasthttp.GetTimeout(nil, uri, statusTimeout); err != nil {
+	client := fasthttp.Client{Transport: strict.NewTransport(maxStatusBytes)}
+	defer client.CloseIdleConnections()
+	if code, body, err = client.GetTimeout(nil, uri, statusTimeout); err != nil {
 		return errors.Wrap(err, "read status")
 	}
 	if code != fasthttp.StatusOK {
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/fireflylanding/fireflylanding/internal/strict"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
@@ -80,7 +81,7 @@
 	return &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxResponseBodySize:       maxAnswerBytes,
+		Transport:                 strict.NewTransport(maxAnswerBytes),
 		MaxIdleConnDuration:       idleTimeout,
 		Dial: func(address string) (net.Conn, error) {
 			connection, err := net.DialTimeout("tcp", address, connectTimeout)
@@ -234,7 +235,7 @@
 	return refusal
 }
 
-// errMalformedAnswer marks the error of an answer that could not be decoded.
+// errMalformedAnswer marks the error of an answer that is not a valid HTTP response or could not be decoded.
 var errMalformedAnswer = errors.New("malformed answer")
 
 // entryReply is the reply of an entry: an answer or a refusal.
@@ -300,6 +301,9 @@
 		request.SetBody(body)
 	}
 	if err := c.http.DoDeadline(request, reply, deadline); err != nil {
+		if strict.IsMalformed(err) {
+			err = errors.Mark(err, errMalformedAnswer)
+		}
 		return response{err: err}
 	}
 	return response{status: reply.StatusCode(), body: append([]byte(nil), reply.Body()...)}
