Try idempotent sub-requests again after a malformed or overlong reply in serve

The list of searchers to avoid did not know the reason either. Ruled out: the budget of retries, and the picker, which gets the same report for each failed attempt. Evidence: the new cases of TestDecide and TestQuery failed. Change: both reasons may be tried again, for idempotent sub-requests only, and the searcher is avoided for a second. The stand-in can send malformed replies and bodies without an end. Conclusion: a searcher in trouble costs its own replies only.

--- a/internal/entry/avoid.go
+++ b/internal/entry/avoid.go
@@ -12,7 +12,8 @@
 	// avoidLeaving is how long a searcher that reported it is leaving is deprioritized. The VM list is expected to mark it as leaving in
 	// the meantime.
 	avoidLeaving = 30 * time.Second
-	// avoidLost is how long a searcher is deprioritized after a connection failure, which gives it time to restart.
+	// avoidLost is how long a searcher is deprioritized after a connection failure, which gives it time to restart, or after a reply that was no
+	// valid response.
 	avoidLost = time.Second
 	// avoidWithoutSnapshot is how long a searcher is not used for a snapshot that it reported as gone.
 	avoidWithoutSnapshot = 5 * time.Second
@@ -41,7 +42,7 @@
 	switch r {
 	case wire.Reason_REASON_SEARCHER_LEAVING:
 		a.add(now, avoidKey{searcher: searcher}, avoidLeaving)
-	case wire.Reason_REASON_CONNECT_FAILED, wire.Reason_REASON_CONNECTION_LOST:
+	case wire.Reason_REASON_CONNECT_FAILED, wire.Reason_REASON_CONNECTION_LOST, wire.Reason_REASON_REPLY_MALFORMED, wire.Reason_REASON_REPLY_TOO_LONG:
 		a.add(now, avoidKey{searcher: searcher}, avoidLost)
 	case wire.Reason_REASON_SNAPSHOT_GONE:
 		a.add(now, avoidKey{searcher: searcher, version: version}, avoidWithoutSnapshot)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -81,6 +81,8 @@
 		"leaving searcher":                    {actions: map[string][]action{"s0a": {failWith(wire.Reason_REASON_SEARCHER_LEAVING)}}, wantRun: run, wantSent: 4, wantElapsed: 2 * replyTime},
 		"shed":                                {actions: map[string][]action{"s0a": {failWith(wire.Reason_REASON_SEARCHER_SHED)}}, wantRun: run, wantSent: 4},
 		"connection lost":                     {actions: map[string][]action{"s0a": {failWith(wire.Reason_REASON_CONNECTION_LOST)}}, wantRun: run, wantSent: 4},
+		"malformed reply":                     {actions: map[string][]action{"s0a": {failWith(wire.Reason_REASON_REPLY_MALFORMED)}}, wantRun: run, wantSent: 4},
+		"non-idempotent, malformed reply":     {nonIdempotent: true, actions: forAllShards("a", failWith(wire.Reason_REASON_REPLY_MALFORMED)), wantRun: unknown, wantReason: wire.Reason_REASON_REPLY_MALFORMED, wantSent: 1, wantCount: map[wire.Reason]int64{wire.Reason_REASON_RETRY_UNSAFE: 1}},
 		"expired is not retried":              {actions: map[string][]action{"s0a": {failWith(wire.Reason_REASON_EXPIRED)}}, wantRun: run, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_EXPIRED}, wantSent: 3},
 		"both replicas fail":                  {actions: map[string][]action{"s0a": {failWith(wire.Reason_REASON_CONNECT_FAILED)}, "s0b": {failWith(wire.Reason_REASON_SEARCHER_ERROR)}}, wantRun: run, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_SEARCHER_ERROR}, wantSent: 4},
 		"no reachable replica":                {leaving: []string{"s0a", "s0b"}, wantRun: run, wantMissing: map[uint32]wire.Reason{0: wire.Reason_REASON_NO_REPLICA}, wantSent: 2},
--- a/internal/fakes/process.go
+++ b/internal/fakes/process.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"bufio"
 	"net"
 	"strings"
 	"sync"
@@ -70,6 +71,10 @@
 	if !readPost(ctx, request) {
 		return
 	}
+	if p.searcher.endless.Load() {
+		ctx.SetBodyStreamWriter(writeEndless)
+		return
+	}
 	reply := &wire.SearchReply{}
 	reply.SetAttemptId(request.GetAttemptId())
 	reply.SetSnapshot(request.GetSnapshot())
@@ -81,8 +86,28 @@
 	}
 	reply.SetLeaving(p.searcher.leaving.Load())
 	writeMessage(ctx, reply)
+	if p.searcher.malformed.Load() {
+		ctx.Response.Header.DisableNormalizing()
+		ctx.Response.Header.Set("X Malformed", "1")
+	}
 }
 
+// writeEndless writes a body until the caller closes the connection.
+func writeEndless(w *bufio.Writer) {
+	filler := make([]byte, endlessBlockBytes)
+	for {
+		if _, err := w.Write(filler); err != nil {
+			return
+		}
+		if err := w.Flush(); err != nil {
+			return
+		}
+	}
+}
+
+// endlessBlockBytes is the size of the chunks of a body without an end.
+const endlessBlockBytes = 64 << 10
+
 // search admits or rejects a sub-request, runs it once it has acquired a slot, and adds its hits to the reply.
 func (p *process) search(arrived time.Time, request *wire.SearchRequest, reply *wire.SearchReply) wire.SearchStatus {
 	s := p.searcher
--- a/internal/fakes/searcher.go
+++ b/internal/fakes/searcher.go
@@ -34,6 +34,8 @@
 	// lastRefused is the Unix time in nanoseconds of the last sub-request that was refused because the searcher is leaving.
 	lastRefused atomic.Int64
 	leaving     atomic.Bool
+	endless     atomic.Bool
+	malformed   atomic.Bool
 	slowdown    atomic.Uint64
 	loaded      atomic.Pointer[shardSet]
 	process     atomic.Pointer[process]
@@ -137,6 +139,12 @@
 	s.recordState()
 }
 
+// SetEndless makes the replies to sub-requests that start after the call bodies without an end, until it is called with false.
+func (s *Searcher) SetEndless(endless bool) { s.endless.Store(endless) }
+
+// SetMalformed makes the replies to sub-requests that start after the call malformed, until it is called with false. The sub-requests run.
+func (s *Searcher) SetMalformed(malformed bool) { s.malformed.Store(malformed) }
+
 // SilenceConnections silences up to n open connections that have carried requests: they never answer again but stay open. Connections
 // with requests in flight are silenced first. It returns the number of silenced connections.
 func (s *Searcher) SilenceConnections(n int) int { return s.process.Load().server.silenceConns(n) }
--- a/internal/proof/answers_test.go
+++ b/internal/proof/answers_test.go
@@ -308,7 +308,13 @@
 				searcher.DropSnapshot(lamps, 2)
 			}
 		}},
-		"crossed replies":   {before: func(_ *testing.T, f *local.Fleet) { injectFaults(f, fakes.WrongAttemptID{Every: 5}) }, faulty: true},
+		"crossed replies": {before: func(_ *testing.T, f *local.Fleet) { injectFaults(f, fakes.WrongAttemptID{Every: 5}) }, faulty: true},
+		"malformed replies": {before: func(_ *testing.T, f *local.Fleet) {
+			// One of the three replicas of each shard.
+			for i, searcher := range f.Searchers().Searchers(lamps) {
+				searcher.SetMalformed(i%3 == 0)
+			}
+		}},
 		"truncated replies": {before: func(_ *testing.T, f *local.Fleet) { injectFaults(f, fakes.TruncateHits{Every: 5}) }, faulty: true},
 		"replies from another snapshot": {before: func(t *testing.T, f *local.Fleet) {
 			expectNoError(t, f.Searchers().PublishSnapshot(lamps, 2, 6))
--- a/internal/proof/once_test.go
+++ b/internal/proof/once_test.go
@@ -114,13 +114,16 @@
 		// abandon is the time after which the caller closes the connection to the first entry, so that its answer is lost.
 		abandon time.Duration
 	}{
-		"no failure":                       {},
-		"caller's connection lost":         {abandon: 5 * time.Millisecond},
-		"deadline in the middle of a run":  {deadline: 30 * time.Millisecond},
-		"issuer killed":                    {during: func(_ *testing.T, f *local.Fleet) { f.Kill("north-1") }},
-		"silent connections":               {during: silenceOrderConnections},
-		"crossed replies":                  {before: injectOrderFaults(fakes.WrongAttemptID{Every: 3})},
-		"truncated replies":                {before: injectOrderFaults(fakes.TruncateHits{Every: 3})},
+		"no failure":                      {},
+		"caller's connection lost":        {abandon: 5 * time.Millisecond},
+		"deadline in the middle of a run": {deadline: 30 * time.Millisecond},
+		"issuer killed":                   {during: func(_ *testing.T, f *local.Fleet) { f.Kill("north-1") }},
+		"silent connections":              {during: silenceOrderConnections},
+		"crossed replies":                 {before: injectOrderFaults(fakes.WrongAttemptID{Every: 3})},
+		"truncated replies":               {before: injectOrderFaults(fakes.TruncateHits{Every: 3})},
+		"malformed replies": {before: func(_ *testing.T, f *local.Fleet) {
+			f.Searchers().Searchers(orders)[0].SetMalformed(true)
+		}},
 		"replies lost in searcher crashes": {during: crashOrderSearchers},
 		"ownership change": {during: func(t *testing.T, f *local.Fleet) {
 			expectNoError(t, f.Start("south-9", "south", "south-a"))
--- a/internal/retry/retrier.go
+++ b/internal/retry/retrier.go
@@ -209,6 +209,8 @@
 		wire.Reason_REASON_ANSWERED_EARLY,
 		wire.Reason_REASON_CANCELLED_RUNNING:
 		return true
+	case wire.Reason_REASON_REPLY_MALFORMED, wire.Reason_REASON_REPLY_TOO_LONG:
+		return false
 	default:
 		return r < wire.Reason_REASON_EXPIRED || r > wire.Reason_REASON_CANCELLED_RUNNING
 	}
