Bound the memory that searchers' replies without an end take in serve

A node of serve in front of 60 searchers, of which 20 answer with bodies that do not end, took 994 and 1114 MB in two runs of 4 s of TestNodeOutlivesEndlessReplies (internal/proof), where 256 MB is the limit of the test; it served all the while. Cause: each reply was bounded, to 4 MiB, and their sum was not. The buffer of a reply doubled as it grew and stayed in a pool afterwards, so that the next small reply kept its memory. Ruled out: heads, lines, extensions and trailers without an end, which are bounded by the buffer of a connection; the platform's path, whose replies had a budget already: its process took 45 to 48 MB in the same test, before and after, and served 10,659 of 10,659 queries and more (internal/cmd). Change: replies in serve draw on a budget of 8 MiB together, of which none is given up below 64 KiB or the size of the hits that queries ask for; those are reason reply_too_long. strict reads bodies into blocks of 16 KiB. A single read of a metered reply is at most 64 KiB, since it is counted after.

--- a/internal/cmd/signalled_node_test.go
+++ b/internal/cmd/signalled_node_test.go
@@ -41,6 +41,7 @@
 type signalledNode struct {
 	*exec.Cmd
 	stand.NodeConfig
+	store  *stand.Store
 	output nodeOutput
 }
 
@@ -103,7 +104,7 @@
 	if err := os.WriteFile(settings, data, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	n := &signalledNode{Cmd: exec.Command(binary, "platform", "--settings", settings), NodeConfig: config}
+	n := &signalledNode{Cmd: exec.Command(binary, "platform", "--settings", settings), NodeConfig: config, store: store}
 	n.Stdout, n.Stderr = &n.output, &n.output
 	t.Cleanup(func() {
 		if n.Process != nil {
--- a/internal/meter/budget.go
+++ b/internal/meter/budget.go
@@ -24,6 +24,9 @@
 	reading map[*Conn]struct{}
 }
 
+// maxReadBytes bounds a single read of a reply, since its bytes are counted after it.
+const maxReadBytes = 64 << 10
+
 // NewBudget returns a budget of limit bytes.
 func NewBudget(limit int64) *Budget {
 	return &Budget{limit: limit, reading: make(map[*Conn]struct{})}
@@ -72,7 +75,7 @@
 	if c.cut != nil {
 		return 0, c.cut
 	}
-	return int(min(int64(wanted), c.allowance-c.taken)), nil
+	return int(min(int64(wanted), c.allowance-c.taken, maxReadBytes)), nil
 }
 
 // take counts bytes that the connection read. While the replies exceed the budget, it gives up those that have grown the most beyond what
--- a/internal/owner/leaving_test.go
+++ b/internal/owner/leaving_test.go
@@ -46,7 +46,7 @@
 // process.
 func TestLeavingMarkFollowsTheProcess(t *testing.T) {
 	now := time.Unix(1000, 0)
-	u := newUpstream(now, upstreamKey{}, shards.NewSearcher("s", "127.0.0.1:1", "r", "a", 2, 25), 10, Settings{}, time.Now)
+	u := newUpstream(now, upstreamKey{}, shards.NewSearcher("s", "127.0.0.1:1", "r", "a", 2, 25), 10, Settings{}, time.Now, newReplyReader())
 	u.markLeaving(now)
 	if !u.isLeaving(now.Add(5 * time.Minute)) {
 		t.Error("got new work 5 min after the signal, want none")
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -62,6 +62,7 @@
 	clock    func() time.Time
 	logger   *events.Logger
 	counters *reason.Counters
+	replies  replyReader
 	tasks    conc.WaitGroup
 	inFlight atomic.Int64
 	// running maps attempt ids to the tasks that wait or run, for cancellation.
@@ -87,6 +88,7 @@
 		clock:       clock,
 		logger:      logger,
 		counters:    counters,
+		replies:     newReplyReader(),
 		subRequests: metrics.NewRegisteredCounter("owner.sub_requests", registry),
 		mismatches:  metrics.NewRegisteredCounter("owner.reply_mismatches", registry),
 		silent:      metrics.NewRegisteredCounter("owner.silent_connections", registry),
@@ -255,7 +257,7 @@
 	if u, ok := current[key]; ok {
 		return u
 	}
-	u := newUpstream(now, key, searcher, o.share(v, key, searcher), o.settings, o.clock)
+	u := newUpstream(now, key, searcher, o.share(v, key, searcher), o.settings, o.clock, o.replies)
 	u.setListedLeaving(v.Leaving(id))
 	next := maps.Clone(current)
 	next[key] = u
--- a/internal/owner/pressure_test.go
+++ b/internal/owner/pressure_test.go
@@ -16,7 +16,7 @@
 	now := time.Unix(1000, 0)
 	searcher := shards.NewSearcher("s", "127.0.0.1:1", "r", "a", 2, 25)
 	newTestUpstream := func() *upstream {
-		return newUpstream(now, upstreamKey{collection: "c", searcher: "s"}, searcher, 10, Settings{}, time.Now)
+		return newUpstream(now, upstreamKey{collection: "c", searcher: "s"}, searcher, 10, Settings{}, time.Now, newReplyReader())
 	}
 	busy := newTestUpstream()
 	item := func(attempt uint64) queue.Item[*task] {
--- a/internal/owner/search.go
+++ b/internal/owner/search.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/fireflylanding/fireflylanding/internal/meter"
 	"github.com/fireflylanding/fireflylanding/internal/strict"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -35,6 +36,7 @@
 		Remaining:     durationpb.New(t.batch.deadline.Sub(now)),
 		Limit:         message.GetLimit(),
 	}.Build()
+	u.replies.transport.Expect(int64(message.GetLimit()) * maxHitBytes)
 	reply := &wire.SearchReply{}
 	if err := postProto(p.client, searchPath, request, reply, t.batch.deadline); err != nil {
 		return u.errorOutcome(p, err, t.batch.deadline)
@@ -97,6 +99,8 @@
 		return outcome{reason: wire.Reason_REASON_SEARCHER_ERROR}
 	case strict.IsMalformed(err):
 		return outcome{reason: wire.Reason_REASON_REPLY_MALFORMED, err: err}
+	case errors.IsAny(err, fasthttp.ErrBodyTooLarge, strict.ErrTooLong, meter.ErrTooLong, meter.ErrBudget):
+		return outcome{reason: wire.Reason_REASON_REPLY_TOO_LONG}
 	}
 	p.client.CloseIdleConnections()
 	return outcome{reason: wire.Reason_REASON_CONNECTION_LOST, abrupt: refusesConnections(p.searcher.Address())}
--- a/internal/owner/upstream.go
+++ b/internal/owner/upstream.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fireflylanding/fireflylanding/internal/limit"
+	"github.com/fireflylanding/fireflylanding/internal/meter"
+	"github.com/fireflylanding/fireflylanding/internal/pool"
 	"github.com/fireflylanding/fireflylanding/internal/queue"
 	"github.com/fireflylanding/fireflylanding/internal/shards"
 	"github.com/fireflylanding/fireflylanding/internal/stall"
@@ -28,8 +31,11 @@
 	// latencySamples and latencyAlpha configure the sample of reply times, which is weighted towards the last minutes.
 	latencySamples = 256
 	latencyAlpha   = 0.015
-	// maxReplyBytes is the maximum size of a searcher's reply.
+	// maxReplyBytes is the maximum size of a searcher's reply, and replyMemory the bytes that all replies in reading may take.
 	maxReplyBytes = 4 << 20
+	replyMemory   = 8 << 20
+	// maxHitBytes is more than a hit of a reply takes, with an id of the usual length.
+	maxHitBytes = 128
 )
 
 // errDial marks errors of connection attempts, after which nothing was sent.
@@ -40,6 +46,7 @@
 	key      upstreamKey
 	settings Settings
 	clock    func() time.Time
+	replies  replyReader
 	queue    *queue.Queue[*task]
 	// dispatchMu serializes Owner.dispatch.
 	dispatchMu sync.Mutex
@@ -58,6 +65,16 @@
 	probing       atomic.Bool
 }
 
+// replyReader reads the replies of all upstreams within a common budget.
+type replyReader struct {
+	budget    *meter.Budget
+	transport *strict.Transport
+}
+
+func newReplyReader() replyReader {
+	return replyReader{budget: meter.NewBudget(replyMemory), transport: strict.NewTransport(maxReplyBytes)}
+}
+
 // connPool holds what depends on the searcher's address and size and on this node's share of its connections. It is replaced as a whole
 // when one of them changes.
 type connPool struct {
@@ -69,56 +86,59 @@
 	group    *stall.Group
 }
 
-func newUpstream(now time.Time, key upstreamKey, searcher shards.Searcher, share int, settings Settings, clock func() time.Time) *upstream {
+func newUpstream(now time.Time, key upstreamKey, searcher shards.Searcher, share int, settings Settings, clock func() time.Time, replies replyReader) *upstream {
 	u := &upstream{
 		key:      key,
 		settings: settings,
 		clock:    clock,
+		replies:  replies,
 		queue:    queue.New[*task](settings.Queue),
 		latency:  metrics.NewExpDecaySample(latencySamples, latencyAlpha),
 	}
 	// The owner does the first poll when it creates the upstream.
 	u.nextHealth.Store(now.Add(healthInterval).UnixNano())
-	u.pool.Store(newConnPool(searcher, share, settings, clock))
+	u.pool.Store(newConnPool(searcher, share, settings, clock, replies))
 	return u
 }
 
-func newConnPool(searcher shards.Searcher, share int, settings Settings, clock func() time.Time) *connPool {
+func newConnPool(searcher shards.Searcher, share int, settings Settings, clock func() time.Time, replies replyReader) *connPool {
 	group := stall.NewGroup(settings.Stall)
 	settings.Limit.Slots = searcher.Slots()
 	settings.Limit.Connections = share
-	probe := newClient(searcher.Address(), 1, group, clock)
+	dial := replies.budget.Dialer(func(_ context.Context, address string) (net.Conn, error) {
+		var conn net.Conn
+		var err error
+		if conn, err = net.DialTimeout("tcp", address, dialTimeout); err != nil {
+			return nil, errors.Mark(err, errDial)
+		}
+		return group.Wrap(conn, clock), nil
+	})
+	probe := newClient(searcher.Address(), 1, dial, replies.transport)
 	// Several endpoint calls may need the only connection at the same time.
 	probe.MaxConnWaitTimeout = endpointTimeout
 	return &connPool{
 		searcher: searcher,
 		share:    share,
 		limit:    limit.New(settings.Limit),
-		client:   newClient(searcher.Address(), share, group, clock),
+		client:   newClient(searcher.Address(), share, dial, replies.transport),
 		probe:    probe,
 		group:    group,
 	}
 }
 
 // newClient returns a client that never retries a request.
-func newClient(address string, connections int, group *stall.Group, clock func() time.Time) *fasthttp.HostClient {
+func newClient(address string, connections int, dial pool.Dial, transport *strict.Transport) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                          address,
 		MaxConns:                      connections,
 		MaxIdemponentCallAttempts:     1,
 		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Transport:                     strict.NewTransport(maxReplyBytes),
+		Transport:                     transport,
 		NoDefaultUserAgentHeader:      true,
 		DisableHeaderNamesNormalizing: true,
 		DisablePathNormalizing:        true,
-		Dial: func(address string) (net.Conn, error) {
-			var conn net.Conn
-			var err error
-			if conn, err = net.DialTimeout("tcp", address, dialTimeout); err != nil {
-				return nil, errors.Mark(err, errDial)
-			}
-			return group.Wrap(conn, clock), nil
-		},
+		// dialTimeout bounds the dial.
+		Dial: func(address string) (net.Conn, error) { return dial(context.Background(), address) },
 	}
 }
 
@@ -129,7 +149,7 @@
 	if old.searcher == searcher && old.share == share {
 		return
 	}
-	u.pool.Store(newConnPool(searcher, share, u.settings, u.clock))
+	u.pool.Store(newConnPool(searcher, share, u.settings, u.clock, u.replies))
 	old.close()
 }
 
@@ -173,7 +193,8 @@
 		u.latency.Update(elapsed.Nanoseconds())
 	case wire.Reason_REASON_SEARCHER_SHED:
 		p.limit.Observe(now, limit.Shed{})
-	case wire.Reason_REASON_CONNECTION_LOST, wire.Reason_REASON_CONNECT_FAILED, wire.Reason_REASON_DEADLINE, wire.Reason_REASON_REPLY_MALFORMED:
+	case wire.Reason_REASON_CONNECTION_LOST, wire.Reason_REASON_CONNECT_FAILED, wire.Reason_REASON_DEADLINE, wire.Reason_REASON_REPLY_MALFORMED,
+		wire.Reason_REASON_REPLY_TOO_LONG:
 		p.limit.Observe(now, limit.Lost{})
 	}
 }
--- a/internal/soak/scarce.go
+++ b/internal/soak/scarce.go
@@ -7,8 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -50,7 +48,7 @@
 		r.announceMuch(ctx, r.fleet.nodes[random.IntN(len(r.fleet.nodes))])
 	}
 	for _, p := range r.fleet.nodes {
-		if peak, err := peakMemory(p.pid()); err == nil && peak > memoryLimit {
+		if peak, err := stand.PeakMemory(p.pid()); err == nil && peak > memoryLimit {
 			r.addViolation("memory", "%s has taken %d bytes, want at most %d", p.machine.Node, peak, memoryLimit)
 		}
 	}
@@ -140,18 +138,3 @@
 	}
 	delay.Sleep(ctx, recoveryPhase)
 }
-
-// peakMemory returns the greatest resident memory that a process has had, in bytes.
-func peakMemory(pid int) (int64, error) {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0, err
-	}
-	for line := range strings.Lines(string(status)) {
-		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			kilobytes, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
-			return kilobytes << 10, err
-		}
-	}
-	return 0, os.ErrNotExist
-}
--- a/internal/strict/response.go
+++ b/internal/strict/response.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"io"
 
-	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
 )
 
@@ -42,17 +41,17 @@
 	if response.SkipBody {
 		return nil
 	}
-	body := bytebufferpool.Get()
-	defer bytebufferpool.Put(body)
-	if err := readContent(body, r, final.framing, maxBody); err != nil {
+	var body blocks
+	defer body.release()
+	if err := readContent(&body, r, final.framing, maxBody); err != nil {
 		return err
 	}
-	if final.status == statusResetContent && len(body.B) > 0 {
+	if final.status == statusResetContent && body.size > 0 {
 		return malformed(partFraming, []byte("content of status 205"))
 	}
-	response.SetBody(body.B)
+	body.copyTo(response)
 	if _, ok := final.framing.(byClose); ok {
-		response.Header.SetContentLength(len(body.B))
+		response.Header.SetContentLength(body.size)
 	}
 	return nil
 }
@@ -71,14 +70,14 @@
 	return head{}, ErrTooLong
 }
 
-func readContent(body *bytebufferpool.ByteBuffer, r *bufio.Reader, f framing, maxBody int) error {
+func readContent(body *blocks, r *bufio.Reader, f framing, maxBody int) error {
 	switch f := f.(type) {
 	case byLength:
 		return appendBytes(body, r, f.bytes)
 	case byChunks:
 		return readChunks(body, r, maxBody)
 	case byClose:
-		n, err := body.ReadFrom(io.LimitReader(r, int64(maxBody)+1))
+		n, err := body.readFrom(r, int64(maxBody)+1)
 		if err == nil && n > int64(maxBody) {
 			err = fasthttp.ErrBodyTooLarge
 		}
@@ -89,8 +88,8 @@
 }
 
 // appendBytes reads exactly n bytes.
-func appendBytes(body *bytebufferpool.ByteBuffer, r *bufio.Reader, n int64) error {
-	read, err := body.ReadFrom(io.LimitReader(r, n))
+func appendBytes(body *blocks, r *bufio.Reader, n int64) error {
+	read, err := body.readFrom(r, n)
 	if err == nil && read < n {
 		err = io.ErrUnexpectedEOF
 	}
@@ -98,7 +97,7 @@
 }
 
 // readChunks reads a chunked body and its trailers.
-func readChunks(body *bytebufferpool.ByteBuffer, r *bufio.Reader, maxBody int) error {
+func readChunks(body *blocks, r *bufio.Reader, maxBody int) error {
 	extensionBytes := 0
 	for {
 		line, err := readLine(r, partChunk)
@@ -115,7 +114,7 @@
 		if size == 0 {
 			return skipTrailers(r)
 		}
-		if size > int64(maxBody-len(body.B)) {
+		if size > int64(maxBody-body.size) {
 			return fasthttp.ErrBodyTooLarge
 		}
 		if err := appendBytes(body, r, size); err != nil {
