Hand a connection to a waiting request only while nothing waits on it

Seen in a test only: a request that waited for a connection got one on which bytes after the previous reply had arrived, or which the searcher had closed. It would have taken these bytes for its reply, or counted as lost although the searcher never got it. Cause: idle connections are checked when they are taken, but one that is handed over directly was checked for buffered bytes only. Ruled out: the id that replies echo, which protects against replies of other requests, not against bytes that are none. Evidence: TestWaiterGetsCleanConn failed in both cases. Change: Put checks the connection if a request waits. strict.Transport checks it when it is released, so that it does not stay open with such bytes. Figures: one system call more for each hand-over. Conclusion: bytes after a reply no longer cost another request its reply on any way through the pool.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -255,7 +255,8 @@
 	return nil
 }
 
-// Put returns a connection whose reply was read completely. keepAlive is how long the searcher keeps it open, or 0 when it did not say.
+// Put returns a connection whose reply was read completely. An idle connection is checked for unread bytes when it is taken, one that goes to a waiting
+// request now. keepAlive is how long the searcher keeps it open, or 0 when it did not say.
 func (p *Pool) Put(conn *Conn, now time.Time, keepAlive time.Duration) {
 	if keepAlive <= 0 {
 		keepAlive = defaultKeepAlive
@@ -264,13 +265,23 @@
 	conn.usableUntil = now.Add(keepAlive - min(keepAliveMargin, keepAlive/2))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.open > p.limit || conn.reader.Buffered() > 0 {
+	if p.closed || p.open > p.limit || conn.reader.Buffered() > 0 || (p.hasWaiter() && !conn.clean()) {
 		p.discard(conn)
 		return
 	}
 	p.release(conn)
 }
 
+// hasWaiter reports whether a request waits for a connection. The caller must hold mu.
+func (p *Pool) hasWaiter() bool {
+	for rank := range p.waiting {
+		if len(p.waiting[rank]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Discard closes a connection that must not be reused.
 func (p *Pool) Discard(conn *Conn) {
 	p.mu.Lock()
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -179,6 +179,50 @@
 	}
 }
 
+// Guards against a connection that is handed to a waiting request although the searcher has closed it or bytes wait on it, which would be taken for
+// the reply to that request.
+func TestWaiterGetsCleanConn(t *testing.T) {
+	tests := map[string]func(net.Conn) error{
+		"unread bytes": func(conn net.Conn) error {
+			_, err := conn.Write([]byte("HTTP/1.1 200 OK\r\n"))
+			return err
+		},
+		"closed": func(conn net.Conn) error { return conn.Close() },
+	}
+	for name, meanwhile := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := startServer(t)
+			p := newPool(t, s.listener.Addr().String(), 1)
+			first := get(t, p)
+			if err := meanwhile(s.accepted(t, 0)); err != nil {
+				t.Fatal(err)
+			}
+			for first.clean() {
+				time.Sleep(time.Millisecond)
+			}
+			got := make(chan *Conn)
+			go func() {
+				conn, err := p.Get(t.Context(), time.Now(), 0)
+				if err != nil {
+					t.Error(err)
+				}
+				got <- conn
+			}()
+			for waiting := false; !waiting; time.Sleep(time.Millisecond) {
+				p.mu.Lock()
+				waiting = len(p.waiting[0]) > 0
+				p.mu.Unlock()
+			}
+			p.Put(first, time.Now(), 0)
+			conn := <-got
+			if conn == first {
+				t.Error("got the connection with unread bytes or closed by the searcher, want a new one")
+			}
+			p.Discard(conn)
+		})
+	}
+}
+
 // Guards against requests that wait for a searcher that is gone, and against connections in use that stay open when they are returned.
 func TestClose(t *testing.T) {
 	s := startServer(t)
--- a/internal/strict/transport.go
+++ b/internal/strict/transport.go
@@ -90,7 +90,7 @@
 	if err := t.read(conn, reader, response); err != nil {
 		return false, timeoutError(err)
 	}
-	return reader.Buffered() == 0 && !request.ConnectionClose() && !response.ConnectionClose(), nil
+	return reader.Buffered() == 0 && pool.Clean(conn) && !request.ConnectionClose() && !response.ConnectionClose(), nil
 }
 
 // read reads the response, within the budget of its connection if it has one.
