Bound the memory that answers without an end take in pkg/client

Seen: 40 questions at an entry that answers with bodies without an end took 350 and 711 MB of heap in two cases of TestEndlessAnswers. Cause: each answer was bounded, to 16 MiB, and their sum was not; as in serve. Ruled out: heads and chunks without an end, and long chunks that are only announced: strict reads what has arrived. Change: answers draw on a budget of 32 MiB together, of which none is given up below 64 KiB or the size of the hits that questions ask for. Conclusion: a faulty entry cannot take the memory of the program that uses the client. A lone answer may still have 16 MiB.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/fireflylanding/fireflylanding/internal/meter"
 	"github.com/fireflylanding/fireflylanding/internal/strict"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -28,8 +29,11 @@
 
 	// failurePenalty is the time for which an entry is tried last after it failed.
 	failurePenalty = 2 * time.Second
-	// maxAnswerBytes is the maximum size of an answer.
+	// maxAnswerBytes is the maximum size of an answer, and answerMemory the bytes that all answers in reading may take.
 	maxAnswerBytes = 16 << 20
+	answerMemory   = 32 << 20
+	// maxHitBytes is more than a hit of an answer takes, with an id of the usual length.
+	maxHitBytes = 256
 	// idleTimeout is the time after which an unused connection is closed. It is shorter than the idle timeout of an entry, since a
 	// request on a connection that the entry has closed may count as lost.
 	idleTimeout = 5 * time.Second
@@ -53,6 +57,7 @@
 type Client struct {
 	settings Settings
 	http     *fasthttp.Client
+	answers  *strict.Transport
 	calls    conc.WaitGroup
 	cached   atomic.Pointer[directory]
 	// refreshing holds one element while a caller refreshes the directory.
@@ -73,23 +78,26 @@
 	if settings.ConnectTimeout <= 0 {
 		settings.ConnectTimeout = DefaultConnectTimeout
 	}
-	return &Client{settings: settings, http: newHTTP(settings.ConnectTimeout), refreshing: make(chan struct{}, 1)}, nil
+	answers := strict.NewTransport(maxAnswerBytes)
+	return &Client{settings: settings, http: newHTTP(settings.ConnectTimeout, answers), answers: answers, refreshing: make(chan struct{}, 1)}, nil
 }
 
-// newHTTP returns an HTTP client that sends each request only once, without automatic retries.
-func newHTTP(connectTimeout time.Duration) *fasthttp.Client {
+// newHTTP returns an HTTP client that sends each request only once, without automatic retries, and reads the answers within a common budget.
+func newHTTP(connectTimeout time.Duration, answers *strict.Transport) *fasthttp.Client {
+	dial := meter.NewBudget(answerMemory).Dialer(func(_ context.Context, address string) (net.Conn, error) {
+		connection, err := net.DialTimeout("tcp", address, connectTimeout)
+		if err != nil {
+			return nil, &unsentError{cause: err}
+		}
+		return connection, nil
+	})
 	return &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Transport:                 strict.NewTransport(maxAnswerBytes),
+		Transport:                 answers,
 		MaxIdleConnDuration:       idleTimeout,
-		Dial: func(address string) (net.Conn, error) {
-			connection, err := net.DialTimeout("tcp", address, connectTimeout)
-			if err != nil {
-				return nil, &unsentError{cause: err}
-			}
-			return connection, nil
-		},
+		// connectTimeout bounds the dial.
+		Dial: func(address string) (net.Conn, error) { return dial(context.Background(), address) },
 	}
 }
 
@@ -252,6 +260,7 @@
 	if err != nil {
 		return entryReply{}, &unsentError{cause: err}
 	}
+	c.answers.Expect(int64(q.limit) * maxHitBytes)
 	got, err := c.roundTrip(ctx, fasthttp.MethodPost, "http://"+address+queryPath, body)
 	if err != nil {
 		return entryReply{}, err
