Reject searchers' replies that name two different ids or proofs of origin

Seen in a test only: a reply with two X-Request-Id fields, one of another request, reached the caller if the last one was right, with both; so did one with two different stamps. RFC 9110 section 5.3 forbids a field more than once that is no list. Cause: the codec kept the last value of each. Ruled out: duplicates of equal value, which contradict nothing and still pass. Change: such a reply is malformed, as one that violates the grammar. Conclusion: a caller cannot get an answer that also names another request.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -211,6 +211,10 @@
 			return r
 		}
 		head := e.codec.ParseReply(&response.Header)
+		if head.Contradictory {
+			fasthttp.ReleaseResponse(response)
+			return result{reason: wire.Reason_REASON_REPLY_MALFORMED, sent: true, err: errContradictory}
+		}
 		if head.RequestID == "" || head.RequestID == request.ID {
 			return result{reason: replyReason(response, head), response: response, head: head, sent: true}
 		}
@@ -226,6 +230,9 @@
 	return result{reason: wire.Reason_REASON_REPLY_MISMATCH, sent: true}
 }
 
+// errContradictory is the error of a reply that names two different request ids or proofs of origin.
+var errContradictory = errors.New("two different request ids or proofs of origin")
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &timeout) && timeout.Timeout())
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -25,6 +25,8 @@
 	RequestID string
 	// Proof is the searcher's proof that the reply comes from it, empty when there is none.
 	Proof string
+	// Contradictory is set when the reply names two different ids or proofs.
+	Contradictory bool
 	// NotRun is set when the searcher states that it did not run the request.
 	NotRun bool
 	// KeepAlive is how long the searcher keeps the idle connection open, 0 when it did not say. Closes is set when it closes the connection
