Play malformed replies in the soak

Cause: the soak played replies that end early, are late or have no end, and none that are malformed. Ruled out: a fault of its own, which would change what recorded seeds draw. Change: a twelfth of the replies of searchers whose answers are spoilt are malformed, in a form that the id of the request selects.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/fireflylanding/fireflylanding/internal/broken"
 	"github.com/fireflylanding/fireflylanding/internal/delay"
 	"github.com/fireflylanding/fireflylanding/platform/stand"
 )
@@ -31,6 +34,16 @@
 // endlessReply is a reply whose body has no end.
 var endlessReply = stand.EndlessReply{Start: "%s\r\n", Repeat: strings.Repeat("x", 16<<10)}
 
+// malformedReply returns a malformed reply that the id of its request selects, so that recorded seeds draw the same faults as before.
+func malformedReply(id string) stand.Fault {
+	hash := xxhash.Sum64String("malformed " + id)
+	return stand.RawReply{Closes: hash%2 == 0, Message: func(fields, body string) string {
+		messages := broken.Malformed(fields, body)
+		names := slices.Sorted(maps.Keys(messages))
+		return messages[names[hash/2%uint64(len(names))]]
+	}}
+}
+
 // faults are the kinds of faults from which a round chooses at random. Their names appear in reports.
 var faults = []fault{
 	{name: "kill a node", inject: func(r *runner) func() {
@@ -107,10 +120,14 @@
 		searchers := r.randomSearchers()
 		for _, s := range searchers {
 			s.SetFault(func(id string) stand.Fault {
-				if xxhash.Sum64String(id)%3 == 0 {
+				switch xxhash.Sum64String(id) % 12 {
+				case 0, 3, 6, 9:
 					return chosen
+				case 1:
+					return malformedReply(id)
+				default:
+					return stand.NoFault{}
 				}
-				return stand.NoFault{}
 			})
 		}
 		return func() {
