--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -25,6 +25,9 @@
 	505: true,
 }
 
+// replyMalformed is the number of the event of a reply that was no valid response.
+const replyMalformed = 407
+
 // logLine is a parsed log line.
 type logLine struct {
 	At      time.Time `json:"ts"`
@@ -61,13 +64,17 @@
 		lines = append(lines, read...)
 	}
 	sort.SliceStable(lines, func(i, j int) bool { return lines[i].At.Before(lines[j].At) })
-	var own []logLine
+	var own, malformed []logLine
 	for _, l := range lines {
-		if l.Request == request {
+		switch {
+		case l.Request != request:
+		case l.Event == replyMalformed:
+			malformed = append(malformed, l)
+		default:
 			own = append(own, l)
 		}
 	}
-	if len(own) == 0 {
+	if len(own)+len(malformed) == 0 {
 		return ErrRequestNotFound
 	}
 	for _, l := range own {
@@ -75,7 +82,19 @@
 			return err
 		}
 	}
-	return nil
+	return writeMalformed(w, malformed)
+}
+
+// writeMalformed writes the malformed replies to a request.
+func writeMalformed(w io.Writer, replies []logLine) error {
+	out := &printer{w: w}
+	if len(replies) > 0 {
+		out.printf("  replies to it that were no valid HTTP responses:\n")
+	}
+	for _, l := range replies {
+		out.printf("    %s at %s from %v: %v\n", l.At.UTC().Format("15:04:05.000"), l.Node, l.fields["searcher"], l.fields["error"])
+	}
+	return out.err
 }
 
 func readLines(r io.Reader) ([]logLine, error) {
