Keep the platform's names out of the malformed messages of tests

Cause: a message for tests named a header field of the platform outside platform/, which TestPlatformNamesStayInTheAdapter finds; that test had not run since. Ruled out: an exception in that test. Evidence: the root tests failed before. Conclusion: a slip of mine, mended.

--- a/internal/broken/messages.go
+++ b/internal/broken/messages.go
@@ -102,7 +102,7 @@
 	messages["blank before the first name"] = "HTTP/1.1 200 OK\r\n X-Other: a\r\n" + fields + length(body) + "\r\n" + body
 	messages["head ends in LF"] = "HTTP/1.1 200 OK\r\n" + fields + length(body) + "\n" + body
 	messages["failure with a blank in a name"] = "HTTP/1.1 500 Failed\r\n" + fields + "X Other: a\r\n" + length(body) + "\r\n" + body
-	messages["rejection with a blank in a name"] = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n" + fields + "X Other: a\r\nContent-Length: 0\r\n\r\n"
+	messages["rejection with a blank in a name"] = "HTTP/1.1 503 Busy\r\n" + fields + "X Other: a\r\nContent-Length: 0\r\n\r\n"
 	messages["no content with a blank in a name"] = "HTTP/1.1 204 No Content\r\n" + fields + "X Other: a\r\n\r\n"
 	return messages
 }
