Share the endless answers and the loops over malformed lines among tests

Ruled out: nothing. Change: broken.Endless and withLines. An accessor of MalformedError that nothing used is removed. Conclusion: no message or assertion changed.

--- a/internal/broken/messages.go
+++ b/internal/broken/messages.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"iter"
+	"maps"
 	"strconv"
 	"strings"
 )
@@ -16,13 +17,20 @@
 	for _, messages := range []map[string]string{
 		statusLines(fields, body), fieldLines(fields, body), framing(fields, body), chunkLines(fields, body), trailers(fields, body), interim(fields, body),
 	} {
-		for name, message := range messages {
-			all[name] = message
-		}
+		maps.Copy(all, messages)
 	}
 	return all
 }
 
+// withLines returns the messages that contain each of the lines.
+func withLines(lines map[string]string, message func(line string) string) map[string]string {
+	messages := make(map[string]string, len(lines))
+	for name, line := range lines {
+		messages[name] = message(line)
+	}
+	return messages
+}
+
 // length returns the Content-Length line of a body.
 func length(body string) string { return "Content-Length: " + strconv.Itoa(len(body)) + "\r\n" }
 
@@ -58,11 +66,7 @@
 		"DEL in the reason":         "HTTP/1.1 200 O\x7fK\r\n",
 		"switch of protocols":       "HTTP/1.1 101 Switching Protocols\r\n",
 	}
-	messages := make(map[string]string)
-	for name, line := range lines {
-		messages[name] = line + fields + length(body) + "\r\n" + body
-	}
-	return messages
+	return withLines(lines, func(line string) string { return line + fields + length(body) + "\r\n" + body })
 }
 
 func fieldLines(fields, body string) map[string]string {
@@ -95,10 +99,7 @@
 		"blank line of LF after LF":   "X-Other: a\n\n",
 		"blank in the name of length": "Content Length: 1\r\n",
 	}
-	messages := make(map[string]string)
-	for name, line := range lines {
-		messages[name] = "HTTP/1.1 200 OK\r\n" + fields + line + length(body) + "\r\n" + body
-	}
+	messages := withLines(lines, func(line string) string { return "HTTP/1.1 200 OK\r\n" + fields + line + length(body) + "\r\n" + body })
 	messages["blank before the first name"] = "HTTP/1.1 200 OK\r\n X-Other: a\r\n" + fields + length(body) + "\r\n" + body
 	messages["head ends in LF"] = "HTTP/1.1 200 OK\r\n" + fields + length(body) + "\n" + body
 	messages["failure with a blank in a name"] = "HTTP/1.1 500 Failed\r\n" + fields + "X Other: a\r\n" + length(body) + "\r\n" + body
@@ -137,14 +138,13 @@
 		"blank before the colon of the coding": "Transfer-Encoding : chunked\r\n",
 		"blank in the name of the coding":      "Transfer Encoding: chunked\r\n",
 	}
-	messages := make(map[string]string)
-	for name, head := range heads {
+	messages := withLines(heads, func(head string) string {
 		content := body
 		if strings.Contains(head, "chunked") {
 			content = chunks
 		}
-		messages[name] = "HTTP/1.1 200 OK\r\n" + fields + head + "\r\n" + content
-	}
+		return "HTTP/1.1 200 OK\r\n" + fields + head + "\r\n" + content
+	})
 	messages["chunks in version 1.0"] = "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunks
 	messages["no content with a body"] = "HTTP/1.1 204 No Content\r\n" + fields + length(body) + "\r\n" + body
 	messages["no content in chunks"] = "HTTP/1.1 204 No Content\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunks
@@ -194,11 +194,7 @@
 		"body ends in LF":              size + "\r\n" + body + "\r\n0\r\n\n",
 		"body ends in CR CR LF":        size + "\r\n" + body + "\r\n0\r\n\r\r\n",
 	}
-	messages := make(map[string]string)
-	for name, text := range bodies {
-		messages[name] = chunkedHead(fields) + text
-	}
-	return messages
+	return withLines(bodies, func(text string) string { return chunkedHead(fields) + text })
 }
 
 func trailers(fields, body string) map[string]string {
@@ -214,11 +210,9 @@
 		"trailer with CR in its value":             "X-Other: a\rb\r\n",
 		"trailer that ends in LF":                  "X-Other: a\n",
 	}
-	messages := make(map[string]string)
-	for name, line := range lines {
-		messages[name] = chunkedHead(fields) + fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n", len(body), body, line)
-	}
-	return messages
+	return withLines(lines, func(line string) string {
+		return chunkedHead(fields) + fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n", len(body), body, line)
+	})
 }
 
 func interim(fields, body string) map[string]string {
--- a/internal/owner/endless_test.go
+++ b/internal/owner/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
 	"time"
 
@@ -24,21 +23,9 @@
 		maxGrowth = 284 << 20 / 2
 		rounds    = 5
 	)
-	filler := strings.Repeat("x", 64<<10)
-	tests := map[string]broken.Answer{
-		"no response":         {Message: "x", Repeat: filler},
-		"head":                {Message: "HTTP/1.1 200 OK\r\n", Repeat: strings.Repeat("X-More: more\r\n", 1000)},
-		"one line":            {Message: "HTTP/1.1 200 OK\r\nX-Long: ", Repeat: filler},
-		"body without length": {Message: "HTTP/1.1 200 OK\r\n\r\n", Repeat: filler},
-		"long body":           {Message: "HTTP/1.1 200 OK\r\nContent-Length: 4194304\r\n\r\n", Repeat: filler},
-		"chunks":              {Message: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", Repeat: fmt.Sprintf("%x\r\n%s\r\n", len(filler), filler)},
-		"chunk extension":     {Message: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", Repeat: filler},
-		"trailers":            {Message: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", Repeat: strings.Repeat("X-More: more\r\n", 1000)},
-	}
-	for name, endless := range tests {
+	for name, endless := range broken.Endless(maxReplyBytes) {
 		t.Run(name, func(t *testing.T) {
 			h, sound := newRawSearcher(t)
-			endless.Watched = true
 			faulty, err := broken.Start(func(request *fasthttp.Request) broken.Answer {
 				if string(request.URI().Path()) == healthPath {
 					return soundAnswer("")
--- a/internal/strict/malformed.go
+++ b/internal/strict/malformed.go
@@ -24,9 +24,6 @@
 	return &MalformedError{part: part, text: string(text[:min(len(text), maxQuotedBytes)])}
 }
 
-// Part returns the part of the response that is malformed, such as "status line".
-func (e *MalformedError) Part() string { return e.part }
-
 // Error implements error.
 func (e *MalformedError) Error() string {
 	return fmt.Sprintf("malformed %s of the response: %q", e.part, e.text)
--- a/pkg/client/endless_test.go
+++ b/pkg/client/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"testing"
 	"time"
 
@@ -19,17 +18,9 @@
 		// maxGrowth is the greatest growth of the heap with its garbage: four times what answers in reading may take.
 		maxGrowth = 128 << 20
 	)
-	filler := strings.Repeat("x", 64<<10)
-	tests := map[string]broken.Answer{
-		"head":                {Message: "HTTP/1.1 200 OK\r\nX-Long: ", Repeat: filler},
-		"body without length": {Message: "HTTP/1.1 200 OK\r\n\r\n", Repeat: filler},
-		"long body":           {Message: "HTTP/1.1 200 OK\r\nContent-Length: 16777216\r\n\r\n", Repeat: filler},
-		"long chunk":          {Message: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n", Repeat: filler},
-	}
-	for name, endless := range tests {
+	for name, endless := range broken.Endless(16 << 20) {
 		t.Run(name, func(t *testing.T) {
 			c, faulty := newRawEntry(t)
-			endless.Watched = true
 			faulty.setQuery(func(string) broken.Answer { return endless })
 			sound, _ := newRawEntry(t)
 			stop := broken.PeakHeap()
