--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/fireflylanding/fireflylanding/internal/strict"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
@@ -18,6 +19,8 @@
 	// callerGrace is the time after the deadline for which a caller still waits for the answer that states the missing shards.
 	callerGrace = 500 * time.Millisecond
 	hitLimit    = 10
+	// maxAnswerBytes is the maximum size of an answer.
+	maxAnswerBytes = 16 << 20
 )
 
 // caller sends queries to the entries in turn, directly over HTTP and without retries.
@@ -30,11 +33,13 @@
 
 func newCaller(addresses []string) *caller {
 	c := &caller{}
+	answers := strict.NewTransport(maxAnswerBytes)
 	for _, address := range addresses {
 		c.entries = append(c.entries, &fasthttp.HostClient{
 			Addr:                      address,
 			MaxConns:                  callerConnections,
 			MaxIdemponentCallAttempts: 1,
+			Transport:                 answers,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		})
 	}
