Reject a head that the HTTP library would read to another end

Change: ReadResponse compares what the library took of the head with what it has checked. Statuses are named by the library's constants.

--- a/internal/strict/grammar.go
+++ b/internal/strict/grammar.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"math"
 	"strings"
+
+	"github.com/valyala/fasthttp"
 )
 
 // Parts of a response that errors name.
 const (
+	partHead       = "head"
 	partStatusLine = "status line"
 	partFieldLine  = "field line"
 	partFraming    = "framing"
@@ -27,8 +30,6 @@
 	reasonAt  = statusAt + 4
 	minStatus = 100
 	maxStatus = 599
-	// statusSwitching switches to another protocol, which no request asks for.
-	statusSwitching = 101
 )
 
 // statusLine holds the values of a status line.
@@ -37,14 +38,14 @@
 	status int
 }
 
-// parseStatusLine parses a status line without its line break.
+// parseStatusLine parses a status line without its line break. It rejects a switch to another protocol, which no request asks for.
 func parseStatusLine(line []byte) (statusLine, bool) {
 	if len(line) < reasonAt || !bytes.HasPrefix(line, []byte(versionOne)) || line[minorAt+1] != ' ' || line[reasonAt-1] != ' ' {
 		return statusLine{}, false
 	}
 	minor, ok := parseNumber(line[minorAt:minorAt+1], 10)
 	status, okStatus := parseNumber(line[statusAt:reasonAt-1], 10)
-	if !ok || !okStatus || status < minStatus || status > maxStatus || status == statusSwitching || !isText(line[reasonAt:]) {
+	if !ok || !okStatus || status < minStatus || status > maxStatus || status == fasthttp.StatusSwitchingProtocols || !isText(line[reasonAt:]) {
 		return statusLine{}, false
 	}
 	return statusLine{minor: int(minor), status: int(status)}, true
--- a/internal/strict/head.go
+++ b/internal/strict/head.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"io"
+
+	"github.com/valyala/fasthttp"
 )
 
 // framing is how the end of a response's content is found: noContent, byLength, byChunks or byClose.
@@ -35,7 +37,7 @@
 }
 
 // interim reports whether another response to the same request follows.
-func (h head) interim() bool { return h.status < 200 }
+func (h head) interim() bool { return h.status < fasthttp.StatusOK }
 
 // headScanner checks the lines of a head as they arrive.
 type headScanner struct {
@@ -129,7 +131,7 @@
 // content returns how the end of the content is found, by the rules of RFC 9112 section 6.3.
 func (s *headScanner) content() (framing, error) {
 	switch {
-	case s.status < 200 || s.status == 204:
+	case s.status < fasthttp.StatusOK || s.status == fasthttp.StatusNoContent:
 		if s.chunked || s.length > 0 {
 			return nil, malformed(partFraming, []byte("content of a response that has none"))
 		}
@@ -138,7 +140,7 @@
 		return nil, malformed(partFraming, []byte("both Transfer-Encoding and Content-Length"))
 	case s.chunked && s.minor == 0:
 		return nil, malformed(partFraming, []byte("Transfer-Encoding in HTTP/1.0"))
-	case s.status == 304:
+	case s.status == fasthttp.StatusNotModified:
 		return noContent{}, nil
 	case s.chunked:
 		return byChunks{}, nil
--- a/internal/strict/response.go
+++ b/internal/strict/response.go
@@ -16,8 +16,6 @@
 	// maxExtensionBytes and maxTrailerBytes bound all chunk extensions and all trailers of a response.
 	maxExtensionBytes = 16 << 10
 	maxTrailerBytes   = 16 << 10
-	// statusResetContent has no content, although it is framed like a response with content.
-	statusResetContent = 205
 )
 
 // ReadResponse reads the next final response, of at most maxBody bytes of body. The buffer of r bounds its head. If response.SkipBody is set, the
@@ -34,8 +32,12 @@
 	if length, ok := final.framing.(byLength); ok && length.bytes > int64(maxBody) && !response.SkipBody {
 		return fasthttp.ErrBodyTooLarge
 	}
+	buffered := r.Buffered()
 	if err := response.Header.Read(r); err != nil {
-		return malformed("head", []byte(err.Error()))
+		return malformed(partHead, []byte(err.Error()))
+	}
+	if buffered-r.Buffered() != final.size {
+		return malformed(partHead, []byte("the HTTP library reads another head"))
 	}
 	response.ResetBody()
 	if response.SkipBody {
@@ -46,7 +48,8 @@
 	if err := readContent(&body, r, final.framing, maxBody); err != nil {
 		return err
 	}
-	if final.status == statusResetContent && body.size > 0 {
+	// This status has no content, although it is framed like one with content.
+	if final.status == fasthttp.StatusResetContent && body.size > 0 {
 		return malformed(partFraming, []byte("content of status 205"))
 	}
 	body.copyTo(response)
