--- a/internal/plat/malformed_test.go
+++ b/internal/plat/malformed_test.go
@@ -57,18 +57,20 @@
 
 // Guards against a control byte at any place of a line of an answer that passes.
 func TestControlByteInAnswer(t *testing.T) {
-	var message string
-	server, err := broken.Start(func(*fasthttp.Request) broken.Answer { return broken.Answer{Message: message} })
+	var answer broken.Answer
+	server, err := broken.Start(func(*fasthttp.Request) broken.Answer { return answer })
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer server.Close()
 	client := New(server.Address(), WithTimeout(2*time.Second))
 	defer client.Close()
-	for name, text := range broken.ControlBytes(malformedFields, malformedBody) {
-		message = text
-		if _, err := client.Read(t.Context(), "plans"); errorKind(err) != "unavailable" {
-			t.Errorf("%s: got error %v, want one that the service is unavailable", name, err)
+	for _, closes := range []bool{false, true} {
+		for name, message := range broken.ControlBytes(malformedFields, malformedBody) {
+			answer = broken.Answer{Message: message, Closes: closes}
+			if _, err := client.Read(t.Context(), "plans"); errorKind(err) != "unavailable" {
+				t.Errorf("%s, closes %v: got error %v, want one that the service is unavailable", name, closes, err)
+			}
 		}
 	}
 }
--- a/pkg/client/malformed_test.go
+++ b/pkg/client/malformed_test.go
@@ -114,11 +114,13 @@
 // Guards against a control byte at any place of a line of an answer that passes.
 func TestControlByteInAnswer(t *testing.T) {
 	c, e := newRawEntry(t)
-	for name, message := range broken.ControlBytes("Content-Type: a\r\n", wholeAnswer) {
-		e.setQuery(func(string) broken.Answer { return broken.Answer{Message: message} })
-		_, err := c.Ask(t.Context(), client.NewQuestion("p", "c", "q"))
-		if refusal := client.AsRefusal(err); refusal == nil || refusal.Reason() != client.ReasonBadAnswer {
-			t.Errorf("%s: got error %v, want one of a bad answer", name, err)
+	for _, closes := range []bool{false, true} {
+		for name, message := range broken.ControlBytes("Content-Type: a\r\n", wholeAnswer) {
+			e.setQuery(func(string) broken.Answer { return broken.Answer{Message: message, Closes: closes} })
+			_, err := c.Ask(t.Context(), client.NewQuestion("p", "c", "q"))
+			if refusal := client.AsRefusal(err); refusal == nil || refusal.Reason() != client.ReasonBadAnswer {
+				t.Errorf("%s, closes %v: got error %v, want one of a bad answer", name, closes, err)
+			}
 		}
 	}
 }
