--- a/internal/edge/conn.go
+++ b/internal/edge/conn.go
@@ -62,11 +62,5 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, limits: l.limits}
-	if sc, ok := accepted.(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil {
-			c.raw = raw
-		}
-	}
-	return c, nil
+	return &conn{Conn: accepted, raw: pool.Raw(accepted), limits: l.limits}, nil
 }
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -27,13 +27,20 @@
 }
 
 func newConn(conn net.Conn) *Conn {
-	c := &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
-	if sc, ok := conn.(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil {
-			c.raw = raw
-		}
+	return &Conn{Conn: conn, raw: Raw(conn), reader: bufio.NewReaderSize(conn, readBufferBytes)}
+}
+
+// Raw returns the connection as Peek checks it, nil if it cannot be checked.
+func Raw(conn net.Conn) syscall.RawConn {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
 	}
-	return c
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
 }
 
 // Reader returns the buffered reader of the connection. Bytes that remain in it after a reply belong to no request.
@@ -47,14 +54,7 @@
 
 // Clean reports whether an idle connection of a client is open and has no unread bytes, which would be taken for the next reply. A connection that
 // cannot be checked counts as clean.
-func Clean(conn net.Conn) bool {
-	checked, ok := conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := checked.SyscallConn()
-	return err != nil || Peek(raw) == Idle
-}
+func Clean(conn net.Conn) bool { return Peek(Raw(conn)) == Idle }
 
 // ConnState is the state of a connection as seen without reading from it.
 type ConnState int
