Serve routes with home regions in them only, and evacuate availability zones

Routes may restrict the regions that run their requests, and the operator may ask that the searchers of an availability zone get no new work.

Evacuated searchers are treated as leaving ones: connections that wait are given up, and endpoints are made anew afterwards.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -14,14 +14,16 @@
 
 // Searcher is one registered process of a searcher.
 type Searcher struct {
-	id       string
-	service  string
-	address  string
-	zone     string
-	slots    int
-	leaving  bool
-	started  int64
-	revision epoch.Revision
+	id      string
+	service string
+	address string
+	zone    string
+	slots   int
+	leaving bool
+	// evacuated is set in snapshots while the searcher's availability zone is evacuated.
+	evacuated bool
+	started   int64
+	revision  epoch.Revision
 }
 
 // NewSearcher returns a searcher. started is the Unix time in milliseconds at which the process started; it distinguishes processes that
@@ -45,8 +47,11 @@
 // Slots returns the number of requests that the searcher runs in parallel.
 func (s *Searcher) Slots() int { return s.slots }
 
-// Leaving reports whether the searcher asked for no new work.
-func (s *Searcher) Leaving() bool { return s.leaving }
+// Leaving reports whether the searcher takes no new work: it asked for none, or its availability zone is evacuated.
+func (s *Searcher) Leaving() bool { return s.leaving || s.evacuated }
+
+// Evacuated reports whether the searcher's availability zone is evacuated.
+func (s *Searcher) Evacuated() bool { return s.evacuated }
 
 // registeredAfter reports whether s is the later registration of two. After a restore a revision does not tell when an entry was written, so
 // that the start of the process decides between eras.
@@ -102,6 +107,8 @@
 	doubted map[string]doubt
 	// services are the names of the services that routes may use, nil while they are not known.
 	services map[string]bool
+	// evacuated holds the availability zones whose searchers take no new work.
+	evacuated map[string]bool
 }
 
 // doubt is a registration that takes effect at a time, unless it is replaced before.
@@ -262,18 +269,23 @@
 	snapshot := &Snapshot{byID: make(map[string]*Searcher, len(r.byID)), services: make(map[string][]*Searcher)}
 	latest := make(map[string]*Searcher, len(r.byID))
 	for id, s := range r.byID {
+		if r.evacuated[s.zone] {
+			withdrawn := *s
+			withdrawn.evacuated = true
+			s = &withdrawn
+		}
 		snapshot.byID[id] = s
 		if other, ok := latest[s.address]; r.usable(s) && (!ok || s.registeredAfter(other)) {
 			latest[s.address] = s
 		}
 	}
-	for _, s := range r.byID {
+	for _, s := range snapshot.byID {
 		if r.usable(s) && latest[s.address] != s {
 			snapshot.replaced = append(snapshot.replaced, s.Key())
 		}
 	}
 	for _, s := range latest {
-		if !s.leaving {
+		if !s.Leaving() {
 			snapshot.services[s.service] = append(snapshot.services[s.service], s)
 		}
 	}
@@ -282,3 +294,18 @@
 	}
 	r.current.Store(snapshot)
 }
+
+// SetEvacuated sets the availability zones whose searchers take no new work.
+func (r *Registry) SetEvacuated(zones []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	evacuated := make(map[string]bool, len(zones))
+	for _, zone := range zones {
+		evacuated[zone] = true
+	}
+	if maps.Equal(r.evacuated, evacuated) {
+		return
+	}
+	r.evacuated = evacuated
+	r.publish()
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,8 +29,8 @@
 // errEarlierEra is the error of a call that was answered from before a restore which this node knows of.
 var errEarlierEra = errors.New("the source answered from an earlier era")
 
-// Change is the decoded content of an entry: Routes, Searcher, Removed, Unreadable, or nil for an entry that does not belong to this
-// system.
+// Change is the decoded content of an entry: Routes, Searcher, Removed, Evacuated, EvacuationEnded, Unreadable, or nil for an entry that does
+// not belong to this system.
 type Change interface{ change() }
 
 // Routes is a new version of the routes.
@@ -41,6 +42,12 @@
 // Removed is the removal of a registration.
 type Removed struct{ ID string }
 
+// Evacuated asks that the searchers of an availability zone get no new work.
+type Evacuated struct{ Zone string }
+
+// EvacuationEnded is the end of such a request.
+type EvacuationEnded struct{ Zone string }
+
 // Unreadable is an entry that cannot be decoded. ID is the searcher that the entry would have named, if any; its previous registration is
 // dropped, since the entry that held it has been overwritten.
 type Unreadable struct {
@@ -49,10 +56,12 @@
 	Err error
 }
 
-func (Routes) change()     {}
-func (Searcher) change()   {}
-func (Removed) change()    {}
-func (Unreadable) change() {}
+func (Routes) change()          {}
+func (Searcher) change()        {}
+func (Removed) change()         {}
+func (Evacuated) change()       {}
+func (EvacuationEnded) change() {}
+func (Unreadable) change()      {}
 
 // Source is the platform's configuration store.
 type Source interface {
@@ -97,6 +106,8 @@
 type Settings struct {
 	// ApplyWithin is the time within which a change of the source must be in force.
 	ApplyWithin time.Duration
+	// Zones are the availability zones that may be evacuated.
+	Zones []string
 }
 
 // Hooks connect a follower to its node.
@@ -126,6 +137,9 @@
 
 	mu      sync.Mutex
 	entries *entries
+	// evacuations holds the evacuated availability zones. unknownZones holds the others whose evacuation was asked for.
+	evacuations  evacuations
+	unknownZones map[string]bool
 	// sourceDown is set while calls to the source fail.
 	sourceDown bool
 	// sourceHoldUntil is the time until which searchers that this node reads as removed may still be alive, because its own calls failed.
@@ -137,14 +151,16 @@
 // New returns a follower. Run starts it.
 func New(source Source, registry *fleet.Registry, settings Settings, hooks Hooks, logger *events.Logger, clock func() time.Time) *Follower {
 	return &Follower{
-		source:    source,
-		registry:  registry,
-		settings:  settings,
-		hooks:     hooks,
-		logger:    logger,
-		clock:     clock,
-		entries:   newEntries(),
-		needsList: true,
+		source:       source,
+		registry:     registry,
+		settings:     settings,
+		hooks:        hooks,
+		logger:       logger,
+		clock:        clock,
+		entries:      newEntries(),
+		evacuations:  newEvacuations(),
+		unknownZones: make(map[string]bool),
+		needsList:    true,
 	}
 }
 
@@ -269,7 +285,8 @@
 	return reading
 }
 
-// expireRemovals drops the searchers whose hold has ended, puts registrations in force whose doubt has ended, and reports whether there were any.
+// expireRemovals drops the searchers whose hold has ended, puts registrations in force whose doubt has ended, ends evacuations whose end was
+// deferred, and reports whether there were any.
 func (f *Follower) expireRemovals(now time.Time) bool {
 	dropped, trusted := f.registry.Expire(now)
 	if len(dropped) > 0 {
@@ -278,7 +295,14 @@
 	if len(trusted) > 0 {
 		f.logger.Log(wire.Event_EVENT_DOUBT_ENDED, zap.Strings("searchers", trusted))
 	}
-	return len(dropped)+len(trusted) > 0
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ended := f.evacuations.expire(now)
+	if len(ended) > 0 {
+		f.logger.Log(wire.Event_EVENT_EVACUATION_ENDED, zap.Strings("availability_zones", ended))
+		f.registry.SetEvacuated(f.evacuations.zones())
+	}
+	return len(dropped)+len(trusted)+len(ended) > 0
 }
 
 // poll makes one call to the source and returns the delay before the next one.
@@ -407,6 +431,11 @@
 			registered = append(registered, change.Searcher)
 		case Removed:
 			removed = append(removed, change.ID)
+		case Evacuated:
+			f.beginEvacuation(change.Zone)
+		case EvacuationEnded:
+			// Only a restored store lacks what the operator still asks for.
+			f.endEvacuation(now, change.Zone, doubtUntil)
 		case Unreadable:
 			f.logger.Log(wire.Event_EVENT_ENTRY_UNREADABLE, zap.String("key", change.Key), zap.Error(change.Err))
 			if change.ID != "" {
@@ -437,3 +466,36 @@
 	f.table.Store(table)
 	f.logger.Log(wire.Event_EVENT_ROUTES_IN_FORCE, zap.Uint64("version", table.Version()), zap.Int("routes", len(table.Routes())))
 }
+
+// beginEvacuation takes the searchers of a zone out of use. The caller must hold mu.
+func (f *Follower) beginEvacuation(zone string) {
+	if !slices.Contains(f.settings.Zones, zone) {
+		if !f.unknownZones[zone] && len(f.unknownZones) < maxUnknownZones {
+			f.unknownZones[zone] = true
+			f.logger.Log(wire.Event_EVENT_FIELD_IGNORED, zap.String("item", "evacuation"), zap.String("field", "availability_zone"), zap.String("value", zone))
+		}
+		return
+	}
+	if f.evacuations.begin(zone) {
+		f.logger.Log(wire.Event_EVENT_ZONE_EVACUATED, zap.Strings("availability_zones", []string{zone}))
+	}
+	f.registry.SetEvacuated(f.evacuations.zones())
+}
+
+// maxUnknownZones bounds the unknown zones that are remembered, so that each is logged once.
+const maxUnknownZones = 64
+
+// endEvacuation uses the searchers of a zone again, at holdUntil at the earliest. The caller must hold mu.
+func (f *Follower) endEvacuation(now time.Time, zone string, holdUntil time.Time) {
+	if f.evacuations.end(now, zone, holdUntil) {
+		f.logger.Log(wire.Event_EVENT_EVACUATION_ENDED, zap.Strings("availability_zones", []string{zone}))
+		f.registry.SetEvacuated(f.evacuations.zones())
+	}
+}
+
+// Evacuated returns the evacuated availability zones in order.
+func (f *Follower) Evacuated() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuations.zones()
+}
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -59,6 +59,8 @@
 type endpointTable struct {
 	byKey     map[fleet.Key]*endpoint
 	byService map[string][]*endpoint
+	// evacuated holds the services that have searchers in evacuated availability zones.
+	evacuated map[string]bool
 	table     *route.Table
 }
 
@@ -110,7 +112,12 @@
 // the processes that are gone.
 func (b *balancer) update(snapshot *fleet.Snapshot, table *route.Table) []fleet.Key {
 	old, nodes := b.current.Load(), *b.nodes.Load()
-	next := &endpointTable{byKey: make(map[fleet.Key]*endpoint), byService: make(map[string][]*endpoint), table: table}
+	next := &endpointTable{
+		byKey:     make(map[fleet.Key]*endpoint),
+		byService: make(map[string][]*endpoint),
+		evacuated: make(map[string]bool),
+		table:     table,
+	}
 	for _, s := range snapshot.All() {
 		key := s.Key()
 		limit := b.limit(s, table, nodes)
@@ -134,6 +141,9 @@
 		}
 		ep.setLimit(limit)
 		next.byKey[key] = ep
+		if s.Evacuated() {
+			next.evacuated[s.Service()] = true
+		}
 	}
 	for _, service := range table.ServiceNames() {
 		for _, s := range snapshot.Service(service) {
@@ -379,82 +389,6 @@
 	}
 }
 
-// costJitter randomizes choices between endpoints of nearly equal cost, so that the load spreads over them.
-const costJitter = 0.15
-
-// choice is a chosen endpoint with the expected latency of a request to it.
-type choice struct {
-	endpoint *endpoint
-	latency  time.Duration
-	// roundTrip is the network part of latency.
-	roundTrip time.Duration
-	stalled   bool
-	// limited is set when the limit of a searcher kept it from being chosen, or a pause that it asked for. paused is set if all were pauses.
-	limited bool
-	paused  bool
-}
-
-// candidate is an endpoint with its health state at the time of a choice.
-type candidate struct {
-	endpoint *endpoint
-	state    health.State
-}
-
-// inlineCandidates is the number of searchers per service up to which a choice does not allocate.
-const inlineCandidates = 8
-
-// choose returns the endpoint of a service with the least cost among those that skip does not exclude and whose limits leave room. The reply is
-// useful only within timeLeft. The caller takes the room with the endpoint's pacer.
-func (b *balancer) choose(now time.Time, service string, timeLeft time.Duration, skip func(*endpoint) bool) (choice, bool) {
-	var buffer [inlineCandidates]candidate
-	candidates := buffer[:0]
-	for _, ep := range b.current.Load().byService[service] {
-		candidates = append(candidates, candidate{endpoint: ep, state: ep.tracker.State(now)})
-	}
-	typical := b.typicalServiceTime(candidates)
-	var best choice
-	var leastCost time.Duration
-	limited, paused := 0, 0
-	for _, c := range candidates {
-		ep := c.endpoint
-		if ep.replaced.Load() || ep.leaving.Load() || skip(ep) {
-			continue
-		}
-		if !ep.pacer.Available(now) {
-			limited++
-			if ep.pacer.Paused(now) {
-				paused++
-			}
-			continue
-		}
-		roundTrip := b.roundTrip(ep.searcher.Zone())
-		latency := c.state.Latency(roundTrip, typical)
-		cost := c.state.Cost(latency, timeLeft)
-		cost += time.Duration(float64(cost) * costJitter * rand.Float64())
-		if best.endpoint == nil || cost < leastCost {
-			leastCost = cost
-			best = choice{endpoint: ep, latency: latency, roundTrip: roundTrip, stalled: c.state.Stalled}
-		}
-	}
-	best.limited, best.paused = limited > 0, paused > 0 && paused == limited
-	return best, best.endpoint != nil
-}
-
-// typicalServiceTime returns the least mean service time of the candidates, as an estimate for endpoints without samples.
-func (b *balancer) typicalServiceTime(candidates []candidate) time.Duration {
-	least := time.Duration(0)
-	for _, c := range candidates {
-		if c.state.Mean == 0 {
-			continue
-		}
-		service := max(c.state.Mean-b.roundTrip(c.endpoint.searcher.Zone()), 0)
-		if least == 0 || service < least {
-			least = service
-		}
-	}
-	return least
-}
-
 // maintain closes expired idle connections of all endpoints, and adapts this node's shares of limits to the nodes that share them.
 func (b *balancer) maintain(now time.Time) {
 	members := b.nodes.Load().Members
--- /dev/null
+++ b/internal/relay/choice.go
@@ -0,0 +1,187 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fireflylanding/fireflylanding/internal/health"
+	"github.com/fireflylanding/fireflylanding/internal/route"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// exclusion is why an endpoint may not be chosen for a request.
+type exclusion int
+
+const (
+	// notExcluded endpoints are compared by cost.
+	notExcluded exclusion = iota
+	// excludedTried endpoints were sent the request before.
+	excludedTried
+	// excludedReplaced endpoints have ended: another process has answered at the address.
+	excludedReplaced
+	// excludedLeaving endpoints stated that they leave.
+	excludedLeaving
+	// excludedHome endpoints are outside the home regions of the route.
+	excludedHome
+	// excludedPaused endpoints asked this node for no requests for a while.
+	excludedPaused
+	// excludedLimited endpoints named a limit, of which this node has used its share.
+	excludedLimited
+	numExclusions
+)
+
+// reason returns why a part ends if all endpoints of its service are excluded for this cause.
+func (x exclusion) reason() wire.Reason {
+	switch x {
+	case excludedHome:
+		return wire.Reason_REASON_HOME_REGION
+	case excludedPaused:
+		return wire.Reason_REASON_SEARCHER_PAUSED
+	case excludedLimited:
+		return wire.Reason_REASON_SEARCHER_LIMIT
+	default:
+		return wire.Reason_REASON_NO_REPLICA
+	}
+}
+
+// temporary reports whether the cause ends without a change of the configuration or the registrations.
+func (x exclusion) temporary() bool { return x == excludedPaused || x == excludedLimited }
+
+// demand is what a choice must satisfy.
+type demand struct {
+	service string
+	homes   route.Homes
+	// timeLeft is the time within which a reply is useful.
+	timeLeft time.Duration
+	// skip excludes endpoints that were sent the request before.
+	skip func(*endpoint) bool
+}
+
+// exclude returns why an endpoint may not be chosen now, or notExcluded.
+func (b *balancer) exclude(now time.Time, ep *endpoint, d demand) exclusion {
+	switch {
+	case !d.homes.Allow(b.location.Regions[ep.searcher.Zone()]):
+		return excludedHome
+	case ep.replaced.Load():
+		return excludedReplaced
+	case ep.leaving.Load():
+		return excludedLeaving
+	case d.skip(ep):
+		return excludedTried
+	case ep.pacer.Paused(now):
+		return excludedPaused
+	case !ep.pacer.Available(now):
+		return excludedLimited
+	default:
+		return notExcluded
+	}
+}
+
+// costJitter randomizes choices between endpoints of nearly equal cost, so that the load spreads over them.
+const costJitter = 0.15
+
+// choice is a chosen endpoint with the expected latency of a request to it.
+type choice struct {
+	endpoint *endpoint
+	latency  time.Duration
+	// roundTrip is the network part of latency.
+	roundTrip time.Duration
+	stalled   bool
+	// excluded counts the endpoints of the service by what kept them from being chosen.
+	excluded [numExclusions]int
+	// evacuated is set when the service has searchers in evacuated availability zones.
+	evacuated bool
+}
+
+// temporarilyExcluded reports whether an endpoint may be chosen again without a change of the configuration or the registrations.
+func (c choice) temporarilyExcluded() bool {
+	for x, count := range c.excluded {
+		if count > 0 && exclusion(x).temporary() {
+			return true
+		}
+	}
+	return false
+}
+
+// exclusionReason returns why no endpoint could be chosen.
+func (c choice) exclusionReason() wire.Reason {
+	for _, x := range []exclusion{excludedLimited, excludedPaused, excludedTried, excludedHome} {
+		if c.excluded[x] > 0 {
+			return x.reason()
+		}
+	}
+	if c.evacuated {
+		return wire.Reason_REASON_ZONE_EVACUATED
+	}
+	return wire.Reason_REASON_NO_REPLICA
+}
+
+// candidate is an endpoint with its health state at the time of a choice.
+type candidate struct {
+	endpoint *endpoint
+	state    health.State
+}
+
+// inlineCandidates is the number of searchers per service up to which a choice does not allocate.
+const inlineCandidates = 8
+
+// choose returns the endpoint with the least cost among those that are not excluded. The caller takes the room with the endpoint's pacer.
+func (b *balancer) choose(now time.Time, d demand) (choice, bool) {
+	var buffer [inlineCandidates]candidate
+	candidates := buffer[:0]
+	table := b.current.Load()
+	for _, ep := range table.byService[d.service] {
+		candidates = append(candidates, candidate{endpoint: ep, state: ep.tracker.State(now)})
+	}
+	typical := b.typicalServiceTime(candidates)
+	var best choice
+	var leastCost time.Duration
+	var excluded [numExclusions]int
+	for _, c := range candidates {
+		ep := c.endpoint
+		if x := b.exclude(now, ep, d); x != notExcluded {
+			excluded[x]++
+			continue
+		}
+		roundTrip := b.roundTrip(ep.searcher.Zone())
+		latency := c.state.Latency(roundTrip, typical)
+		cost := c.state.Cost(latency, d.timeLeft)
+		cost += time.Duration(float64(cost) * costJitter * rand.Float64())
+		if best.endpoint == nil || cost < leastCost {
+			leastCost = cost
+			best = choice{endpoint: ep, latency: latency, roundTrip: roundTrip, stalled: c.state.Stalled}
+		}
+	}
+	best.excluded, best.evacuated = excluded, table.evacuated[d.service]
+	return best, best.endpoint != nil
+}
+
+// unservable returns why no endpoint of a service may ever be chosen for a route as things are, or REASON_UNSPECIFIED.
+func (b *balancer) unservable(service string, homes route.Homes) wire.Reason {
+	table := b.current.Load()
+	missing := choice{evacuated: table.evacuated[service]}
+	for _, ep := range table.byService[service] {
+		switch {
+		case !homes.Allow(b.location.Regions[ep.searcher.Zone()]):
+			missing.excluded[excludedHome]++
+		case !ep.replaced.Load() && !ep.leaving.Load():
+			return wire.Reason_REASON_UNSPECIFIED
+		}
+	}
+	return missing.exclusionReason()
+}
+
+// typicalServiceTime returns the least mean service time of the candidates, as an estimate for endpoints without samples.
+func (b *balancer) typicalServiceTime(candidates []candidate) time.Duration {
+	least := time.Duration(0)
+	for _, c := range candidates {
+		if c.state.Mean == 0 {
+			continue
+		}
+		service := max(c.state.Mean-b.roundTrip(c.endpoint.searcher.Zone()), 0)
+		if least == 0 || service < least {
+			least = service
+		}
+	}
+	return least
+}
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -300,7 +300,7 @@
 			}
 			var lost []*endpoint
 			for range 2 {
-				chosen, ok := e.balancer.choose(start, "one", time.Second, func(ep *endpoint) bool { return slices.Contains(lost, ep) })
+				chosen, ok := e.balancer.choose(start, demand{service: "one", timeLeft: time.Second, skip: func(ep *endpoint) bool { return slices.Contains(lost, ep) }})
 				if !ok {
 					t.Fatal("got no searcher")
 				}
--- a/internal/relay/fanout.go
+++ b/internal/relay/fanout.go
@@ -237,6 +237,21 @@
 	return reached > 0 && float64(reached) >= f.minCoverage*float64(len(f.parts))
 }
 
+// unservable returns why too few parts for the minimum coverage have a searcher that may run them, or REASON_UNSPECIFIED.
+func (f *fanout) unservable() wire.Reason {
+	missing, first := 0, wire.Reason_REASON_UNSPECIFIED
+	for i := range f.parts {
+		if r := f.engine.balancer.unservable(f.parts[i].service, f.request.Route.Policy().Homes); r != wire.Reason_REASON_UNSPECIFIED {
+			missing++
+			first = r
+		}
+	}
+	if remaining := len(f.parts) - missing; remaining > 0 && float64(remaining) >= f.minCoverage*float64(len(f.parts)) {
+		return wire.Reason_REASON_UNSPECIFIED
+	}
+	return first
+}
+
 // settle ends a part. REASON_UNSPECIFIED means that the part has a reply.
 func (f *fanout) settle(p *part, r wire.Reason) {
 	if p.settled {
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -25,7 +25,7 @@
 // startAttempt sends the next attempt of a part, or settles the part when no endpoint is left and nothing is in flight.
 func (f *fanout) startAttempt(now time.Time, p *part, cause wire.Reason) bool {
 	for {
-		chosen, ok := f.engine.balancer.choose(now, p.service, f.timeLeft(now), p.alreadyTried)
+		chosen, ok := f.engine.balancer.choose(now, f.demand(now, p))
 		if !ok {
 			if p.inFlight == 0 {
 				f.settle(p, noEndpointReason(p, chosen))
@@ -42,16 +42,15 @@
 
 // noEndpointReason returns why a part ends for which no endpoint was chosen: the last failure, if there was one.
 func noEndpointReason(p *part, chosen choice) wire.Reason {
-	switch {
-	case p.reason != wire.Reason_REASON_UNSPECIFIED:
+	if p.reason != wire.Reason_REASON_UNSPECIFIED {
 		return p.reason
-	case chosen.paused:
-		return wire.Reason_REASON_SEARCHER_PAUSED
-	case chosen.limited:
-		return wire.Reason_REASON_SEARCHER_LIMIT
-	default:
-		return wire.Reason_REASON_NO_REPLICA
 	}
+	return chosen.exclusionReason()
+}
+
+// demand returns what the searcher of the next attempt of a part must satisfy.
+func (f *fanout) demand(now time.Time, p *part) demand {
+	return demand{service: p.service, homes: f.request.Route.Policy().Homes, timeLeft: f.timeLeft(now), skip: p.alreadyTried}
 }
 
 func (p *part) alreadyTried(ep *endpoint) bool {
@@ -102,10 +101,10 @@
 
 // hedge sends a second attempt for a part when an endpoint is expected to reply in time and the budget allows it.
 func (f *fanout) hedge(now time.Time, p *part) {
-	chosen, ok := f.engine.balancer.choose(now, p.service, f.timeLeft(now), p.alreadyTried)
+	chosen, ok := f.engine.balancer.choose(now, f.demand(now, p))
 	if !ok {
 		p.hedgeAt = time.Time{}
-		if chosen.limited {
+		if chosen.temporarilyExcluded() {
 			p.hedgeAt = now.Add(hedgeRetryInterval)
 		}
 		return
--- a/internal/roster/active.go
+++ b/internal/roster/active.go
@@ -17,14 +17,17 @@
 
 // CallerAddresses returns the caller addresses of active nodes for a caller in a zone. A caller asks the nodes of its own zone first, so a
 // caller from another zone most likely found none there: it gets the nodes of this zone together with those of its own. When neither zone
-// has any, it gets those of its region, and otherwise those of all regions.
-func (r *Roster) CallerAddresses(now time.Time, region, zone string) []string {
+// has any, it gets those of its region, and otherwise those of all regions. Nodes in regions that are not allowed are left out as long as there
+// are others; those of the caller's own region always are.
+func (r *Roster) CallerAddresses(now time.Time, region, zone string, allowed func(region string) bool) []string {
 	r.mu.Lock()
 	v, own := r.currentView(now), r.self.Zone
 	r.mu.Unlock()
+	permitted := func(s State) bool { return s.Region == region || allowed(s.Region) }
 	for _, match := range []func(State) bool{
-		func(s State) bool { return s.Zone == zone || (s.Zone == own && zone != own) },
+		func(s State) bool { return permitted(s) && (s.Zone == zone || (s.Zone == own && zone != own)) },
 		func(s State) bool { return s.Region == region },
+		permitted,
 		func(State) bool { return true },
 	} {
 		var group []State
--- a/internal/roster/reach_test.go
+++ b/internal/roster/reach_test.go
@@ -74,7 +74,7 @@
 			r := New(states[0], Settings{})
 			r.SetReach(test.reach[0])
 			r.Merge(now, states[1:])
-			got := r.CallerAddresses(now, "r1", "a")
+			got := r.CallerAddresses(now, "r1", "a", anyRegion)
 			slices.Sort(got)
 			if !slices.Equal(got, test.want) {
 				t.Errorf("got %v, want %v", got, test.want)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -17,7 +17,7 @@
 
 // sortedCallerAddresses returns the addresses for a caller in sorted order, since their order is not defined.
 func sortedCallerAddresses(r *Roster, now time.Time, region, zone string) []string {
-	addresses := r.CallerAddresses(now, region, zone)
+	addresses := r.CallerAddresses(now, region, zone, anyRegion)
 	slices.Sort(addresses)
 	return addresses
 }
@@ -237,11 +237,11 @@
 			one, other := New(states[0], Settings{}), New(states[5], Settings{})
 			one.Merge(start, states)
 			other.Merge(start, states)
-			got := one.CallerAddresses(start, "r", "z")
+			got := one.CallerAddresses(start, "r", "z", anyRegion)
 			if len(got) != test.want {
 				t.Errorf("got %d active nodes, want %d", len(got), test.want)
 			}
-			if want := other.CallerAddresses(start, "r", "z"); !slices.Equal(got, want) {
+			if want := other.CallerAddresses(start, "r", "z", anyRegion); !slices.Equal(got, want) {
 				t.Errorf("got %v at one node and %v at another, want the same", got, want)
 			}
 		})
@@ -280,7 +280,7 @@
 			}
 			r := New(states[0], Settings{})
 			r.Merge(start, states)
-			got := r.CallerAddresses(start, "r", "z")
+			got := r.CallerAddresses(start, "r", "z", anyRegion)
 			gotLarge := 0
 			for _, address := range got {
 				if slices.Contains(large, address) {
@@ -309,7 +309,7 @@
 	for i, s := range own {
 		r := New(s, Settings{})
 		r.Merge(start, published)
-		got := r.CallerAddresses(start, "r", "z")
+		got := r.CallerAddresses(start, "r", "z", anyRegion)
 		if i == 0 {
 			want = got
 		}
@@ -470,3 +470,5 @@
 		t.Errorf("got addresses %v, want %v", got, want)
 	}
 }
+
+func anyRegion(string) bool { return true }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -33,6 +33,8 @@
 	Rank int
 	// MaxAttempts is the maximum number of searchers, per shard, that may run one request.
 	MaxAttempts int
+	// Homes are the regions whose searchers may run a request.
+	Homes Homes
 }
 
 // Target is the destination of a route's requests: Single, Split or Gather.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -42,6 +42,10 @@
 	byPrefix map[string]map[string]*Route
 	services map[string]Service
 	limits   Limits
+	// homes holds the restrictions of the routes by host.
+	homes map[string][]Homes
+	// ignored lists the fields of the configuration that were not used.
+	ignored []IgnoredField
 }
 
 // New returns a table. It fails if two routes have the same host and prefix, or if a route uses a service that is not listed.
@@ -52,6 +56,7 @@
 		byPrefix: make(map[string]map[string]*Route),
 		services: make(map[string]Service, len(services)),
 		limits:   limits,
+		homes:    make(map[string][]Homes),
 	}
 	for _, service := range services {
 		t.services[service.name] = service
@@ -71,6 +76,9 @@
 			return nil, errors.Newf("route %q: host %q and prefix %q are already used by another route", r.name, r.host, r.prefix)
 		}
 		prefixes[r.prefix] = r
+		if r.policy.Homes.Restricted() {
+			t.homes[r.host] = append(t.homes[r.host], r.policy.Homes)
+		}
 	}
 	t.assignGroups()
 	return t, nil
@@ -108,6 +116,22 @@
 // Routes returns all routes. The caller must not modify the result.
 func (t *Table) Routes() []*Route { return t.routes }
 
+// Ignore records fields of the configuration that are not used. It must be called before the table is shared.
+func (t *Table) Ignore(fields []IgnoredField) { t.ignored = append(t.ignored, fields...) }
+
+// Ignored returns the fields of the configuration that are not used. The caller must not modify the result.
+func (t *Table) Ignored() []IgnoredField { return t.ignored }
+
+// HostAllows reports whether all routes of a host may be served in a region.
+func (t *Table) HostAllows(host, region string) bool {
+	for _, homes := range t.homes[host] {
+		if !homes.Allow(region) {
+			return false
+		}
+	}
+	return true
+}
+
 // Limits returns the limits for callers.
 func (t *Table) Limits() Limits { return t.limits }
 
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,15 +32,16 @@
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/relay"
 	"github.com/fireflylanding/fireflylanding/internal/roster"
+	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/wake"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
 // Discovery is what the platform's calls need from a node.
 type Discovery interface {
-	// CallerAddresses returns the caller addresses for a caller in a zone and how long they may be cached. It returns none when no node is
-	// known to be ready.
-	CallerAddresses(region, zone string) ([]string, time.Duration)
+	// CallerAddresses returns the caller addresses for a caller of a host in a zone and how long they may be cached. It returns none when no
+	// node is known to be ready.
+	CallerAddresses(host, region, zone string) ([]string, time.Duration)
 	// Ready reports whether the node accepts new callers.
 	Ready() bool
 }
@@ -97,6 +100,8 @@
 	// urgent holds the states by node that the next tick passes on.
 	urgentMu sync.Mutex
 	urgent   map[string]roster.State
+	// ignoredFields holds the fields of the operator's configuration that were logged as ignored; engineUpdates guards it.
+	ignoredFields map[route.IgnoredField]bool
 	// engineUpdates serializes updates of the engine's searchers, routes and node counts.
 	engineUpdates sync.Mutex
 }
@@ -125,6 +130,8 @@
 		repair:    quar.NewRepair(),
 		startedAt: clock(),
 		urgent:    make(map[string]roster.State),
+
+		ignoredFields: make(map[route.IgnoredField]bool),
 	}
 	t.settings.Store(&settings)
 	t.counters = reason.NewCounters(t.registry, "reasons")
@@ -139,7 +146,7 @@
 	}, roster.Settings{})
 	location := relay.Location{Zone: settings.Zone, Region: settings.Region, Regions: settings.Regions}
 	t.engine = relay.New(adapter.Codec, settings.budget(), location, adapter.Dial, t.logger, t.counters, t.registry, clock)
-	t.follower = follow.New(adapter.Source, t.fleet, follow.Settings{ApplyWithin: settings.ApplyWithin}, follow.Hooks{
+	t.follower = follow.New(adapter.Source, t.fleet, follow.Settings{ApplyWithin: settings.ApplyWithin, Zones: slices.Sorted(maps.Keys(settings.Regions))}, follow.Hooks{
 		IsReader:      t.isReader,
 		OnChange:      t.rebuild,
 		OnNewRevision: t.propagateState,
@@ -208,8 +215,12 @@
 func ListenPeers(address string) (net.PacketConn, error) { return net.ListenPacket("udp", address) }
 
 // CallerAddresses implements Discovery.
-func (t *Tier) CallerAddresses(region, zone string) ([]string, time.Duration) {
-	return t.roster.CallerAddresses(t.clock(), region, zone), min(maxDirectoryValidity, t.settings.Load().DirectoryValid)
+func (t *Tier) CallerAddresses(host, region, zone string) ([]string, time.Duration) {
+	allowed := func(string) bool { return true }
+	if table := t.follower.Table(); table != nil {
+		allowed = func(region string) bool { return table.HostAllows(host, region) }
+	}
+	return t.roster.CallerAddresses(t.clock(), region, zone, allowed), min(maxDirectoryValidity, t.settings.Load().DirectoryValid)
 }
 
 // Ready implements Discovery.
