Limit the requests to searchers that warm up

A cold searcher crashes well above a rate that the operator states. Nodes sent it their full share from the first request on. Each node now takes a share of the rate from the nodes that it knows, counting silent ones, and none while it knows no other node. The platform's fields are not decoded yet.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -24,12 +24,24 @@
 	evacuated bool
 	started   int64
 	revision  epoch.Revision
+	// warmupLeft is how much longer the searcher is cold, as of the registration.
+	warmupLeft time.Duration
 }
 
+// Option is an optional statement of a registration.
+type Option func(*Searcher)
+
+// WarmupLeft states how much longer the searcher is cold.
+func WarmupLeft(left time.Duration) Option { return func(s *Searcher) { s.warmupLeft = left } }
+
 // NewSearcher returns a searcher. started is the Unix time in milliseconds at which the process started; it distinguishes processes that
 // use the same id. revision is the revision of the registration.
-func NewSearcher(id, service, address, zone string, slots int, leaving bool, started int64, revision epoch.Revision) *Searcher {
-	return &Searcher{id: id, service: service, address: address, zone: zone, slots: slots, leaving: leaving, started: started, revision: revision}
+func NewSearcher(id, service, address, zone string, slots int, leaving bool, started int64, revision epoch.Revision, options ...Option) *Searcher {
+	s := &Searcher{id: id, service: service, address: address, zone: zone, slots: slots, leaving: leaving, started: started, revision: revision}
+	for _, option := range options {
+		option(s)
+	}
+	return s
 }
 
 // ID returns the id under which the searcher registered.
@@ -50,6 +62,15 @@
 // Leaving reports whether the searcher takes no new work: it asked for none, or its availability zone is evacuated.
 func (s *Searcher) Leaving() bool { return s.leaving || s.evacuated }
 
+// WarmupLeft returns how much longer the searcher was cold when it registered, 0 if it was warm or did not say.
+func (s *Searcher) WarmupLeft() time.Duration { return s.warmupLeft }
+
+// Started returns the Unix time in milliseconds at which the process started by its own clock.
+func (s *Searcher) Started() int64 { return s.started }
+
+// Revision returns the revision of the registration.
+func (s *Searcher) Revision() epoch.Revision { return s.revision }
+
 // Evacuated reports whether the searcher's availability zone is evacuated.
 func (s *Searcher) Evacuated() bool { return s.evacuated }
 
--- a/internal/pace/members.go
+++ b/internal/pace/members.go
@@ -51,20 +51,24 @@
 // rates of the nodes that share the limit add up to it, if all know the same members.
 func (m *Members) rate(limit float64, searcher, region string) float64 {
 	rank := m.rank(searcher, region)
-	near := len(m.byRegion[region])
 	sharing := min(int(savedSeconds*limit)+minSharing, m.count)
-	nearSharing := min(near, sharing)
-	farSharing := sharing - nearSharing
 	probes := 1 / (probeInterval.Seconds() * float64(rank+1))
+	return max(limit*m.fraction(rank, sharing, region), probes)
+}
+
+// fraction returns the part of a limit in a region for the node of a rank if so many nodes share the limit, 0 if it is not one of them.
+func (m *Members) fraction(rank, sharing int, region string) float64 {
+	nearSharing := min(len(m.byRegion[region]), sharing)
+	farSharing := sharing - nearSharing
 	switch {
 	case rank >= sharing:
-		return probes
+		return 0
 	case nearSharing == 0 || farSharing == 0:
-		return max(limit/float64(sharing), probes)
+		return 1 / float64(sharing)
 	case rank < nearSharing:
-		return max(nearShare*limit/float64(nearSharing), probes)
+		return nearShare / float64(nearSharing)
 	default:
-		return max((1-nearShare)*limit/float64(farSharing), probes)
+		return (1 - nearShare) / float64(farSharing)
 	}
 }
 
--- a/internal/pace/pacer.go
+++ b/internal/pace/pacer.go
@@ -1,5 +1,5 @@
 // Package pace keeps requests within what a searcher asks for in its replies: a limit on the requests of all nodes together, and a time in
-// which it wants none from this node. Each node takes a share of a limit that it computes from the limit and from the nodes that it knows, so
+// which it wants none from this node. It also limits the requests to a searcher that warms up. Each node takes a share of a limit that it computes from the limit and from the nodes that it knows, so
 // that nodes need not agree on it by messages.
 package pace
 
@@ -21,6 +21,8 @@
 	tokens atomic.Pointer[rate.Limiter]
 	// pausedUntil is the time until which the searcher wants no requests from this node, as package mono has it; 0 means that it never asked.
 	pausedUntil atomic.Int64
+	// cold holds this node's share while the searcher warms up and is limited, nil otherwise.
+	cold atomic.Pointer[coldBucket]
 
 	mu      sync.Mutex
 	limit   Limit
@@ -62,7 +64,7 @@
 // Paused reports whether the searcher wants no requests from this node now.
 func (p *Pacer) Paused(now time.Time) bool { return p.pausedUntil.Load() > mono.Nanos(now) }
 
-// Available reports whether a request may be sent.
+// Available reports whether a request may be sent as far as the searcher's replies go.
 func (p *Pacer) Available(now time.Time) bool {
 	if p.Paused(now) {
 		return false
@@ -73,7 +75,10 @@
 
 // Take reports whether a request may be sent, and counts it if so.
 func (p *Pacer) Take(now time.Time) bool {
-	if p.Paused(now) {
+	if !p.Available(now) {
+		return false
+	}
+	if bucket := p.cold.Load(); bucket != nil && !bucket.take(now) {
 		return false
 	}
 	tokens := p.tokens.Load()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -137,6 +137,12 @@
 		a.endpoint.pool.Put(conn, now, 0)
 		return result{reason: wire.Reason_REASON_SEARCHER_PAUSED, waited: waited}
 	}
+	if !a.endpoint.pacer.MaySend(now, a.sentAt) {
+		// Requests that have waited for a connection would arrive at a cold searcher together.
+		a.detachConn()
+		a.endpoint.pool.Put(conn, now, 0)
+		return result{reason: wire.Reason_REASON_SEARCHER_COLD, waited: waited}
+	}
 	remaining := a.deadline.Sub(now)
 	var message []byte
 	ok := false
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -28,6 +28,9 @@
 	pacer *pace.Pacer
 	// link holds the evidence on whether this node reaches the searcher.
 	link *reach.Link
+	// warmth is guarded by the lock of the balancer. cold is set while the searcher was last seen as cold.
+	warmth warmth
+	cold   atomic.Bool
 	// nextWarmAt is the earliest time for opening the next connection in advance; only the node's tick uses it.
 	nextWarmAt time.Time
 	// nextProbeAt is the earliest time for opening the next connection to learn whether the searcher is reached; only the node's tick uses it.
@@ -99,10 +102,17 @@
 	left map[fleet.Key]time.Time
 	// roundTrips maps a region to the shortest time (time.Duration) that opening a connection to it took.
 	roundTrips sync.Map
+	// views holds the nodes that share cold searchers, and allowance how far these may be exceeded.
+	views     *pace.Views
+	allowance atomic.Pointer[pace.Allowance]
+	// warmthMu guards the warmth of the endpoints. populated is set once the searchers are known that were registered when this node started.
+	warmthMu  sync.Mutex
+	populated bool
 }
 
 func newBalancer(location Location, dial pool.Dial, clock func() time.Time) *balancer {
-	b := &balancer{location: location, dial: dial, clock: clock, left: make(map[fleet.Key]time.Time)}
+	b := &balancer{location: location, dial: dial, clock: clock, left: make(map[fleet.Key]time.Time), views: pace.NewViews()}
+	b.allowance.Store(&pace.DefaultAllowance)
 	b.current.Store(&endpointTable{})
 	b.nodes.Store(&NodeCounts{Discovering: true, Members: &pace.Members{}})
 	return b
@@ -111,6 +121,9 @@
 // update creates endpoints for new searchers of a snapshot, closes the connections of those that leave or are gone, and returns the keys of
 // the processes that are gone.
 func (b *balancer) update(snapshot *fleet.Snapshot, table *route.Table) []fleet.Key {
+	b.warmthMu.Lock()
+	defer b.warmthMu.Unlock()
+	now := b.clock()
 	old, nodes := b.current.Load(), *b.nodes.Load()
 	next := &endpointTable{
 		byKey:     make(map[fleet.Key]*endpoint),
@@ -128,7 +141,7 @@
 		case !ok:
 			ep = b.newEndpoint(s, limit)
 		case s.Leaving() && !ep.searcher.Leaving():
-			ep = &endpoint{searcher: s, pool: ep.pool, tracker: ep.tracker, pacer: ep.pacer, link: ep.link}
+			ep = &endpoint{searcher: s, pool: ep.pool, tracker: ep.tracker, pacer: ep.pacer, link: ep.link, warmth: ep.warmth}
 		case !s.Leaving() && ep.searcher.Leaving():
 			ep = b.newEndpoint(s, limit)
 		}
@@ -140,6 +153,8 @@
 			ep.leave()
 		}
 		ep.setLimit(limit)
+		ep.warmth.observe(now, s)
+		b.updateCold(now, ep, table)
 		next.byKey[key] = ep
 		if s.Evacuated() {
 			next.evacuated[s.Service()] = true
@@ -150,9 +165,9 @@
 			next.byService[service] = append(next.byService[service], next.byKey[s.Key()])
 		}
 	}
+	b.populated = true
 	b.current.Store(next)
 	var removed []fleet.Key
-	now := b.clock()
 	for key, at := range b.left {
 		if now.Sub(at) > leftTTL {
 			delete(b.left, key)
@@ -187,6 +202,7 @@
 		tracker:  health.New(s.Slots()),
 		pacer:    pace.New(s.ID(), region),
 		link:     link,
+		warmth:   newWarmth(b.clock(), s, b.populated),
 	}
 }
 
@@ -243,12 +259,14 @@
 	Discovering bool
 	// Members are the nodes by id, nil while unknown.
 	Members *pace.Members
+	// Census holds all known nodes.
+	Census pace.Census
 }
 
 // Equal reports whether all counts and flags are equal.
 func (n NodeCounts) Equal(other NodeCounts) bool {
 	return n.Active == other.Active && n.SelfActive == other.SelfActive && n.Discovering == other.Discovering &&
-		maps.Equal(n.ByRegion, other.ByRegion) && n.Members.Equal(other.Members)
+		maps.Equal(n.ByRegion, other.ByRegion) && n.Members.Equal(other.Members) && n.Census.Equal(other.Census)
 }
 
 // assumedNodes is the number of nodes that a node assumes for its shares of connections and of the budget while it may not know the others yet.
@@ -391,9 +409,14 @@
 
 // maintain closes expired idle connections of all endpoints, and adapts this node's shares of limits to the nodes that share them.
 func (b *balancer) maintain(now time.Time) {
-	members := b.nodes.Load().Members
-	for _, ep := range b.current.Load().byKey {
+	nodes := b.nodes.Load()
+	b.views.Observe(now, nodes.Members, nodes.Census)
+	b.warmthMu.Lock()
+	defer b.warmthMu.Unlock()
+	current := b.current.Load()
+	for _, ep := range current.byKey {
 		ep.pool.Trim(now)
-		ep.pacer.SetMembers(now, members)
+		ep.pacer.SetMembers(now, nodes.Members)
+		b.updateCold(now, ep, current.table)
 	}
 }
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -27,6 +27,8 @@
 	excludedPaused
 	// excludedLimited endpoints named a limit, of which this node has used its share.
 	excludedLimited
+	// excludedCold endpoints warm up, and this node has used its share of what they take.
+	excludedCold
 	numExclusions
 )
 
@@ -39,13 +41,17 @@
 		return wire.Reason_REASON_SEARCHER_PAUSED
 	case excludedLimited:
 		return wire.Reason_REASON_SEARCHER_LIMIT
+	case excludedCold:
+		return wire.Reason_REASON_SEARCHER_COLD
 	default:
 		return wire.Reason_REASON_NO_REPLICA
 	}
 }
 
 // temporary reports whether the cause ends without a change of the configuration or the registrations.
-func (x exclusion) temporary() bool { return x == excludedPaused || x == excludedLimited }
+func (x exclusion) temporary() bool {
+	return x == excludedPaused || x == excludedLimited || x == excludedCold
+}
 
 // demand is what a choice must satisfy.
 type demand struct {
@@ -70,6 +76,8 @@
 		return excludedTried
 	case ep.pacer.Paused(now):
 		return excludedPaused
+	case !ep.pacer.ColdRoom(now):
+		return excludedCold
 	case !ep.pacer.Available(now):
 		return excludedLimited
 	default:
@@ -105,7 +113,7 @@
 
 // exclusionReason returns why no endpoint could be chosen.
 func (c choice) exclusionReason() wire.Reason {
-	for _, x := range []exclusion{excludedLimited, excludedPaused, excludedTried, excludedHome} {
+	for _, x := range []exclusion{excludedCold, excludedLimited, excludedPaused, excludedTried, excludedHome} {
 		if c.excluded[x] > 0 {
 			return x.reason()
 		}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -66,12 +66,15 @@
 	// reach is the share of the searchers that this node reaches, as of the last tick.
 	reach atomic.Pointer[reach.Reach]
 	// stranded is set while other nodes reach far more searchers. doubted is set while some node is known to reach few.
-	stranded  atomic.Bool
-	doubted   atomic.Bool
-	tasks     conc.WaitGroup
-	attempts  metrics.Counter
-	hedges    metrics.Counter
-	latencies *latencies
+	stranded atomic.Bool
+	doubted  atomic.Bool
+	tasks    conc.WaitGroup
+	attempts metrics.Counter
+	hedges   metrics.Counter
+	// coldSearchers is the number of searchers that warm up and are limited. invalidLoads counts the load figures that are not used.
+	coldSearchers metrics.Gauge
+	invalidLoads  metrics.Counter
+	latencies     *latencies
 
 	// load is the moving average that Load returns, as of loadAt; loadAttempts is the number of attempts sent by then.
 	load         float64
@@ -92,6 +95,9 @@
 		latencies: newLatencies(registry),
 		attempts:  metrics.NewRegisteredCounter("relay.attempts", registry),
 		hedges:    metrics.NewRegisteredCounter("relay.hedges", registry),
+
+		coldSearchers: metrics.NewRegisteredGauge("searchers.cold", registry),
+		invalidLoads:  metrics.NewRegisteredCounter("relay.invalid_loads", registry),
 	}
 	e.balancer = newBalancer(location, e.replies.Dialer(dial), clock)
 	e.budget.Store(&b)
@@ -131,6 +137,7 @@
 // that callers are routed to.
 func (e *Engine) Tick(ctx context.Context, now time.Time) {
 	e.balancer.maintain(now)
+	e.observeCold(now)
 	e.expireSuspicions(now)
 	e.updateReach(now)
 	if e.Reach().Low() || (e.doubted.Load() && !e.active.Load()) {
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -32,6 +32,10 @@
 	Connections int `json:"connections"`
 	// Limit is the number of requests a second that the searcher takes from all nodes together, absent while it names none.
 	Limit *float64 `json:"limit_per_second,omitempty"`
+	// ColdLeft is how much longer the searcher warms up, absent while it is warm or its service has no limit for cold searchers. ColdShare is the
+	// number of requests a second that this node may send to it meanwhile.
+	ColdLeft  *int64   `json:"cold_left_ms,omitempty"`
+	ColdShare *float64 `json:"cold_share_per_second,omitempty"`
 }
 
 // Limits returns the state of the admission limiters by group of routes.
@@ -59,6 +63,10 @@
 			perSecond := limit.PerSecond()
 			report.Limit = &perSecond
 		}
+		if ep.pacer.Cold(now) {
+			left, share := ep.pacer.ColdLeft(now).Milliseconds(), ep.pacer.ColdShare()
+			report.ColdLeft, report.ColdShare = &left, &share
+		}
 		if state.Mean > 0 {
 			report.Age = state.Age.Milliseconds()
 		}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -22,6 +22,15 @@
 type Service struct {
 	name     string
 	maxConns int
+	warmup   Warmup
+}
+
+// Warmup is how a service's searchers warm up after they start.
+type Warmup struct {
+	// Duration is how long a searcher is cold. PerSecond is the number of requests a second that a cold one takes from all nodes together, 0
+	// without a limit.
+	Duration  time.Duration
+	PerSecond float64
 }
 
 // NewService returns a service, each of whose searchers accepts maxConns connections from all callers together.
@@ -29,6 +38,15 @@
 	return Service{name: name, maxConns: maxConns}
 }
 
+// WithWarmup returns the service with a warm-up of its searchers.
+func (s Service) WithWarmup(w Warmup) Service {
+	s.warmup = w
+	return s
+}
+
+// Warmup returns how the searchers warm up.
+func (s Service) Warmup() Warmup { return s.warmup }
+
 // Name returns the name that searchers register under.
 func (s Service) Name() string { return s.name }
 
