--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -36,8 +36,11 @@
 // Routes is a new version of the routes.
 type Routes struct{ Table *route.Table }
 
-// Searcher is a searcher's registration.
-type Searcher struct{ Searcher *fleet.Searcher }
+// Searcher is a searcher's registration, and its fields that are not used since they have no valid value.
+type Searcher struct {
+	Searcher *fleet.Searcher
+	Ignored  []route.IgnoredField
+}
 
 // Removed is the removal of a registration.
 type Removed struct{ ID string }
@@ -140,6 +143,8 @@
 	// evacuations holds the evacuated availability zones. unknownZones holds the others whose evacuation was asked for.
 	evacuations  evacuations
 	unknownZones map[string]bool
+	// ignoredFields holds the fields of registrations that were logged as ignored, without their values, which may change at each registration.
+	ignoredFields map[route.IgnoredField]bool
 	// sourceDown is set while calls to the source fail.
 	sourceDown bool
 	// sourceHoldUntil is the time until which searchers that this node reads as removed may still be alive, because its own calls failed.
@@ -161,6 +166,8 @@
 		evacuations:  newEvacuations(),
 		unknownZones: make(map[string]bool),
 		needsList:    true,
+
+		ignoredFields: make(map[route.IgnoredField]bool),
 	}
 }
 
@@ -429,6 +436,7 @@
 			f.installRoutes(change.Table)
 		case Searcher:
 			registered = append(registered, change.Searcher)
+			f.logIgnoredFields(change.Ignored)
 		case Removed:
 			removed = append(removed, change.ID)
 		case Evacuated:
@@ -457,6 +465,21 @@
 		zap.Stringer("revision", f.entries.revision))
 }
 
+// maxIgnoredFields bounds the ignored fields that are remembered, so that each is logged once.
+const maxIgnoredFields = 256
+
+// logIgnoredFields logs the fields of a registration that are not used. The caller must hold mu.
+func (f *Follower) logIgnoredFields(fields []route.IgnoredField) {
+	for _, field := range fields {
+		known := route.IgnoredField{Item: field.Item, Field: field.Field}
+		if f.ignoredFields[known] || len(f.ignoredFields) >= maxIgnoredFields {
+			continue
+		}
+		f.ignoredFields[known] = true
+		f.logger.Log(wire.Event_EVENT_FIELD_IGNORED, zap.String("item", field.Item), zap.String("field", field.Field), zap.String("value", field.Value))
+	}
+}
+
 // installRoutes puts a version of the routes in force unless the current one is as late or later.
 func (f *Follower) installRoutes(table *route.Table) {
 	current := f.table.Load()
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -120,6 +120,7 @@
 		ByRegion:    make(map[string]int, len(sharing)),
 		Discovering: t.discovering(now),
 		Members:     pace.NewMembers(self.ID, sharing),
+		Census:      t.census(now),
 	}
 	for region, ids := range sharing {
 		nodes.ByRegion[region] = len(ids)
@@ -130,6 +131,27 @@
 	return nodes
 }
 
+// census counts the nodes that are live, the silent ones, and the seeds that belong to no known node.
+func (t *Tier) census(now time.Time) pace.Census {
+	var c pace.Census
+	for _, s := range t.roster.Live(now) {
+		c.Live = append(c.Live, s.ID)
+	}
+	addresses := make(map[string]bool)
+	for _, s := range t.roster.Members() {
+		c.Known = append(c.Known, s.ID)
+		addresses[s.PeerAddress] = true
+	}
+	for _, seed := range t.settings.Load().Seeds {
+		if !addresses[seed] {
+			c.Unmet++
+		}
+	}
+	slices.Sort(c.Live)
+	slices.Sort(c.Known)
+	return c
+}
+
 // discoveryTime is the time after the start during which a node may not know the others yet.
 const discoveryTime = 1500 * time.Millisecond
 
--- a/internal/tier/settings.go
+++ b/internal/tier/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fireflylanding/fireflylanding/internal/pace"
 	"github.com/fireflylanding/fireflylanding/internal/relay"
 )
 
@@ -43,6 +44,8 @@
 	RetryShare     float64
 	RetryAllowance float64
 	RetryWindow    time.Duration
+	// ColdAllowance is how far the requests of a second to a cold searcher may exceed its rate. The zero value allows none beyond the rate.
+	ColdAllowance pace.Allowance
 }
 
 // Validate returns an error for the first setting that cannot be used.
@@ -68,10 +71,20 @@
 		return errors.New("stop time, apply time, directory validity and retry window must be positive")
 	case s.RetryShare < 0 || s.RetryAllowance < 0 || s.MemoryBytes < 0 || s.Cores < 0:
 		return errors.New("retry share, retry allowance, memory and cores must not be negative")
+	case s.ColdAllowance.Overshoot < 0 || s.ColdAllowance.Slack < 0:
+		return errors.New("the overshoot and the slack of warm-ups must not be negative")
 	}
 	return nil
 }
 
+// coldAllowance returns how far the requests of a second to a cold searcher may exceed its rate.
+func (s Settings) coldAllowance() pace.Allowance {
+	if s.ColdAllowance == (pace.Allowance{}) {
+		return pace.DefaultAllowance
+	}
+	return s.ColdAllowance
+}
+
 // budget returns the budget for retries and hedges.
 func (s Settings) budget() relay.Budget {
 	return relay.Budget{Share: s.RetryShare, Allowance: s.RetryAllowance, Window: s.RetryWindow}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -160,6 +160,7 @@
 	if err := t.openSockets(settings); err != nil {
 		return nil, err
 	}
+	t.engine.SetColdAllowance(settings.coldAllowance())
 	t.engine.SetNodes(t.nodeCounts(clock()))
 	t.engine.OnQuarantineMarks(t.propagateMarks)
 	t.registerGauges()
@@ -245,6 +246,7 @@
 	}
 	t.settings.Store(&settings)
 	t.engine.SetBudget(settings.budget())
+	t.engine.SetColdAllowance(settings.coldAllowance())
 	t.adapter.Source.SetAddress(settings.StoreAddress)
 	return nil
 }
