Choose searchers by the work and the speed that they report

A node knew only its own requests at a searcher, and learned of a queue of others or a slow machine from late replies.

--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -94,6 +94,11 @@
 	failedAt   time.Time
 	avoidUntil time.Time
 	avoidances int
+	// load holds the figures that the searcher reported at loadAt, and meanSlowness the slowness that the mean latency was measured with, 0 while
+	// unknown.
+	load         Load
+	loadAt       time.Time
+	meanSlowness float64
 }
 
 // New returns an empty record of a searcher that runs the given number of this node's requests in parallel.
@@ -112,8 +117,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.last++
-	queue := float64(len(t.outstanding)) / float64(t.concurrency)
-	t.outstanding = append(t.outstanding, pending{ticket: t.last, sentAt: now, queue: queue, roundTrip: roundTrip})
+	t.outstanding = append(t.outstanding, pending{ticket: t.last, sentAt: now, queue: t.queue(now), roundTrip: roundTrip})
 	return t.last
 }
 
@@ -169,6 +173,7 @@
 		t.mean += (min(sample, t.mean*maxSampleRise) - t.mean) * sampleWeight
 	}
 	t.sampledAt = now
+	t.recordSlowness(now)
 }
 
 func (t *Tracker) recordFailure(now time.Time, share float64) {
@@ -201,6 +206,8 @@
 	Age  time.Duration
 	// Queue is the number of service rounds ahead of the next request.
 	Queue float64
+	// Slowness is how long work takes as a multiple of the time in Mean, by what the searcher reported; 0 stands for 1.
+	Slowness float64
 	// Failures is the recent failure rate.
 	Failures float64
 	// Stalled is set while outstanding requests get no reply. Avoided is set for a while after the searcher was unreachable.
@@ -215,7 +222,8 @@
 	return State{
 		Mean:     time.Duration(t.mean),
 		Age:      now.Sub(t.sampledAt),
-		Queue:    float64(len(t.outstanding)) / float64(t.concurrency),
+		Queue:    t.queue(now),
+		Slowness: t.slowness(now),
 		Failures: t.decayedFailures(now),
 		Stalled:  t.stalled(now),
 		Avoided:  now.Before(t.avoidUntil),
@@ -244,6 +252,11 @@
 		expected += time.Duration(float64(s.Mean-base) * decay(s.Age))
 	}
 	service := max(expected-roundTrip, 0)
+	if s.Slowness > 0 {
+		slowed := time.Duration(float64(service) * s.Slowness)
+		expected += slowed - service
+		service = slowed
+	}
 	expected += time.Duration(float64(service) * s.Queue)
 	if s.Stalled {
 		expected += stallCost
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -5,6 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/fireflylanding/fireflylanding/internal/health"
 	"github.com/fireflylanding/fireflylanding/internal/pace"
 )
 
@@ -39,4 +40,7 @@
 	Leaving bool
 	// Limit is the limit on requests that the searcher names.
 	Limit pace.Limit
+	// Load holds the figures of work on the searcher. InvalidLoad is set when they are not plausible.
+	Load        health.Load
+	InvalidLoad bool
 }
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -93,6 +93,17 @@
 	}
 }
 
+// observeLoad records the figures of work that a searcher reports in its reply.
+func (e *Engine) observeLoad(now time.Time, a *attempt, r result) {
+	if r.response == nil || r.reason == wire.Reason_REASON_WRONG_SEARCHER {
+		return
+	}
+	if r.head.InvalidLoad {
+		e.invalidLoads.Inc(1)
+	}
+	a.endpoint.tracker.ObserveLoad(now, r.head.Load)
+}
+
 // observe records the latency of a request under its outcome.
 func (e *Engine) observe(f *fanout, now time.Time, answer Answer) {
 	outcome := "served"
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -137,6 +137,7 @@
 // attemptEnded handles the result of an attempt.
 func (f *fanout) attemptEnded(a *attempt, r result) {
 	now := f.engine.clock()
+	f.engine.observeLoad(now, a, r)
 	a.endpoint.tracker.End(now, a.ticket, healthOutcome(r))
 	if r.reason == wire.Reason_REASON_WRONG_SEARCHER {
 		a.endpoint.replaced.Store(true)
