--- a/internal/relay/leaving_test.go
+++ b/internal/relay/leaving_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/fireflylanding/fireflylanding/internal/epoch"
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
+	"github.com/fireflylanding/fireflylanding/internal/pace"
 	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -39,12 +40,16 @@
 	return e.balancer.current.Load().byKey[s.Key()]
 }
 
-// Guards against requests that wait for a connection while their searcher starts to leave, or asks for no requests for a while, and are sent as
-// soon as there is one.
+// Guards against requests that wait for a connection while their searcher starts to leave, asks for no requests for a while, or becomes cold,
+// and are sent as soon as there is one.
 func TestNoRequestIsSentToLeavingSearcher(t *testing.T) {
 	leave := func(e *Engine, _ *endpoint) { registerOne(t, e, true, 2) }
 	state := func(_ *Engine, ep *endpoint) { ep.leave() }
 	pause := func(_ *Engine, ep *endpoint) { ep.pacer.Pause(time.Now(), time.Minute) }
+	cool := func(_ *Engine, ep *endpoint) {
+		cold := pace.Cold{PerSecond: 5, Until: time.Now().Add(time.Minute)}
+		ep.pacer.SetCold(time.Now(), cold, pace.NewViews(), pace.DefaultAllowance)
+	}
 	stay := func(*Engine, *endpoint) {}
 	tests := map[string]struct {
 		// busy is set when another request has the only connection; otherwise a connection is being opened.
@@ -59,6 +64,8 @@
 		"opening, stated in a reply":         {change: state, want: wire.Reason_REASON_SEARCHER_LEAVING},
 		"waiting, searcher asks for a pause": {busy: true, change: pause, want: wire.Reason_REASON_SEARCHER_PAUSED},
 		"opening, searcher asks for a pause": {change: pause, want: wire.Reason_REASON_SEARCHER_PAUSED},
+		"waiting, searcher becomes cold":     {busy: true, change: cool, want: wire.Reason_REASON_SEARCHER_COLD},
+		"opening, searcher becomes cold":     {change: cool, want: wire.Reason_REASON_SEARCHER_COLD},
 		"waiting, searcher stays":            {busy: true, change: stay},
 		"opening, searcher stays":            {change: stay},
 	}
