--- a/internal/pace/cold.go
+++ b/internal/pace/cold.go
@@ -54,14 +54,23 @@
 		room = bound
 	}
 	rate := min(coldRateShare*perSecond, margin*room/arrivalWindow.Seconds())
-	const rounding = 1e-9
-	p := coldPlan{sharing: int(sharing*present + rounding), perSecond: rate * present}
+	p := coldPlan{sharing: sharers(sharing, present), perSecond: rate * present}
 	if bound < 1 {
 		p.sharing = 0
 	}
 	return p
 }
 
+// sharers returns how many of the sharing nodes the present share of all nodes has. A majority rounds up and any other part down, so that the sum
+// over parts that do not know each other is at most sharing, and the loss of a single node does not leave a searcher without any.
+func sharers(sharing, present float64) int {
+	const rounding = 1e-9
+	if present > 0.5 {
+		return int(math.Ceil(sharing*present - rounding))
+	}
+	return int(sharing*present + rounding)
+}
+
 // Cold is a searcher that warms up.
 type Cold struct {
 	// PerSecond is the rate that it takes from all nodes together; 0 means that nothing limits it.
--- a/internal/pace/cold_test.go
+++ b/internal/pace/cold_test.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -62,6 +63,11 @@
 		}
 		return half(all, 1)
 	}
+	oneDown := func(all map[string][]string, _ time.Duration, _ int, _ string) map[string][]string {
+		live := maps.Clone(all)
+		live["region-0"] = live["region-0"][1:]
+		return live
+	}
 	alone := func(_ map[string][]string, _ time.Duration, _ int, id string) map[string][]string {
 		return map[string][]string{"region-0": {id}}
 	}
@@ -96,6 +102,7 @@
 		"no allowance, low rate":    {nodes: 141, perSecond: 2, allowance: DefaultAllowance, live: together, least: 0.3},
 		"less than one a second":    {nodes: 6, perSecond: 0.5, allowance: DefaultAllowance, live: together},
 		"cut off in two parts":      {nodes: 141, perSecond: 10, allowance: users, live: cut, least: 0.3},
+		"one is down, low rate":     {nodes: 60, perSecond: 1, allowance: users, live: oneDown, least: 0.3},
 		"each alone":                {nodes: 141, perSecond: 10, allowance: users, live: alone},
 		"varying nodes share":       {nodes: 24, perSecond: 10, allowance: DefaultAllowance, live: together, shares: varying, bursts: true},
 		"one after another starts":  {nodes: 60, perSecond: 10, allowance: users, live: together, restarts: true},
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -164,15 +164,19 @@
 	return best, best.endpoint != nil
 }
 
-// unservable returns why no endpoint of a service may ever be chosen for a route as things are, or REASON_UNSPECIFIED.
-func (b *balancer) unservable(service string, homes route.Homes) wire.Reason {
+// unservable returns why no endpoint of a service may be chosen for a route as things are, or REASON_UNSPECIFIED. Limits that searchers name and
+// pauses do not count.
+func (b *balancer) unservable(now time.Time, service string, homes route.Homes) wire.Reason {
 	table := b.current.Load()
 	missing := choice{evacuated: table.evacuated[service]}
 	for _, ep := range table.byService[service] {
 		switch {
 		case !homes.Allow(b.location.Regions[ep.searcher.Zone()]):
 			missing.excluded[excludedHome]++
-		case !ep.replaced.Load() && !ep.leaving.Load():
+		case ep.replaced.Load() || ep.leaving.Load():
+		case !ep.pacer.ColdRoom(now):
+			missing.excluded[excludedCold]++
+		default:
 			return wire.Reason_REASON_UNSPECIFIED
 		}
 	}
--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -232,3 +232,29 @@
 		})
 	}
 }
+
+// Guards against a query that loads the searchers of other shards, and that may have run, though it is certain that a shard that it needs has no
+// room at its cold searchers.
+func TestQueryOverColdShardIsNotBegun(t *testing.T) {
+	s := newColdStage(t, 5)
+	warm := route.NewService("two", 26)
+	cold, _ := s.table.Service("one")
+	r, err := route.NewRoute("r", "h", "/r/", route.Gather{Shards: []string{"one", "two"}, Top: 1, MinCoverage: 0.9},
+		route.Policy{Idempotent: true, Timeout: time.Second, Goal: time.Second, MaxAttempts: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.table, err = route.New(2, []*route.Route{r}, []route.Service{cold, warm}, route.Limits{}); err != nil {
+		t.Fatal(err)
+	}
+	s.registry.Apply(s.now, []*fleet.Searcher{fleet.NewSearcher("i-2", "two", "127.0.0.1:2", "z", 2, false, 1, 1)}, nil, time.Time{})
+	s.update()
+	s.register(start, 0)
+	answer, ok := s.e.Serve(s.now, &Request{ID: "1", Route: r, Head: []byte("GET /r/ HTTP/1.1\r\n"), CallerGone: func() bool { return false }}).(Refused)
+	if !ok || !answer.NotRun || answer.Reason != wire.Reason_REASON_SEARCHER_COLD {
+		t.Errorf("got %+v, want a refusal as not run with reason searcher_cold", answer)
+	}
+	if got := s.e.attempts.Count(); got != 0 {
+		t.Errorf("got %d attempts, want none", got)
+	}
+}
--- a/internal/relay/fanout.go
+++ b/internal/relay/fanout.go
@@ -241,7 +241,7 @@
 func (f *fanout) unservable() wire.Reason {
 	missing, first := 0, wire.Reason_REASON_UNSPECIFIED
 	for i := range f.parts {
-		if r := f.engine.balancer.unservable(f.parts[i].service, f.request.Route.Policy().Homes); r != wire.Reason_REASON_UNSPECIFIED {
+		if r := f.engine.balancer.unservable(f.started, f.parts[i].service, f.request.Route.Policy().Homes); r != wire.Reason_REASON_UNSPECIFIED {
 			missing++
 			first = r
 		}
