--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -27,6 +27,8 @@
 	excludedPaused
 	// excludedLimited endpoints named a limit, of which this node has used its share.
 	excludedLimited
+	// excludedCold endpoints warm up, and this node has used its share of what they take.
+	excludedCold
 	numExclusions
 )
 
@@ -39,13 +41,17 @@
 		return wire.Reason_REASON_SEARCHER_PAUSED
 	case excludedLimited:
 		return wire.Reason_REASON_SEARCHER_LIMIT
+	case excludedCold:
+		return wire.Reason_REASON_SEARCHER_COLD
 	default:
 		return wire.Reason_REASON_NO_REPLICA
 	}
 }
 
 // temporary reports whether the cause ends without a change of the configuration or the registrations.
-func (x exclusion) temporary() bool { return x == excludedPaused || x == excludedLimited }
+func (x exclusion) temporary() bool {
+	return x == excludedPaused || x == excludedLimited || x == excludedCold
+}
 
 // demand is what a choice must satisfy.
 type demand struct {
@@ -70,6 +76,8 @@
 		return excludedTried
 	case ep.pacer.Paused(now):
 		return excludedPaused
+	case !ep.pacer.ColdRoom(now):
+		return excludedCold
 	case !ep.pacer.Available(now):
 		return excludedLimited
 	default:
@@ -105,7 +113,7 @@
 
 // exclusionReason returns why no endpoint could be chosen.
 func (c choice) exclusionReason() wire.Reason {
-	for _, x := range []exclusion{excludedLimited, excludedPaused, excludedTried, excludedHome} {
+	for _, x := range []exclusion{excludedCold, excludedLimited, excludedPaused, excludedTried, excludedHome} {
 		if c.excluded[x] > 0 {
 			return x.reason()
 		}
@@ -156,15 +164,19 @@
 	return best, best.endpoint != nil
 }
 
-// unservable returns why no endpoint of a service may ever be chosen for a route as things are, or REASON_UNSPECIFIED.
-func (b *balancer) unservable(service string, homes route.Homes) wire.Reason {
+// unservable returns why no endpoint of a service may be chosen for a route as things are, or REASON_UNSPECIFIED. Limits that searchers name and
+// pauses do not count.
+func (b *balancer) unservable(now time.Time, service string, homes route.Homes) wire.Reason {
 	table := b.current.Load()
 	missing := choice{evacuated: table.evacuated[service]}
 	for _, ep := range table.byService[service] {
 		switch {
 		case !homes.Allow(b.location.Regions[ep.searcher.Zone()]):
 			missing.excluded[excludedHome]++
-		case !ep.replaced.Load() && !ep.leaving.Load():
+		case ep.replaced.Load() || ep.leaving.Load():
+		case !ep.pacer.ColdRoom(now):
+			missing.excluded[excludedCold]++
+		default:
 			return wire.Reason_REASON_UNSPECIFIED
 		}
 	}
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -137,6 +137,7 @@
 // attemptEnded handles the result of an attempt.
 func (f *fanout) attemptEnded(a *attempt, r result) {
 	now := f.engine.clock()
+	f.engine.observeLoad(now, a, r)
 	a.endpoint.tracker.End(now, a.ticket, healthOutcome(r))
 	if r.reason == wire.Reason_REASON_WRONG_SEARCHER {
 		a.endpoint.replaced.Store(true)
@@ -204,7 +205,7 @@
 	case wire.Reason_REASON_SEARCHER_SHED:
 		return health.Shed{}
 	case wire.Reason_REASON_CANCELLED, wire.Reason_REASON_EXPIRED, wire.Reason_REASON_CONNECTION_SILENT, wire.Reason_REASON_SEARCHER_LEAVING,
-		wire.Reason_REASON_SEARCHER_PAUSED:
+		wire.Reason_REASON_SEARCHER_PAUSED, wire.Reason_REASON_SEARCHER_COLD:
 		return health.Abandoned{}
 	case wire.Reason_REASON_CONNECT_FAILED, wire.Reason_REASON_WRONG_SEARCHER:
 		return health.Unreachable{}
