Keep waiting and changed requests within home regions and out of evacuated zones

A request that waited for a connection was sent to a searcher that had registered in another region meanwhile, or that the route's new home regions exclude. Requests that an evacuation sent elsewhere could look for another searcher before it was in force, and used up their attempts in the same zone. A searcher in an unlisted zone was used by a route with the empty region name, a stranded node counted searchers outside the home regions, and reasons named the wrong cause when home regions and evacuations met. A pause or limit was forgotten with an evacuation, and a second restore of the store did not extend the time for which an evacuation is kept.

The home regions in force are read at each choice and again before an attempt is sent, endpoints are renewed when a searcher changes its zone, and connections are closed after the new endpoints are in place.

--- a/internal/follow/evacuation.go
+++ b/internal/follow/evacuation.go
@@ -31,6 +31,15 @@
 	return known
 }
 
+// extend defers the ends that are deferred already further, to holdUntil.
+func (e evacuations) extend(holdUntil time.Time) {
+	for zone, at := range e.endsAt {
+		if !at.IsZero() {
+			e.endsAt[zone] = holdUntil
+		}
+	}
+}
+
 // expire ends the evacuations whose deferred end is due, and returns their zones.
 func (e evacuations) expire(now time.Time) []string {
 	var ended []string
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -391,6 +391,7 @@
 	if before > 0 && batch.Revision.Era() > before.Era() {
 		holdUntil = later(holdUntil, f.beginEra(now, batch))
 		doubtUntil = now.Add(lapseTime)
+		f.evacuations.extend(doubtUntil)
 	}
 	changed := f.entries.merge(batch)
 	if batch.Revision >= f.entries.revision {
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,8 +49,17 @@
 
 func (s *scriptedSource) SetAddress(string) {}
 
-// Decode decodes "routes N" as a version of the routes, "bad" as unreadable, and anything else as a searcher.
+// evacuationTestPrefix begins the keys of evacuations in tests.
+const evacuationTestPrefix = "evacuate/"
+
+// Decode decodes "routes N" as a version of the routes, "bad" as unreadable, keys of evacuations as such, and anything else as a searcher.
 func (s *scriptedSource) Decode(entry Entry) Change {
+	if zone, ok := strings.CutPrefix(entry.Key, evacuationTestPrefix); ok {
+		if entry.Removed {
+			return EvacuationEnded{Zone: zone}
+		}
+		return Evacuated{Zone: zone}
+	}
 	var version uint64
 	if n, err := fmt.Sscanf(string(entry.Value), "routes %d", &version); n == 1 && err == nil {
 		made, err := route.New(version, nil, nil, route.Limits{})
@@ -87,7 +97,7 @@
 func newFollower(source Source, reader bool, now *time.Time) (*Follower, *fleet.Registry) {
 	registry := fleet.New()
 	hooks := Hooks{IsReader: func() bool { return reader }, OnChange: func() {}, OnNewRevision: func() {}}
-	settings := Settings{ApplyWithin: 3 * time.Second}
+	settings := Settings{ApplyWithin: 3 * time.Second, Zones: []string{"y", "z"}}
 	return New(source, registry, settings, hooks, events.Discard(), func() time.Time { return *now }), registry
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -137,6 +137,12 @@
 		a.endpoint.pool.Put(conn, now, 0)
 		return result{reason: wire.Reason_REASON_SEARCHER_PAUSED, waited: waited}
 	}
+	if !e.balancer.homes(request.Route).Allow(e.balancer.location.Regions[a.endpoint.searcher.Zone()]) {
+		// The route got its home regions while the attempt waited for the connection.
+		a.detachConn()
+		a.endpoint.pool.Put(conn, now, 0)
+		return result{reason: wire.Reason_REASON_HOME_REGION, waited: waited}
+	}
 	remaining := a.deadline.Sub(now)
 	var message []byte
 	ok := false
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,11 +60,16 @@
 type endpointTable struct {
 	byKey     map[fleet.Key]*endpoint
 	byService map[string][]*endpoint
-	// evacuated holds the services that have searchers in evacuated availability zones.
-	evacuated map[string]bool
+	// evacuated maps each service to the regions in which it has searchers in evacuated availability zones.
+	evacuated map[string][]string
 	table     *route.Table
 }
 
+// hasEvacuated reports whether a service has searchers in evacuated availability zones of its home regions.
+func (t *endpointTable) hasEvacuated(service string, homes route.Homes) bool {
+	return slices.ContainsFunc(t.evacuated[service], homes.Allow)
+}
+
 // Location is the placement of a node, and the region of every availability zone.
 type Location struct {
 	// Zone and Region are those of this node. Regions maps each availability zone to its region.
@@ -115,9 +121,10 @@
 	next := &endpointTable{
 		byKey:     make(map[fleet.Key]*endpoint),
 		byService: make(map[string][]*endpoint),
-		evacuated: make(map[string]bool),
+		evacuated: make(map[string][]string),
 		table:     table,
 	}
+	var closing []*endpoint
 	for _, s := range snapshot.All() {
 		key := s.Key()
 		limit := b.limit(s, table, nodes)
@@ -127,22 +134,26 @@
 		switch {
 		case !ok:
 			ep = b.newEndpoint(s, limit)
+		case s.Zone() != ep.searcher.Zone():
+			// Requests that wait for a connection were sent to another zone.
+			closing = append(closing, ep)
+			ep = b.renewEndpoint(ep, s, limit)
 		case s.Leaving() && !ep.searcher.Leaving():
 			ep = &endpoint{searcher: s, pool: ep.pool, tracker: ep.tracker, pacer: ep.pacer, link: ep.link}
 		case !s.Leaving() && ep.searcher.Leaving():
-			ep = b.newEndpoint(s, limit)
+			ep = b.renewEndpoint(ep, s, limit)
 		}
 		if s.Leaving() {
 			// Requests that wait for a connection must not reach the searcher later; those that run keep theirs.
-			ep.pool.Close()
+			closing = append(closing, ep)
 		}
 		if left {
 			ep.leave()
 		}
 		ep.setLimit(limit)
 		next.byKey[key] = ep
-		if s.Evacuated() {
-			next.evacuated[s.Service()] = true
+		if region := b.location.Regions[s.Zone()]; s.Evacuated() && !slices.Contains(next.evacuated[s.Service()], region) {
+			next.evacuated[s.Service()] = append(next.evacuated[s.Service()], region)
 		}
 	}
 	for _, service := range table.ServiceNames() {
@@ -151,6 +162,10 @@
 		}
 	}
 	b.current.Store(next)
+	// Requests that lose their place must find the new endpoints when they look for another one.
+	for _, ep := range closing {
+		ep.pool.Close()
+	}
 	var removed []fleet.Key
 	now := b.clock()
 	for key, at := range b.left {
@@ -190,10 +205,24 @@
 	}
 }
 
-// reaches reports whether a searcher of a service was reached lately.
-func (b *balancer) reaches(now time.Time, service string) bool {
+// renewEndpoint returns an endpoint for a process that is used again or elsewhere. What the searcher asked of this node stays in force, unless
+// the region, by which nodes share a limit, has changed.
+func (b *balancer) renewEndpoint(ep *endpoint, s *fleet.Searcher, limit int) *endpoint {
+	renewed := b.newEndpoint(s, limit)
+	if b.location.Regions[s.Zone()] == b.location.Regions[ep.searcher.Zone()] {
+		renewed.pacer = ep.pacer
+	}
+	renewed.replaced.Store(ep.replaced.Load())
+	return renewed
+}
+
+// homes returns the home regions in force for a route.
+func (b *balancer) homes(r *route.Route) route.Homes { return b.current.Load().table.HomesOf(r) }
+
+// reaches reports whether a searcher of a service in a home region was reached lately.
+func (b *balancer) reaches(now time.Time, service string, homes route.Homes) bool {
 	for _, ep := range b.current.Load().byService[service] {
-		if ep.link.RecentlyReached(now) {
+		if homes.Allow(b.location.Regions[ep.searcher.Zone()]) && ep.link.RecentlyReached(now) {
 			return true
 		}
 	}
@@ -210,11 +239,11 @@
 	return false
 }
 
-// others returns up to n random endpoints other than the given one.
+// others returns up to n random endpoints other than the given one to which connections may be opened.
 func (b *balancer) others(except *endpoint, n int) []*endpoint {
 	var found []*endpoint
 	for _, ep := range b.current.Load().byKey {
-		if ep != except && len(found) < n {
+		if ep != except && !ep.searcher.Leaving() && !ep.leaving.Load() && len(found) < n {
 			found = append(found, ep)
 		}
 	}
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -33,8 +33,6 @@
 // reason returns why a part ends if all endpoints of its service are excluded for this cause.
 func (x exclusion) reason() wire.Reason {
 	switch x {
-	case excludedHome:
-		return wire.Reason_REASON_HOME_REGION
 	case excludedPaused:
 		return wire.Reason_REASON_SEARCHER_PAUSED
 	case excludedLimited:
@@ -87,15 +85,22 @@
 	// roundTrip is the network part of latency.
 	roundTrip time.Duration
 	stalled   bool
+	absence
+}
+
+// absence is why the endpoints of a service were not chosen.
+type absence struct {
 	// excluded counts the endpoints of the service by what kept them from being chosen.
 	excluded [numExclusions]int
-	// evacuated is set when the service has searchers in evacuated availability zones.
-	evacuated bool
+	// restricted is set when only searchers in home regions may be chosen. evacuated is set when some of those that may be chosen are in
+	// evacuated availability zones.
+	restricted bool
+	evacuated  bool
 }
 
 // temporarilyExcluded reports whether an endpoint may be chosen again without a change of the configuration or the registrations.
-func (c choice) temporarilyExcluded() bool {
-	for x, count := range c.excluded {
+func (a absence) temporarilyExcluded() bool {
+	for x, count := range a.excluded {
 		if count > 0 && exclusion(x).temporary() {
 			return true
 		}
@@ -104,16 +109,20 @@
 }
 
 // exclusionReason returns why no endpoint could be chosen.
-func (c choice) exclusionReason() wire.Reason {
-	for _, x := range []exclusion{excludedLimited, excludedPaused, excludedTried, excludedHome} {
-		if c.excluded[x] > 0 {
+func (a absence) exclusionReason() wire.Reason {
+	for _, x := range []exclusion{excludedLimited, excludedPaused, excludedTried} {
+		if a.excluded[x] > 0 {
 			return x.reason()
 		}
 	}
-	if c.evacuated {
+	switch {
+	case a.evacuated:
 		return wire.Reason_REASON_ZONE_EVACUATED
+	case a.restricted:
+		return wire.Reason_REASON_HOME_REGION
+	default:
+		return wire.Reason_REASON_NO_REPLICA
 	}
-	return wire.Reason_REASON_NO_REPLICA
 }
 
 // candidate is an endpoint with its health state at the time of a choice.
@@ -152,23 +161,19 @@
 			best = choice{endpoint: ep, latency: latency, roundTrip: roundTrip, stalled: c.state.Stalled}
 		}
 	}
-	best.excluded, best.evacuated = excluded, table.evacuated[d.service]
+	best.absence = absence{excluded: excluded, restricted: d.homes.Restricted(), evacuated: table.hasEvacuated(d.service, d.homes)}
 	return best, best.endpoint != nil
 }
 
 // unservable returns why no endpoint of a service may ever be chosen for a route as things are, or REASON_UNSPECIFIED.
 func (b *balancer) unservable(service string, homes route.Homes) wire.Reason {
 	table := b.current.Load()
-	missing := choice{evacuated: table.evacuated[service]}
 	for _, ep := range table.byService[service] {
-		switch {
-		case !homes.Allow(b.location.Regions[ep.searcher.Zone()]):
-			missing.excluded[excludedHome]++
-		case !ep.replaced.Load() && !ep.leaving.Load():
+		if homes.Allow(b.location.Regions[ep.searcher.Zone()]) && !ep.replaced.Load() && !ep.leaving.Load() {
 			return wire.Reason_REASON_UNSPECIFIED
 		}
 	}
-	return missing.exclusionReason()
+	return absence{restricted: homes.Restricted(), evacuated: table.hasEvacuated(service, homes)}.exclusionReason()
 }
 
 // typicalServiceTime returns the least mean service time of the candidates, as an estimate for endpoints without samples.
--- a/internal/relay/fanout.go
+++ b/internal/relay/fanout.go
@@ -228,9 +228,9 @@
 
 // servable reports whether this node has lately reached searchers of enough parts for the minimum coverage.
 func (f *fanout) servable(now time.Time) bool {
-	reached := f.succeeded
+	reached, homes := f.succeeded, f.engine.balancer.homes(f.request.Route)
 	for i := range f.parts {
-		if p := &f.parts[i]; !p.settled && f.engine.balancer.reaches(now, p.service) {
+		if p := &f.parts[i]; !p.settled && f.engine.balancer.reaches(now, p.service, homes) {
 			reached++
 		}
 	}
@@ -239,9 +239,9 @@
 
 // unservable returns why too few parts for the minimum coverage have a searcher that may run them, or REASON_UNSPECIFIED.
 func (f *fanout) unservable() wire.Reason {
-	missing, first := 0, wire.Reason_REASON_UNSPECIFIED
+	missing, first, homes := 0, wire.Reason_REASON_UNSPECIFIED, f.engine.balancer.homes(f.request.Route)
 	for i := range f.parts {
-		if r := f.engine.balancer.unservable(f.parts[i].service, f.request.Route.Policy().Homes); r != wire.Reason_REASON_UNSPECIFIED {
+		if r := f.engine.balancer.unservable(f.parts[i].service, homes); r != wire.Reason_REASON_UNSPECIFIED {
 			missing++
 			first = r
 		}
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -50,7 +50,7 @@
 
 // demand returns what the searcher of the next attempt of a part must satisfy.
 func (f *fanout) demand(now time.Time, p *part) demand {
-	return demand{service: p.service, homes: f.request.Route.Policy().Homes, timeLeft: f.timeLeft(now), skip: p.alreadyTried}
+	return demand{service: p.service, homes: f.engine.balancer.homes(f.request.Route), timeLeft: f.timeLeft(now), skip: p.alreadyTried}
 }
 
 func (p *part) alreadyTried(ep *endpoint) bool {
@@ -204,7 +204,7 @@
 	case wire.Reason_REASON_SEARCHER_SHED:
 		return health.Shed{}
 	case wire.Reason_REASON_CANCELLED, wire.Reason_REASON_EXPIRED, wire.Reason_REASON_CONNECTION_SILENT, wire.Reason_REASON_SEARCHER_LEAVING,
-		wire.Reason_REASON_SEARCHER_PAUSED:
+		wire.Reason_REASON_SEARCHER_PAUSED, wire.Reason_REASON_HOME_REGION:
 		return health.Abandoned{}
 	case wire.Reason_REASON_CONNECT_FAILED, wire.Reason_REASON_WRONG_SEARCHER:
 		return health.Unreachable{}
--- a/internal/route/homes.go
+++ b/internal/route/homes.go
@@ -19,8 +19,11 @@
 // Regions returns the allowed regions of a restriction. The caller must not modify the result.
 func (h Homes) Regions() []string { return h.regions }
 
-// Allow reports whether a request may be served in a region.
-func (h Homes) Allow(region string) bool { return !h.restricted || slices.Contains(h.regions, region) }
+// Allow reports whether a request may be served in a region. The empty name stands for the unknown region of an unlisted availability zone,
+// which is no home.
+func (h Homes) Allow(region string) bool {
+	return !h.restricted || (region != "" && slices.Contains(h.regions, region))
+}
 
 // IgnoredField is a field of the operator's configuration that has no valid value and is not used.
 type IgnoredField struct {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -2,6 +2,7 @@
 package route
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -124,12 +125,24 @@
 
 // HostAllows reports whether all routes of a host may be served in a region.
 func (t *Table) HostAllows(host, region string) bool {
-	for _, homes := range t.homes[host] {
-		if !homes.Allow(region) {
-			return false
-		}
+	return !slices.ContainsFunc(t.homes[host], func(h Homes) bool { return !h.Allow(region) })
+}
+
+// HostAllowsSome reports whether a region is a home region of some route of a host, or the host has no route with home regions.
+func (t *Table) HostAllowsSome(host, region string) bool {
+	homes := t.homes[host]
+	return len(homes) == 0 || slices.ContainsFunc(homes, func(h Homes) bool { return h.Allow(region) })
+}
+
+// HomesOf returns the home regions that this version has for a route of another version, or those of the route itself if this version lacks it.
+func (t *Table) HomesOf(r *Route) Homes {
+	if t == nil {
+		return r.policy.Homes
+	}
+	if current, ok := t.byPrefix[r.host][r.prefix]; ok {
+		return current.policy.Homes
 	}
-	return true
+	return r.policy.Homes
 }
 
 // Limits returns the limits for callers.
