--- a/internal/relay/homes_test.go
+++ b/internal/relay/homes_test.go
@@ -197,6 +197,22 @@
 	}
 }
 
+// Guards against a query without a permitted searcher that waits for admission, or whose refusal names the lack of room.
+func TestUnservableQueryDoesNotWait(t *testing.T) {
+	f := newHomeFleet(t, []placed{{id: "a1", zone: "near-a"}}, route.Homes{})
+	f.policy.Homes = route.NewHomes("far")
+	r, err := route.NewRoute("q", "h", "/q/", route.Gather{Shards: []string{"one"}, Top: 1, MinCoverage: 1}, f.policy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request := f.request()
+	request.Route = r
+	saturate(f.engine.limiterFor(r))
+	if got, ok := f.engine.Serve(time.Now(), request).(Refused); !ok || got.Reason != wire.Reason_REASON_HOME_REGION || !got.NotRun {
+		t.Errorf("got %+v, want a refusal for the home region, not run", got)
+	}
+}
+
 // Guards against a request that waits for a connection and is sent, as soon as there is one, to a searcher that it must not reach any more: its
 // zone is evacuated, the searcher turned out to be in another region, or the route got home regions. Idle connections to an evacuated zone must
 // not stay open.
@@ -298,9 +314,11 @@
 // Guards against connections to an evacuated zone that stay open, and against a searcher that is used in the pause for which it asked, because
 // an evacuation ended meanwhile.
 func TestEvacuationEndsConnections(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
 	f := newHomeFleet(t, []placed{{id: "a1", zone: "near-a"}}, route.Homes{})
 	before := f.endpoint("a1")
-	if err := before.pool.Probe(t.Context()); err != nil || !before.pool.HasLiveConn() {
+	if err := before.pool.Probe(ctx); err != nil || !before.pool.HasLiveConn() {
 		t.Fatalf("got error %v, want an idle connection", err)
 	}
 	before.pacer.Pause(time.Now(), time.Minute)
@@ -309,12 +327,12 @@
 	if before.pool.HasLiveConn() {
 		t.Error("got an idle connection to the evacuated zone, want none")
 	}
-	if _, err := f.endpoint("a1").pool.Get(t.Context(), time.Now(), 0); err != pool.ErrClosed {
+	if _, err := f.endpoint("a1").pool.Get(ctx, time.Now(), 0); err != pool.ErrClosed {
 		t.Errorf("got error %v, want %v", err, pool.ErrClosed)
 	}
 	f.evacuate()
 	after := f.endpoint("a1")
-	if _, err := after.pool.Get(t.Context(), time.Now(), 0); err != nil {
+	if _, err := after.pool.Get(ctx, time.Now(), 0); err != nil {
 		t.Errorf("after the end: got error %v, want a connection", err)
 	}
 	if !after.pacer.Paused(time.Now()) || !after.pacer.Limit().Named() {
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -22,6 +22,8 @@
 	Service string `json:"service"`
 	Zone    string `json:"availability_zone"`
 	Leaving bool   `json:"leaving"`
+	// Evacuated is set while the searcher's availability zone is evacuated.
+	Evacuated bool `json:"evacuated"`
 	// Latency is the mean latency without queueing of this node's requests, 0 while unknown. Age is the time since its last sample.
 	Latency  int64   `json:"latency_ms"`
 	Age      int64   `json:"age_ms"`
@@ -51,7 +53,7 @@
 	for _, ep := range e.balancer.current.Load().byKey {
 		state := ep.tracker.State(now)
 		report := SearcherReport{
-			ID: ep.searcher.ID(), Service: ep.searcher.Service(), Zone: ep.searcher.Zone(), Leaving: ep.searcher.Leaving(),
+			ID: ep.searcher.ID(), Service: ep.searcher.Service(), Zone: ep.searcher.Zone(), Leaving: ep.searcher.Leaving(), Evacuated: ep.searcher.Evacuated(),
 			Latency: state.Mean.Milliseconds(), Failures: state.Failures, Stalled: state.Stalled, Avoided: state.Avoided,
 			Connections: ep.pool.Limit(),
 		}
--- a/internal/roster/active.go
+++ b/internal/roster/active.go
@@ -18,18 +18,19 @@
 // CallerAddresses returns the caller addresses of active nodes for a caller in a zone. A caller asks the nodes of its own zone first, so a
 // caller from another zone most likely found none there: it gets the nodes of this zone together with those of its own. When neither zone
 // has any, it gets those of its region, and otherwise those of all regions. Nodes in regions that are not allowed are left out as long as there
-// are others; those of the caller's own region always are.
-func (r *Roster) CallerAddresses(now time.Time, region, zone string, allowed func(region string) bool) []string {
+// are others; those of the caller's own region always are allowed. If the first of several rules leaves no node, the next one applies.
+func (r *Roster) CallerAddresses(now time.Time, region, zone string, allowed ...func(region string) bool) []string {
 	r.mu.Lock()
 	v, own := r.currentView(now), r.self.Zone
 	r.mu.Unlock()
-	permitted := func(s State) bool { return s.Region == region || allowed(s.Region) }
-	for _, match := range []func(State) bool{
-		func(s State) bool { return permitted(s) && (s.Zone == zone || (s.Zone == own && zone != own)) },
-		func(s State) bool { return s.Region == region },
-		permitted,
-		func(State) bool { return true },
-	} {
+	near := func(s State) bool {
+		return (s.Zone == zone || (s.Zone == own && zone != own)) && (s.Region == region || len(allowed) == 0 || allowed[0](s.Region))
+	}
+	matches := []func(State) bool{near, func(s State) bool { return s.Region == region }}
+	for _, allows := range allowed {
+		matches = append(matches, func(s State) bool { return allows(s.Region) })
+	}
+	for _, match := range append(matches, func(State) bool { return true }) {
 		var group []State
 		for _, active := range v.active {
 			// All nodes of a zone are in the same region.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -86,6 +86,49 @@
 	}
 }
 
+// Guards against directory answers that send callers of a host with home regions to a node elsewhere while there are others, and against answers
+// without any node.
+func TestCallerAddressesStayInHomes(t *testing.T) {
+	in := func(id, region, zone string) State {
+		return State{ID: id, Region: region, Zone: zone, CallerAddress: id + ":1", Phase: Ready, Heartbeat: 1}
+	}
+	nodes := []State{in("n1", "near", "near-a"), in("n2", "near", "near-b"), in("f", "far", "far-a"), in("x", "third", "third-a")}
+	regions := func(allowed ...string) func(string) bool {
+		return func(region string) bool { return slices.Contains(allowed, region) }
+	}
+	tests := map[string]struct {
+		// self is the node that is asked, the first of those that are known.
+		self         State
+		known        []State
+		region, zone string
+		allowed      []func(string) bool
+		want         []string
+	}{
+		"caller at home, node at home":             {self: nodes[0], known: nodes, region: "near", zone: "near-a", allowed: []func(string) bool{regions("near")}, want: []string{"n1:1"}},
+		"caller at home, node elsewhere":           {self: nodes[2], known: nodes, region: "near", zone: "near-a", allowed: []func(string) bool{regions("near")}, want: []string{"n1:1"}},
+		"caller elsewhere, node at home":           {self: nodes[0], known: nodes, region: "far", zone: "far-a", allowed: []func(string) bool{regions("near")}, want: []string{"f:1", "n1:1"}},
+		"caller in a third region, node elsewhere": {self: nodes[2], known: nodes[:3], region: "third", zone: "third-a", allowed: []func(string) bool{regions("near")}, want: []string{"n1:1", "n2:1"}},
+		"zone of another region than stated":       {self: nodes[0], known: nodes, region: "near", zone: "far-a", allowed: []func(string) bool{regions("near")}, want: []string{"n1:1"}},
+		"home without nodes, caller elsewhere":     {self: nodes[2], known: nodes[2:], region: "third", zone: "third-a", allowed: []func(string) bool{regions("near")}, want: []string{"x:1"}},
+		"only nodes elsewhere":                     {self: nodes[2], known: nodes[2:3], region: "near", zone: "near-a", allowed: []func(string) bool{regions("near")}, want: []string{"f:1"}},
+		"no region is home":                        {self: nodes[2], known: nodes, region: "near", zone: "near-b", allowed: []func(string) bool{regions()}, want: []string{"n2:1"}},
+		"routes with different homes, caller elsewhere": {self: nodes[3], known: nodes, region: "fourth", zone: "fourth-a", allowed: []func(string) bool{regions(), regions("near", "far")},
+			want: []string{"f:1", "n1:1", "n2:1"}},
+		"no restriction": {self: nodes[2], known: nodes, region: "near", zone: "near-a", want: []string{"f:1", "n1:1"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := New(test.self, Settings{})
+			r.Merge(start, slices.DeleteFunc(slices.Clone(test.known), func(s State) bool { return s.ID == test.self.ID }))
+			got := r.CallerAddresses(start.Add(time.Second), test.region, test.zone, test.allowed...)
+			slices.Sort(got)
+			if !slices.Equal(got, test.want) {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // Guards against a restarted node whose states are rejected because its predecessor's heartbeat count is higher.
 func TestRestartedNodeSupersedesPredecessor(t *testing.T) {
 	r := New(state("a", Ready, 5, 0), Settings{})
--- a/internal/tier/report.go
+++ b/internal/tier/report.go
@@ -26,7 +26,9 @@
 	StoreAge         int64  `json:"store_age_ms"`
 	StoreRemovalHold int64  `json:"store_doubt_ms"`
 	ReadsStore       bool   `json:"reads_store"`
-	InFlight         int    `json:"requests_in_flight"`
+	// EvacuatedZones are the availability zones whose searchers get no new requests.
+	EvacuatedZones []string `json:"evacuated_availability_zones"`
+	InFlight       int      `json:"requests_in_flight"`
 	// SearchersReached is the share of the searchers that the node reaches, absent while it has no recent evidence.
 	SearchersReached *float64 `json:"searchers_reached_share,omitempty"`
 	Connections      int      `json:"caller_connections"`
@@ -55,7 +57,7 @@
 	report := Report{
 		Node: self.ID, Region: self.Region, Zone: self.Zone, Phase: self.Phase.String(),
 		StoreRevision: position.Revision.Number(), StoreEra: position.Revision.Era(), StoreAge: position.Age.Milliseconds(), StoreRemovalHold: position.RemovalHold.Milliseconds(),
-		ReadsStore: t.isReader(), InFlight: t.engine.InFlight(), Connections: t.edge.Connections(),
+		ReadsStore: t.isReader(), EvacuatedZones: t.follower.Evacuated(), InFlight: t.engine.InFlight(), Connections: t.edge.Connections(),
 		Limits: t.engine.Limits(), Searchers: t.engine.Searchers(now), Nodes: t.nodeReports(now),
 	}
 	if reached := t.engine.Reach(); reached.Known() {
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -216,11 +216,12 @@
 
 // CallerAddresses implements Discovery.
 func (t *Tier) CallerAddresses(host, region, zone string) ([]string, time.Duration) {
-	allowed := func(string) bool { return true }
+	var allowed []func(region string) bool
 	if table := t.follower.Table(); table != nil {
-		allowed = func(region string) bool { return table.HostAllows(host, region) }
+		allowed = append(allowed, func(region string) bool { return table.HostAllows(host, region) },
+			func(region string) bool { return table.HostAllowsSome(host, region) })
 	}
-	return t.roster.CallerAddresses(t.clock(), region, zone, allowed), min(maxDirectoryValidity, t.settings.Load().DirectoryValid)
+	return t.roster.CallerAddresses(t.clock(), region, zone, allowed...), min(maxDirectoryValidity, t.settings.Load().DirectoryValid)
 }
 
 // Ready implements Discovery.
