Explain where a node would send a request, and why

Operators could not tell why a request went to a searcher or was refused without reading the attempts of many requests. The command where and GET /v1/placement on the metrics address report the route, admission and the verdict on each searcher. The evaluation of searchers is split from the pick, so that requests and the explanation share it; a test checks that a choice does not allocate.

--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -101,6 +101,7 @@
 			serveCommand(signals, stderr),
 			platformCommand(signals, stdout),
 			explainCommand(stdout),
+			whereCommand(stdout),
 			soakCommand(signals, stdout),
 			checkCommand(stdout),
 			askCommand(stdout),
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fireflylanding/fireflylanding/internal/health"
@@ -23,6 +24,8 @@
 	excludedLeaving
 	// excludedHome endpoints are outside the home regions of the route.
 	excludedHome
+	// excludedEvacuated endpoints are in an evacuated availability zone.
+	excludedEvacuated
 	// excludedPaused endpoints asked this node for no requests for a while.
 	excludedPaused
 	// excludedLimited endpoints named a limit, of which this node has used its share.
@@ -30,6 +33,30 @@
 	numExclusions
 )
 
+// String returns the name in reports.
+func (x exclusion) String() string {
+	switch x {
+	case notExcluded:
+		return "not_excluded"
+	case excludedTried:
+		return "already_tried"
+	case excludedReplaced:
+		return "replaced"
+	case excludedLeaving:
+		return "leaving"
+	case excludedHome:
+		return "outside_home_regions"
+	case excludedEvacuated:
+		return "evacuated"
+	case excludedPaused:
+		return "paused"
+	case excludedLimited:
+		return "limited"
+	default:
+		return "excluded"
+	}
+}
+
 // reason returns why a part ends if all endpoints of its service are excluded for this cause.
 func (x exclusion) reason() wire.Reason {
 	switch x {
@@ -51,8 +78,8 @@
 	homes   route.Homes
 	// timeLeft is the time within which a reply is useful.
 	timeLeft time.Duration
-	// skip excludes endpoints that were sent the request before.
-	skip func(*endpoint) bool
+	// tried lists the endpoints that were sent the request before.
+	tried []*endpoint
 }
 
 // exclude returns why an endpoint may not be chosen now, or notExcluded.
@@ -60,11 +87,13 @@
 	switch {
 	case !d.homes.Allow(b.location.Regions[ep.searcher.Zone()]):
 		return excludedHome
+	case ep.searcher.Evacuated():
+		return excludedEvacuated
 	case ep.replaced.Load():
 		return excludedReplaced
-	case ep.leaving.Load():
+	case ep.leaving.Load() || ep.searcher.Leaving():
 		return excludedLeaving
-	case d.skip(ep):
+	case slices.Contains(d.tried, ep):
 		return excludedTried
 	case ep.pacer.Paused(now):
 		return excludedPaused
@@ -125,10 +154,38 @@
 	}
 }
 
-// candidate is an endpoint with its health state at the time of a choice.
+// candidate is an endpoint with its state at the time of a choice.
 type candidate struct {
 	endpoint *endpoint
 	state    health.State
+	// excluded is why the endpoint may not be chosen.
+	excluded exclusion
+	// latency is the expected latency of a request, and roundTrip the network part of it. cost ranks the candidates. They are set unless the
+	// endpoint is excluded.
+	latency   time.Duration
+	roundTrip time.Duration
+	cost      time.Duration
+}
+
+// assess sets the latency and the cost. typical is the service time that is assumed without samples.
+func (c *candidate) assess(b *balancer, d demand, typical time.Duration) {
+	c.roundTrip = b.roundTrip(c.endpoint.searcher.Zone())
+	c.latency = c.state.Latency(c.roundTrip, typical)
+	c.cost = c.state.Cost(c.latency, d.timeLeft)
+}
+
+// evaluate appends the endpoints to candidates, with what keeps each from being chosen or what it costs. It changes no state.
+func (b *balancer) evaluate(now time.Time, endpoints []*endpoint, d demand, candidates []candidate) []candidate {
+	for _, ep := range endpoints {
+		candidates = append(candidates, candidate{endpoint: ep, state: ep.tracker.State(now), excluded: b.exclude(now, ep, d)})
+	}
+	typical := b.typicalServiceTime(candidates)
+	for i := range candidates {
+		if candidates[i].excluded == notExcluded {
+			candidates[i].assess(b, d, typical)
+		}
+	}
+	return candidates
 }
 
 // inlineCandidates is the number of searchers per service up to which a choice does not allocate.
@@ -137,34 +194,34 @@
 // choose returns the endpoint with the least cost among those that are not excluded. The caller takes the room with the endpoint's pacer.
 func (b *balancer) choose(now time.Time, d demand) (choice, bool) {
 	var buffer [inlineCandidates]candidate
-	candidates := buffer[:0]
 	table := b.current.Load()
-	for _, ep := range table.byService[d.service] {
-		candidates = append(candidates, candidate{endpoint: ep, state: ep.tracker.State(now)})
-	}
-	typical := b.typicalServiceTime(candidates)
+	candidates := b.evaluate(now, table.byService[d.service], d, buffer[:0])
 	var best choice
 	var leastCost time.Duration
-	var excluded [numExclusions]int
-	for _, c := range candidates {
-		ep := c.endpoint
-		if x := b.exclude(now, ep, d); x != notExcluded {
-			excluded[x]++
+	for i := range candidates {
+		c := &candidates[i]
+		if c.excluded != notExcluded {
 			continue
 		}
-		roundTrip := b.roundTrip(ep.searcher.Zone())
-		latency := c.state.Latency(roundTrip, typical)
-		cost := c.state.Cost(latency, d.timeLeft)
-		cost += time.Duration(float64(cost) * costJitter * rand.Float64())
+		cost := c.cost + time.Duration(float64(c.cost)*costJitter*rand.Float64())
 		if best.endpoint == nil || cost < leastCost {
 			leastCost = cost
-			best = choice{endpoint: ep, latency: latency, roundTrip: roundTrip, stalled: c.state.Stalled}
+			best = choice{endpoint: c.endpoint, latency: c.latency, roundTrip: c.roundTrip, stalled: c.state.Stalled}
 		}
 	}
-	best.absence = absence{excluded: excluded, restricted: d.homes.Restricted(), evacuated: table.hasEvacuated(d.service, d.homes)}
+	best.absence = absenceOf(candidates, table, d)
 	return best, best.endpoint != nil
 }
 
+// absenceOf returns what kept the candidates from being chosen.
+func absenceOf(candidates []candidate, table *endpointTable, d demand) absence {
+	a := absence{restricted: d.homes.Restricted(), evacuated: table.hasEvacuated(d.service, d.homes)}
+	for i := range candidates {
+		a.excluded[candidates[i].excluded]++
+	}
+	return a
+}
+
 // unservable returns why no endpoint of a service may ever be chosen for a route as things are, or REASON_UNSPECIFIED.
 func (b *balancer) unservable(service string, homes route.Homes) wire.Reason {
 	table := b.current.Load()
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"slices"
 	"testing"
 	"time"
 
@@ -300,7 +299,7 @@
 			}
 			var lost []*endpoint
 			for range 2 {
-				chosen, ok := e.balancer.choose(start, demand{service: "one", timeLeft: time.Second, skip: func(ep *endpoint) bool { return slices.Contains(lost, ep) }})
+				chosen, ok := e.balancer.choose(start, demand{service: "one", timeLeft: time.Second, tried: lost})
 				if !ok {
 					t.Fatal("got no searcher")
 				}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -206,11 +206,8 @@
 	if e.crashes.marks.quarantined(now, f.fingerprint) {
 		return f.reject(wire.Reason_REASON_QUARANTINED)
 	}
-	if r := f.unservable(); r != wire.Reason_REASON_UNSPECIFIED {
-		return f.reject(r)
-	}
-	if e.Stranded() && !f.servable(now) {
-		return f.reject(wire.Reason_REASON_LINKS_LOST, zap.Float64("share", e.Reach().Share()))
+	if r := f.refusal(now); r != wire.Reason_REASON_UNSPECIFIED {
+		return f.reject(r, zap.Float64("share", e.Reach().Share()))
 	}
 	if f.limiter == nil {
 		return f.run()
--- a/internal/relay/fanout.go
+++ b/internal/relay/fanout.go
@@ -71,23 +71,17 @@
 }
 
 func newFanout(e *Engine, now time.Time, request *Request) *fanout {
-	policy := request.Route.Policy()
-	timeout := policy.Timeout
-	if request.Timeout > 0 && request.Timeout < timeout {
-		timeout = request.Timeout
-	}
 	f := &fanout{
 		engine:      e,
 		limiter:     e.limiterFor(request.Route),
 		request:     request,
 		started:     now,
-		deadline:    now.Add(timeout),
 		fingerprint: fingerprint(request.Route, request),
 		minCoverage: 1,
 		signal:      make(chan struct{}, 1),
 		attempts:    make(map[*attempt]struct{}),
 	}
-	f.goalAt = now.Add(policy.Goal - answerMargin)
+	f.setTimes(now)
 	f.partialAt = f.deadline
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	switch target := request.Route.Target().(type) {
@@ -106,6 +100,16 @@
 	return f
 }
 
+// setTimes sets the deadline and the time of the goal of a request that arrives now.
+func (f *fanout) setTimes(now time.Time) {
+	policy := f.request.Route.Policy()
+	timeout := policy.Timeout
+	if f.request.Timeout > 0 && f.request.Timeout < timeout {
+		timeout = f.request.Timeout
+	}
+	f.deadline, f.goalAt = now.Add(timeout), now.Add(policy.Goal-answerMargin)
+}
+
 // admissionWaitShare is the fraction of the route's goal that a query waits for admission. It is small, so that a refused caller still has
 // time to try again.
 const admissionWaitShare = 0.1
@@ -237,6 +241,17 @@
 	return reached > 0 && float64(reached) >= f.minCoverage*float64(len(f.parts))
 }
 
+// refusal returns why the request is refused at once as things are, or REASON_UNSPECIFIED.
+func (f *fanout) refusal(now time.Time) wire.Reason {
+	if r := f.unservable(); r != wire.Reason_REASON_UNSPECIFIED {
+		return r
+	}
+	if f.engine.Stranded() && !f.servable(now) {
+		return wire.Reason_REASON_LINKS_LOST
+	}
+	return wire.Reason_REASON_UNSPECIFIED
+}
+
 // unservable returns why too few parts for the minimum coverage have a searcher that may run them, or REASON_UNSPECIFIED.
 func (f *fanout) unservable() wire.Reason {
 	missing, first, homes := 0, wire.Reason_REASON_UNSPECIFIED, f.engine.balancer.homes(f.request.Route)
--- a/internal/relay/leaving_test.go
+++ b/internal/relay/leaving_test.go
@@ -114,7 +114,7 @@
 	e := newEngine(time.Now)
 	registerOne(t, e, false, 1)
 	registerOne(t, e, true, 2)
-	if _, ok := e.balancer.choose(start, demand{service: "one", timeLeft: time.Second, skip: func(*endpoint) bool { return false }}); ok {
+	if _, ok := e.balancer.choose(start, demand{service: "one", timeLeft: time.Second}); ok {
 		t.Error("got a leaving searcher chosen, want none")
 	}
 	ep := registerOne(t, e, false, 3)
@@ -129,7 +129,7 @@
 	registerOne(t, e, false, 1).leave()
 	for i, leaving := range []bool{false, true, false} {
 		registerOne(t, e, leaving, epoch.Revision(i+2))
-		if _, ok := e.balancer.choose(start, demand{service: "one", timeLeft: time.Second, skip: func(*endpoint) bool { return false }}); ok {
+		if _, ok := e.balancer.choose(start, demand{service: "one", timeLeft: time.Second}); ok {
 			t.Errorf("after registration %d: got the searcher chosen, want none", i)
 		}
 	}
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -50,16 +50,7 @@
 
 // demand returns what the searcher of the next attempt of a part must satisfy.
 func (f *fanout) demand(now time.Time, p *part) demand {
-	return demand{service: p.service, homes: f.engine.balancer.homes(f.request.Route), timeLeft: f.timeLeft(now), skip: p.alreadyTried}
-}
-
-func (p *part) alreadyTried(ep *endpoint) bool {
-	for _, tried := range p.tried {
-		if tried == ep {
-			return true
-		}
-	}
-	return false
+	return demand{service: p.service, homes: f.engine.balancer.homes(f.request.Route), timeLeft: f.timeLeft(now), tried: p.tried}
 }
 
 func (f *fanout) send(now time.Time, p *part, chosen choice, cause wire.Reason) {
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -40,13 +40,16 @@
 func (e *Engine) Limits() map[string]LimitReport {
 	reports := make(map[string]LimitReport)
 	e.limiters.Range(func(group, held any) bool {
-		state := held.(*intake.Limiter).State()
-		reports[group.(string)] = LimitReport{Limit: state.Limit, InFlight: state.InFlight, Waiting: state.Waiting, Late: state.LateShare}
+		reports[group.(string)] = limitReport(held.(*intake.Limiter).State())
 		return true
 	})
 	return reports
 }
 
+func limitReport(state intake.State) LimitReport {
+	return LimitReport{Limit: state.Limit, InFlight: state.InFlight, Waiting: state.Waiting, Late: state.LateShare}
+}
+
 // Searchers returns the observed state of each searcher, sorted by service and id.
 func (e *Engine) Searchers(now time.Time) []SearcherReport {
 	var reports []SearcherReport
--- a/internal/tier/metrics.go
+++ b/internal/tier/metrics.go
@@ -22,6 +22,7 @@
 			return expo.Write(c, t.registry)
 		})
 	}
+	app.Get(placementPath, t.servePlacement)
 	app.Get(statusPath, func(c fiber.Ctx) error { return c.JSON(t.Report(t.clock())) })
 	return app
 }
