Keep the mark of a replaced searcher through an evacuation

An endpoint that is evacuated is copied without the mark that another process answers at its address, so that requests went there again once the evacuation ended. An evacuated searcher that started to leave was still reported as evacuated afterwards. The mark is carried over, and a choice does not allocate for up to 12 searchers, the size of the largest service of the deployments with one searcher for a request.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -138,8 +138,10 @@
 			// Requests that wait for a connection were sent to another zone.
 			closing = append(closing, ep)
 			ep = b.renewEndpoint(ep, s, limit)
-		case s.Leaving() && !ep.searcher.Leaving():
+		case s.Leaving() && (!ep.searcher.Leaving() || s.Evacuated() != ep.searcher.Evacuated()):
+			replaced := ep.replaced.Load()
 			ep = &endpoint{searcher: s, pool: ep.pool, tracker: ep.tracker, pacer: ep.pacer, link: ep.link}
+			ep.replaced.Store(replaced)
 		case !s.Leaving() && ep.searcher.Leaving():
 			ep = b.renewEndpoint(ep, s, limit)
 		}
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -189,7 +189,7 @@
 }
 
 // inlineCandidates is the number of searchers per service up to which a choice does not allocate.
-const inlineCandidates = 8
+const inlineCandidates = 12
 
 // choose returns the endpoint with the least cost among those that are not excluded. The caller takes the room with the endpoint's pacer.
 func (b *balancer) choose(now time.Time, d demand) (choice, bool) {
--- a/internal/relay/choice_test.go
+++ b/internal/relay/choice_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,7 +11,11 @@
 
 // Guards against a choice that allocates for each attempt.
 func TestChoiceAllocations(t *testing.T) {
-	f := newHomeFleet(t, append(spread, placed{id: "a3", zone: "near-a"}, placed{id: "f3", zone: "far-a"}), route.NewHomes("near"))
+	searchers := slices.Clone(spread)
+	for i := len(searchers); i < inlineCandidates; i++ {
+		searchers = append(searchers, placed{id: fmt.Sprintf("c%d", i), zone: "near-b"})
+	}
+	f := newHomeFleet(t, searchers, route.NewHomes("near"))
 	run := newFanout(f.engine, time.Now(), f.request())
 	defer run.cancel()
 	p := &run.parts[0]
--- a/internal/relay/homes_test.go
+++ b/internal/relay/homes_test.go
@@ -321,6 +321,7 @@
 	if err := before.pool.Probe(ctx); err != nil || !before.pool.HasLiveConn() {
 		t.Fatalf("got error %v, want an idle connection", err)
 	}
+	before.replaced.Store(true)
 	before.pacer.Pause(time.Now(), time.Minute)
 	before.pacer.Observe(time.Now(), time.Now(), pace.PerSecond(5))
 	f.evacuate("near-a")
@@ -335,6 +336,9 @@
 	if _, err := after.pool.Get(ctx, time.Now(), 0); err != nil {
 		t.Errorf("after the end: got error %v, want a connection", err)
 	}
+	if !after.replaced.Load() {
+		t.Error("after the end: got an address used again at which another process answers, want it left out")
+	}
 	if !after.pacer.Paused(time.Now()) || !after.pacer.Limit().Named() {
 		t.Error("after the end: got the pause or the limit of the searcher forgotten, want them kept")
 	}
--- a/internal/relay/placement_test.go
+++ b/internal/relay/placement_test.go
@@ -26,11 +26,16 @@
 		want      map[string]string
 		wantNone  wire.Reason
 	}{
-		"near before far":  {searchers: []placed{{id: "a1", zone: "near-a"}, {id: "f1", zone: "far-a"}}, want: map[string]string{"a1": "chosen", "f1": "higher_cost"}},
-		"home regions":     {searchers: []placed{{id: "a1", zone: "near-a"}, {id: "f1", zone: "far-a"}}, homes: route.NewHomes("far"), want: map[string]string{"a1": "outside_home_regions", "f1": "chosen"}},
-		"no home region":   {searchers: []placed{{id: "a1", zone: "near-a"}}, homes: route.NewHomes(), want: map[string]string{"a1": "outside_home_regions"}, wantNone: wire.Reason_REASON_HOME_REGION},
-		"evacuated":        {searchers: spread[1:3], change: func(f *homeFleet) { f.evacuate("near-a") }, want: map[string]string{"a2": "evacuated", "b1": "chosen"}},
-		"all evacuated":    {searchers: spread[:1], change: func(f *homeFleet) { f.evacuate("near-a") }, want: map[string]string{"a1": "evacuated"}, wantNone: wire.Reason_REASON_ZONE_EVACUATED},
+		"near before far": {searchers: []placed{{id: "a1", zone: "near-a"}, {id: "f1", zone: "far-a"}}, want: map[string]string{"a1": "chosen", "f1": "higher_cost"}},
+		"home regions":    {searchers: []placed{{id: "a1", zone: "near-a"}, {id: "f1", zone: "far-a"}}, homes: route.NewHomes("far"), want: map[string]string{"a1": "outside_home_regions", "f1": "chosen"}},
+		"no home region":  {searchers: []placed{{id: "a1", zone: "near-a"}}, homes: route.NewHomes(), want: map[string]string{"a1": "outside_home_regions"}, wantNone: wire.Reason_REASON_HOME_REGION},
+		"evacuated":       {searchers: spread[1:3], change: func(f *homeFleet) { f.evacuate("near-a") }, want: map[string]string{"a2": "evacuated", "b1": "chosen"}},
+		"all evacuated":   {searchers: spread[:1], change: func(f *homeFleet) { f.evacuate("near-a") }, want: map[string]string{"a1": "evacuated"}, wantNone: wire.Reason_REASON_ZONE_EVACUATED},
+		"evacuated, then leaves": {searchers: spread[:1], change: func(f *homeFleet) {
+			f.evacuate("near-a")
+			f.register(placed{id: "a1", zone: "near-a", leaving: true})
+			f.evacuate()
+		}, want: map[string]string{"a1": "leaving"}, wantNone: wire.Reason_REASON_NO_REPLICA},
 		"registered leave": {searchers: []placed{{id: "a1", zone: "near-a", leaving: true}, {id: "b1", zone: "near-b"}}, want: map[string]string{"a1": "leaving", "b1": "chosen"}},
 		"stated leave":     {searchers: spread[:1], change: func(f *homeFleet) { f.endpoint("a1").leave() }, want: map[string]string{"a1": "leaving"}, wantNone: wire.Reason_REASON_NO_REPLICA},
 		"replaced":         {searchers: spread[1:3], change: func(f *homeFleet) { f.endpoint("a2").replaced.Store(true) }, want: map[string]string{"a2": "replaced", "b1": "chosen"}},
