--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -161,7 +161,7 @@
 	sent := 0
 	for range int(warmup / step) {
 		s.pass(step)
-		chosen, ok := s.e.balancer.choose(s.now, demand{service: "one", timeLeft: time.Second, skip: func(*endpoint) bool { return false }})
+		chosen, ok := s.e.balancer.choose(s.now, demand{service: "one", timeLeft: time.Second})
 		if !ok {
 			if got := chosen.exclusionReason(); got != wire.Reason_REASON_SEARCHER_COLD || !chosen.temporarilyExcluded() {
 				t.Fatalf("got reason %v, temporary %v, want searcher_cold for a while", got, chosen.temporarilyExcluded())
@@ -205,10 +205,12 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			b := newTestBalancer(t, 4, 26, nil)
-			var near []*endpoint
+			var near, far []*endpoint
 			for _, ep := range b.current.Load().byService["one"] {
 				if ep.searcher.Zone() == "z-near" {
 					near = append(near, ep)
+				} else {
+					far = append(far, ep)
 				}
 				for range 5 {
 					ep.tracker.End(start, ep.tracker.Begin(start.Add(-10*time.Millisecond), 0), health.Replied{})
@@ -217,8 +219,7 @@
 			near[0].tracker.ObserveLoad(start, test.load)
 			chosenFirst := 0
 			for range requests {
-				chosen, ok := b.choose(start.Add(test.age), demand{service: "one", timeLeft: 100 * time.Millisecond,
-					skip: func(ep *endpoint) bool { return ep != near[0] && ep != near[1] }})
+				chosen, ok := b.choose(start.Add(test.age), demand{service: "one", timeLeft: 100 * time.Millisecond, tried: far})
 				if !ok {
 					t.Fatal("got no searcher")
 				}
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -22,6 +22,8 @@
 	Service string `json:"service"`
 	Zone    string `json:"availability_zone"`
 	Leaving bool   `json:"leaving"`
+	// Evacuated is set while the searcher's availability zone is evacuated.
+	Evacuated bool `json:"evacuated"`
 	// Latency is the mean latency without queueing of this node's requests, 0 while unknown. Age is the time since its last sample.
 	Latency  int64   `json:"latency_ms"`
 	Age      int64   `json:"age_ms"`
@@ -42,20 +44,23 @@
 func (e *Engine) Limits() map[string]LimitReport {
 	reports := make(map[string]LimitReport)
 	e.limiters.Range(func(group, held any) bool {
-		state := held.(*intake.Limiter).State()
-		reports[group.(string)] = LimitReport{Limit: state.Limit, InFlight: state.InFlight, Waiting: state.Waiting, Late: state.LateShare}
+		reports[group.(string)] = limitReport(held.(*intake.Limiter).State())
 		return true
 	})
 	return reports
 }
 
+func limitReport(state intake.State) LimitReport {
+	return LimitReport{Limit: state.Limit, InFlight: state.InFlight, Waiting: state.Waiting, Late: state.LateShare}
+}
+
 // Searchers returns the observed state of each searcher, sorted by service and id.
 func (e *Engine) Searchers(now time.Time) []SearcherReport {
 	var reports []SearcherReport
 	for _, ep := range e.balancer.current.Load().byKey {
 		state := ep.tracker.State(now)
 		report := SearcherReport{
-			ID: ep.searcher.ID(), Service: ep.searcher.Service(), Zone: ep.searcher.Zone(), Leaving: ep.searcher.Leaving(),
+			ID: ep.searcher.ID(), Service: ep.searcher.Service(), Zone: ep.searcher.Zone(), Leaving: ep.searcher.Leaving(), Evacuated: ep.searcher.Evacuated(),
 			Latency: state.Mean.Milliseconds(), Failures: state.Failures, Stalled: state.Stalled, Avoided: state.Avoided,
 			Connections: ep.pool.Limit(),
 		}
