--- a/internal/cmd/descriptors_test.go
+++ b/internal/cmd/descriptors_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"os/exec"
-	"path/filepath"
 	"strconv"
 	"testing"
 	"time"
@@ -102,26 +100,7 @@
 				}
 				addresses[listener] = address
 			}
-			config := filepath.Join(t.TempDir(), "node.ini")
-			text := "[node]\nid = n\nregion = r\navailability_zone = a\nregions = r\ncaller_address = " + addresses["callers"] +
-				"\npeer_address = 127.0.0.1:0\nadmin_address = " + addresses["administration"] + "\n[platform]\naddress = " + addresses["store"] +
-				"\n[peers]\ndevelopment_keys = true\n"
-			if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
-				t.Fatal(err)
-			}
-			node := limitDescriptors(exec.Command(binary, "serve", "--config", config))
-			var output nodeOutput
-			node.Stdout, node.Stderr = &output, &output
-			if err := node.Start(); err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() {
-				_ = node.Process.Kill()
-				_ = node.Wait()
-				if t.Failed() {
-					t.Log(output.String())
-				}
-			})
+			startServe(t, binary, addresses, crowdMemoryMB, true)
 			answers := func() bool {
 				return get(t.Context(), "http://"+addresses["administration"]+"/v1/status") == http.StatusOK &&
 					get(t.Context(), "http://"+addresses["callers"]+"/v1/entries") != 0
--- a/internal/cmd/signalled_node_test.go
+++ b/internal/cmd/signalled_node_test.go
@@ -96,15 +96,9 @@
 		Node: "front-1", IP: ip, Zone: "z", Zones: map[string]string{"z": "r"}, CallerPort: ports[0], ReadyPort: ports[1], DirectoryPort: ports[2],
 		ControlPort: ports[3], PeerPort: ports[4], SeedIPs: []string{ip}, StoreAddress: store.Address(),
 	}
-	data, err := config.SettingsFile()
-	if err != nil {
-		t.Fatal(err)
-	}
 	settings := filepath.Join(t.TempDir(), "settings.json")
-	if err := os.WriteFile(settings, data, 0o600); err != nil {
-		t.Fatal(err)
-	}
 	n := &signalledNode{Cmd: exec.Command(binary, "platform", "--settings", settings), NodeConfig: config, store: store}
+	n.writeSettings(t)
 	n.Stdout, n.Stderr = &n.output, &n.output
 	t.Cleanup(func() {
 		if n.Process != nil {
@@ -118,6 +112,18 @@
 	return n
 }
 
+// writeSettings writes the settings file of the node, which is read when it starts.
+func (n *signalledNode) writeSettings(t *testing.T) {
+	t.Helper()
+	data, err := n.SettingsFile()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(n.Args[len(n.Args)-1], data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // awaitSignalled waits until a condition holds.
 func awaitSignalled(t *testing.T, condition string, holds func() bool) {
 	t.Helper()
