Bound the memory and connections of callers

The HTTP library allocated what a caller announced, up to 16 MiB a connection, and nothing bounded all connections together. The number of connections stays below the descriptors. Where a bound is reached, idle connections are closed first, then the slowest; what remains is refused with 503. Listeners for the platform read no bodies.

--- a/internal/edge/conn.go
+++ b/internal/edge/conn.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"github.com/fireflylanding/fireflylanding/internal/guard"
 	"github.com/fireflylanding/fireflylanding/internal/pool"
 	"github.com/fireflylanding/fireflylanding/internal/route"
 )
@@ -21,7 +22,7 @@
 
 // conn is a caller's connection whose state can be checked while its request runs.
 type conn struct {
-	net.Conn
+	*guard.Conn
 	raw    syscall.RawConn
 	limits func() route.Limits
 }
@@ -52,7 +53,7 @@
 
 // listener wraps each accepted connection in a conn.
 type listener struct {
-	net.Listener
+	*guard.Listener
 	limits func() route.Limits
 }
 
@@ -62,5 +63,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: accepted, raw: pool.Raw(accepted), limits: l.limits}, nil
+	return &conn{Conn: guard.From(accepted), raw: pool.Raw(accepted), limits: l.limits}, nil
 }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflylanding/fireflylanding/internal/events"
+	"github.com/fireflylanding/fireflylanding/internal/guard"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/relay"
 	"github.com/fireflylanding/fireflylanding/internal/route"
@@ -23,6 +24,11 @@
 	readBufferBytes = 16 << 10
 	// maxBodyBytes bounds the size of a body, whatever the operator's limit.
 	maxBodyBytes = 16 << 20
+	// connBytes is what a connection takes without bodies and answers: the buffers of the HTTP library for a head, an answer and the start of
+	// a body, the stack of its goroutine and its state.
+	connBytes = readBufferBytes + 4<<10 + 8<<10 + 12<<10
+	// copiedAnswerBytes is the size up to which an answer is copied to the buffer that a connection keeps.
+	copiedAnswerBytes = 4 << 10
 )
 
 // Codec translates the header fields of callers' requests and answers.
@@ -56,17 +62,19 @@
 	sources  Sources
 	logger   *events.Logger
 	counters *reason.Counters
+	guard    *guard.Guard
 	http     *fasthttp.Server
 }
 
-// New returns a server that runs requests on an engine.
-func New(engine *relay.Engine, codec Codec, sources Sources, logger *events.Logger, counters *reason.Counters) *Server {
-	s := &Server{engine: engine, codec: codec, sources: sources, logger: logger, counters: counters}
+// New returns a server that runs requests on an engine. The guard bounds its connections.
+func New(engine *relay.Engine, codec Codec, sources Sources, g *guard.Guard, logger *events.Logger, counters *reason.Counters) *Server {
+	s := &Server{engine: engine, codec: codec, sources: sources, guard: g, logger: logger, counters: counters}
 	s.http = &fasthttp.Server{
 		Handler:                       s.handle,
 		ErrorHandler:                  s.handleReadError,
 		ReadBufferSize:                readBufferBytes,
 		MaxRequestBodySize:            maxBodyBytes,
+		StreamRequestBody:             true,
 		ReadTimeout:                   headerTimeoutPlaceholder,
 		IdleTimeout:                   idleTimeoutPlaceholder,
 		DisableHeaderNamesNormalizing: true,
@@ -77,6 +85,7 @@
 		CloseOnShutdown:               true,
 		Logger:                        discardLogger{},
 	}
+	g.Attach(s.http, func() int { return s.limits().MaxBodyBytes })
 	return s
 }
 
@@ -86,9 +95,10 @@
 // Printf implements fasthttp.Logger.
 func (discardLogger) Printf(string, ...any) {}
 
-// Serve accepts connections until Shutdown is called.
-func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(&listener{Listener: l, limits: s.limits})
+// Serve accepts at most a number of connections at a time until Shutdown is called.
+func (s *Server) Serve(l net.Listener, connections int) error {
+	class := guard.Class{Name: "callers", Connections: connections, ConnBytes: connBytes}
+	return s.http.Serve(&listener{Listener: s.guard.Listen(l, class), limits: s.limits})
 }
 
 // Shutdown closes the listener and idle connections, and waits until the other connections have closed or ctx ends, whose error it returns then.
@@ -132,7 +142,10 @@
 	if !ok {
 		return s.refuse(id, wire.Reason_REASON_ROUTE_UNKNOWN)
 	}
-	body := ctx.Request.Body()
+	body, err := guard.ReadBody(ctx, min(table.Limits().MaxBodyBytes, maxBodyBytes))
+	if err != nil {
+		return s.refuseBody(ctx, id, err)
+	}
 	return s.engine.Serve(now, &relay.Request{
 		ID:         id,
 		Route:      found,
@@ -150,7 +163,7 @@
 	switch {
 	case len(request.Header.Header()) > limits.MaxHeaderBytes:
 		return wire.Reason_REASON_HEAD_TOO_LARGE
-	case len(request.Body()) > limits.MaxBodyBytes:
+	case request.Header.ContentLength() > limits.MaxBodyBytes:
 		return wire.Reason_REASON_BODY_TOO_LARGE
 	default:
 		return wire.Reason_REASON_UNSPECIFIED
@@ -164,6 +177,35 @@
 	return func() bool { return false }
 }
 
+// refuseBody refuses a request whose body was not read.
+func (s *Server) refuseBody(ctx *fasthttp.RequestCtx, id string, err error) relay.Answer {
+	switch {
+	case errors.Is(err, guard.ErrTooLong):
+		return s.refuse(id, wire.Reason_REASON_BODY_TOO_LARGE)
+	case errors.Is(err, guard.ErrNoMemory):
+		return s.refuse(id, wire.Reason_REASON_MEMORY)
+	}
+	// The rest of the body can't be told from a next request.
+	ctx.SetConnectionClose()
+	return s.refuse(id, readReason(err))
+}
+
+// readReason returns why a request could not be read.
+func readReason(err error) wire.Reason {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.As(err, &small):
+		return wire.Reason_REASON_HEAD_TOO_LARGE
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return wire.Reason_REASON_BODY_TOO_LARGE
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return wire.Reason_REASON_REQUEST_TIMEOUT
+	default:
+		return wire.Reason_REASON_BAD_REQUEST
+	}
+}
+
 // refuse counts and logs a request that is not run, and returns the answer.
 func (s *Server) refuse(id string, r wire.Reason) relay.Answer {
 	s.counters.Add(r)
@@ -181,7 +223,7 @@
 		defer fasthttp.ReleaseResponse(answer.Response)
 		ctx.SetStatusCode(answer.Response.StatusCode())
 		s.codec.WriteForwarded(&ctx.Response.Header, &answer.Response.Header)
-		ctx.Response.SetBody(answer.Response.Body())
+		setBody(&ctx.Response, answer.Response)
 	case relay.Merged:
 		ctx.SetStatusCode(fasthttp.StatusOK)
 		s.codec.WriteMerged(&ctx.Response.Header, id, answer.Proofs, answer.Missing)
@@ -197,6 +239,15 @@
 	}
 }
 
+// setBody moves the body of a reply to an answer. A connection keeps the buffer of a body that is copied, so that only small ones are.
+func setBody(answer, reply *fasthttp.Response) {
+	if len(reply.Body()) <= copiedAnswerBytes {
+		answer.SetBody(reply.Body())
+		return
+	}
+	answer.SetBodyRaw(reply.SwapBody(nil))
+}
+
 // statusCode returns the HTTP status of a refusal. Status 503 guarantees that the request did not run; 502 and 504 guarantee nothing.
 func statusCode(refused relay.Refused) int {
 	switch refused.Reason {
@@ -208,6 +259,8 @@
 		return fasthttp.StatusRequestHeaderFieldsTooLarge
 	case wire.Reason_REASON_BODY_TOO_LARGE:
 		return fasthttp.StatusRequestEntityTooLarge
+	case wire.Reason_REASON_REQUEST_TIMEOUT:
+		return fasthttp.StatusRequestTimeout
 	}
 	switch {
 	case refused.NotRun:
@@ -221,18 +274,9 @@
 
 // handleReadError answers a request that could not be read.
 func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
-	var small *fasthttp.ErrSmallBuffer
-	code := fasthttp.StatusBadRequest
-	var timeout net.Error
-	switch {
-	case errors.As(err, &small):
-		code = fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		code = fasthttp.StatusRequestEntityTooLarge
-	case errors.As(err, &timeout) && timeout.Timeout():
-		code = fasthttp.StatusRequestTimeout
-	}
-	s.counters.Add(wire.Reason_REASON_BAD_REQUEST)
+	r := readReason(err)
+	code := statusCode(relay.Refused{Reason: r, NotRun: true})
+	s.counters.Add(r)
 	s.logger.Log(wire.Event_EVENT_REQUEST_FAILED, zap.Int("status", code), zap.Error(err))
 	ctx.SetStatusCode(code)
 	ctx.SetConnectionClose()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -4,14 +4,15 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fireflylanding/fireflylanding/internal/guard"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -23,6 +24,9 @@
 	idleTimeout = 2 * time.Minute
 	// maxConnections is the maximum number of connections. It bounds the memory that they use.
 	maxConnections = 65536
+	// connBytes is what a connection takes without bodies and answers: the buffers of the HTTP library for a head, an answer and the start of
+	// a body, the stack of its goroutine and its state.
+	connBytes = maxHeaderBytes + 4<<10 + 8<<10 + 12<<10
 	// maxHeaderBytes is the maximum size of a request header.
 	maxHeaderBytes = 8192
 	// maxNameBytes is the maximum length of the caller and of the zone in a directory request.
@@ -45,29 +49,36 @@
 	querier   Querier
 	directory Directory
 	counters  *reason.Counters
+	guard     *guard.Guard
+	maxBody   int
 	clock     func() time.Time
 }
 
-// New returns a server. maxBodyBytes is the maximum size of a request body.
-func New(querier Querier, directory Directory, counters *reason.Counters, maxBodyBytes int, clock func() time.Time) *Server {
-	s := &Server{querier: querier, directory: directory, counters: counters, clock: clock}
+// New returns a server. The guard bounds its connections, and maxBodyBytes is the maximum size of a request body.
+func New(querier Querier, directory Directory, counters *reason.Counters, g *guard.Guard, maxBodyBytes int, clock func() time.Time) *Server {
+	s := &Server{querier: querier, directory: directory, counters: counters, guard: g, maxBody: maxBodyBytes, clock: clock}
 	s.app = fiber.New(fiber.Config{
-		AppName:        "fireflylanding",
-		BodyLimit:      maxBodyBytes,
-		ReadBufferSize: maxHeaderBytes,
-		ReadTimeout:    readTimeout,
-		IdleTimeout:    idleTimeout,
-		Concurrency:    maxConnections,
-		ErrorHandler:   s.handleError,
+		AppName:   "fireflylanding",
+		BodyLimit: maxBodyBytes,
+		// Bodies are read by the handlers that use them, within the memory for callers.
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		ReadBufferSize:               maxHeaderBytes,
+		ReadTimeout:                  readTimeout,
+		IdleTimeout:                  idleTimeout,
+		Concurrency:                  maxConnections,
+		ErrorHandler:                 s.handleError,
 	})
 	s.app.Post("/v1/query", s.query)
 	s.app.Get("/v1/entries", s.entries)
+	g.Attach(s.app.Server(), func() int { return maxBodyBytes })
 	return s
 }
 
-// Serve serves requests on the listener until Shutdown is called.
-func (s *Server) Serve(listener net.Listener) error {
-	return s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
+// Serve serves requests on the listener until Shutdown is called, on at most a number of connections at a time.
+func (s *Server) Serve(listener net.Listener, connections int) error {
+	class := guard.Class{Name: "callers", Connections: min(connections, maxConnections), ConnBytes: connBytes}
+	return s.app.Listener(s.guard.Listen(listener, class), fiber.ListenConfig{DisableStartupMessage: true})
 }
 
 // Shutdown stops accepting requests. It returns when all requests are answered or ctx ends.
@@ -79,8 +90,11 @@
 func (s *Server) query(c fiber.Ctx) error {
 	now := s.clock()
 	query := &wire.Query{}
-	// The body is only valid during the request, and decoded strings may share its memory.
-	if err := decodeOptions.Unmarshal(slices.Clone(c.Body()), query); err != nil {
+	body, err := guard.ReadBody(c.RequestCtx(), s.maxBody)
+	if err != nil {
+		return s.refuseBody(c, err)
+	}
+	if err := decodeOptions.Unmarshal(body, query); err != nil {
 		return s.refuse(c, reason.New(wire.Reason_REASON_BAD_REQUEST, err.Error()))
 	}
 	answer := s.querier.Query(c.Context(), now, query)
@@ -110,6 +124,23 @@
 	return c.Status(code).Send(body)
 }
 
+// refuseBody refuses a request whose body was not read.
+func (s *Server) refuseBody(c fiber.Ctx, err error) error {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, guard.ErrTooLong):
+		return fiber.ErrRequestEntityTooLarge
+	case errors.Is(err, guard.ErrNoMemory):
+		return s.refuse(c, reason.New(wire.Reason_REASON_MEMORY, ""))
+	}
+	// The rest of the body can't be told from a next request.
+	c.RequestCtx().SetConnectionClose()
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return s.refuse(c, reason.New(wire.Reason_REASON_REQUEST_TIMEOUT, ""))
+	}
+	return s.refuse(c, reason.New(wire.Reason_REASON_BAD_REQUEST, err.Error()))
+}
+
 func (s *Server) refuse(c fiber.Ctx, refusal *reason.Refusal) error {
 	s.counters.Add(refusal.Reason())
 	answer := wire.Answer_builder{Run: refusal.RunState(), Reason: refusal.Reason(), Detail: refusal.Error()}.Build()
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -14,13 +14,17 @@
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/fireflylanding/fireflylanding/internal/events"
+	"github.com/fireflylanding/fireflylanding/internal/guard"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
 const (
 	testBodyBytes = 2048
-	callTimeout   = 5 * time.Second
+	// testMemoryBytes has room for all connections of the tests.
+	testMemoryBytes = 64 << 20
+	callTimeout     = 5 * time.Second
 )
 
 // fakeBackend implements Querier and Directory with fixed answers.
@@ -45,11 +49,11 @@
 		t.Fatal(err)
 	}
 	counters := reason.NewCounters(metrics.NewRegistry(), "reasons")
-	s := New(fakeBackend{}, fakeBackend{}, counters, testBodyBytes, time.Now)
+	s := New(fakeBackend{}, fakeBackend{}, counters, guard.New(testMemoryBytes, events.Discard(), counters, time.Now), testBodyBytes, time.Now)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = s.Serve(listener)
+		_ = s.Serve(listener, maxConnections)
 	}()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -59,6 +59,7 @@
 		n.handlePause(ctx, now)
 	}
 	n.tickedAt.Store(now.UnixNano())
+	n.guard.Tick(now)
 	switch n.phase.load() {
 	case phaseStarting:
 		if n.engine.Ready() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/fireflylanding/fireflylanding/internal/entry"
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/front"
+	"github.com/fireflylanding/fireflylanding/internal/guard"
 	"github.com/fireflylanding/fireflylanding/internal/hedge"
 	"github.com/fireflylanding/fireflylanding/internal/lookup"
 	"github.com/fireflylanding/fireflylanding/internal/member"
@@ -96,6 +97,7 @@
 	admission *admit.Admission
 	entry     *entry.Entry
 	directory *lookup.Directory
+	guard     *guard.Guard
 	front     *front.Server
 	status    *status.Server
 	// dirty holds an element while documents have changed since the view was built.
@@ -243,8 +245,10 @@
 	owners := &router{self: n.self.ID(), owner: n.owner, transport: n.transport}
 	n.entry = entry.New(n.self, limits, policies, hooks, owners, n.transport, n.logger, n.counters, n.registry)
 	n.directory = lookup.New(n.self, n.settings.GetDirectory(), issuer)
-	n.front = front.New(n, n, n.counters, int(limits.GetMaxRequestBytes()), n.clock)
-	n.status = status.New(n, n.registry)
+	n.guard = guard.New(int64(guard.MemoryShare*float64(guard.MachineMemory())), n.logger, n.counters, n.clock)
+	_ = n.registry.Register("callers.bytes", metrics.NewFunctionalGauge(n.guard.Used))
+	n.front = front.New(n, n, n.counters, n.guard, int(limits.GetMaxRequestBytes()), n.clock)
+	n.status = status.New(n, n.registry, n.guard)
 }
 
 // Ready reports whether the node serves requests.
@@ -292,8 +296,9 @@
 	supervisor.Loop(&tasks, "documents", func() { n.engine.Run(ctx) })
 	supervisor.Loop(&tasks, "owner", func() { n.owner.Run(ctx) })
 	supervisor.Loop(&tasks, "maintenance", func() { n.maintain(ctx) })
-	supervisor.Serve(&listeners, "callers", func() error { return n.front.Serve(n.listeners.Callers) })
-	supervisor.Serve(&listeners, "administration", func() error { return n.status.Serve(n.listeners.Admin) })
+	callers, reserved := guard.Descriptors(0)
+	supervisor.Serve(&listeners, "callers", func() error { return n.front.Serve(n.listeners.Callers, callers) })
+	supervisor.Serve(&listeners, "administration", func() error { return n.status.Serve(n.listeners.Admin, reserved) })
 	select {
 	case <-ending.Done():
 	case <-kill.Done():
--- a/internal/status/server.go
+++ b/internal/status/server.go
@@ -14,7 +14,9 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/fireflylanding/fireflylanding/internal/guard"
 	"github.com/fireflylanding/fireflylanding/internal/plans"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
 const (
@@ -27,6 +29,11 @@
 	writeTimeout = 10 * time.Second
 	// idleTimeout is the time after which an unused connection is closed.
 	idleTimeout = time.Minute
+	// connBytes is what a connection takes without bodies and answers: the buffers of the HTTP library for a head, an answer and the start of
+	// a body, the stack of its goroutine and its state.
+	connBytes = 28 << 10
+	// decodeFactor is how many times the memory of its body the decoding and the comparison of an edit take.
+	decodeFactor = 4
 )
 
 // Source supplies the data of the administration API. It must be safe for concurrent use.
@@ -43,30 +50,37 @@
 type Server struct {
 	source   Source
 	registry metrics.Registry
+	guard    *guard.Guard
 	app      *fiber.App
 }
 
-// New returns a server for the data of the source and the metrics of the registry.
-func New(source Source, registry metrics.Registry) *Server {
-	s := &Server{source: source, registry: registry}
+// New returns a server for the data of the source and the metrics of the registry. The guard bounds its connections.
+func New(source Source, registry metrics.Registry, g *guard.Guard) *Server {
+	s := &Server{source: source, registry: registry, guard: g}
 	s.app = fiber.New(fiber.Config{
-		AppName:      "fireflylanding administration",
-		BodyLimit:    MaxEditBytes,
-		ReadTimeout:  readTimeout,
-		WriteTimeout: writeTimeout,
-		IdleTimeout:  idleTimeout,
-		ErrorHandler: sendError,
+		AppName:   "fireflylanding administration",
+		BodyLimit: MaxEditBytes,
+		// Bodies are read by the handlers that use them, within the memory for callers.
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		ReadTimeout:                  readTimeout,
+		WriteTimeout:                 writeTimeout,
+		IdleTimeout:                  idleTimeout,
+		ErrorHandler:                 sendError,
 	})
 	s.app.Get("/v1/status", s.sendStatus)
 	s.app.Get("/v1/metrics", s.sendMetrics)
 	s.app.Post("/v1/validate", s.sendValidation)
 	s.app.Post("/v1/preview", s.sendPreview)
+	g.Attach(s.app.Server(), func() int { return MaxEditBytes })
 	return s
 }
 
-// Serve serves requests on the listener until Shutdown is called. It returns nil after a shutdown.
-func (s *Server) Serve(listener net.Listener) error {
-	return s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
+// Serve serves requests on the listener until Shutdown is called, on at most a number of connections at a time. It returns nil after a
+// shutdown.
+func (s *Server) Serve(listener net.Listener, connections int) error {
+	class := guard.Class{Name: "administration", Connections: connections, ConnBytes: connBytes, Reserved: true}
+	return s.app.Listener(s.guard.Listen(listener, class), fiber.ListenConfig{DisableStartupMessage: true})
 }
 
 // Shutdown closes the listener and waits for requests in flight until ctx ends.
@@ -86,7 +100,7 @@
 }
 
 func (s *Server) sendValidation(c fiber.Ctx) error {
-	edit, err := readEdit(c.Body())
+	edit, err := s.receiveEdit(c)
 	if err != nil {
 		return err
 	}
@@ -94,7 +108,7 @@
 }
 
 func (s *Server) sendPreview(c fiber.Ctx) error {
-	edit, err := readEdit(c.Body())
+	edit, err := s.receiveEdit(c)
 	if err != nil {
 		return err
 	}
@@ -105,6 +119,26 @@
 	return c.JSON(p)
 }
 
+// receiveEdit reads and decodes the edit in a request.
+func (s *Server) receiveEdit(c fiber.Ctx) (Edit, error) {
+	body, err := guard.ReadBody(c.RequestCtx(), MaxEditBytes)
+	if err == nil {
+		err = guard.Hold(c.RequestCtx(), decodeFactor*len(body))
+	}
+	switch {
+	case errors.Is(err, guard.ErrTooLong):
+		return Edit{}, fiber.ErrRequestEntityTooLarge
+	case errors.Is(err, guard.ErrNoMemory):
+		s.guard.Count(wire.Reason_REASON_MEMORY)
+		return Edit{}, fiber.ErrServiceUnavailable
+	case err != nil:
+		// The rest of the body can't be told from a next request.
+		c.RequestCtx().SetConnectionClose()
+		return Edit{}, badRequest(err.Error())
+	}
+	return readEdit(body)
+}
+
 // readEdit decodes the edit in a request body. Its error has the status 400.
 func readEdit(body []byte) (Edit, error) {
 	decoder := json.NewDecoder(bytes.NewReader(body))
--- a/internal/status/server_test.go
+++ b/internal/status/server_test.go
@@ -17,7 +17,10 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/fireflylanding/fireflylanding/internal/conf"
+	"github.com/fireflylanding/fireflylanding/internal/events"
+	"github.com/fireflylanding/fireflylanding/internal/guard"
 	"github.com/fireflylanding/fireflylanding/internal/plans"
+	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/status"
 )
 
@@ -88,13 +91,14 @@
 func startServer(t *testing.T) (string, metrics.Registry) {
 	t.Helper()
 	registry := metrics.NewRegistry()
-	server := status.New(newFakeNode(t), registry)
+	g := guard.New(64<<20, events.Discard(), reason.NewCounters(registry, "reasons"), time.Now)
+	server := status.New(newFakeNode(t), registry, g)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	go func() { served <- server.Serve(listener, 100) }()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -54,6 +54,7 @@
 		t.follower.Resumed()
 	}
 	t.engine.Tick(ctx, now)
+	t.guard.Tick(now)
 	if t.roster.SetReach(t.engine.Reach()) {
 		t.relay([]roster.State{t.roster.Self()})
 	}
--- a/internal/tier/metrics.go
+++ b/internal/tier/metrics.go
@@ -15,7 +15,7 @@
 
 // metricsApp serves the metrics of the registry and the status report.
 func (t *Tier) metricsApp() *fiber.App {
-	app := fiber.New()
+	app := fiber.New(appConfig)
 	for _, path := range []string{metricsPath, adminMetricsPath} {
 		app.Get(path, func(c fiber.Ctx) error {
 			c.Set(fiber.HeaderContentType, "text/plain; version=0.0.4")
@@ -50,6 +50,7 @@
 		"intake.limit":              func() int64 { return t.minLimit() },
 		"replies.bytes":             func() int64 { return t.engine.ReplyMemory() },
 		"requests.in_flight":        func() int64 { return int64(t.engine.InFlight()) },
+		"callers.bytes":             func() int64 { return t.guard.Used() },
 		"callers.connections":       func() int64 { return int64(t.edge.Connections()) },
 	} {
 		_ = t.registry.Register(name, metrics.NewFunctionalGauge(read))
--- a/internal/tier/settings.go
+++ b/internal/tier/settings.go
@@ -32,6 +32,8 @@
 	Cores       int
 	CPUCapacity float64
 	MemoryBytes int64
+	// MaxDescriptors is the number of descriptors that the process may use, 0 for what the system allows it.
+	MaxDescriptors int
 	// ApplyWithin is the time within which a change of the source must be in force.
 	ApplyWithin time.Duration
 	// StopTime is the time from SIGTERM until the process is killed.
@@ -66,8 +68,8 @@
 		return errors.Newf("zone %q is not listed in region %q", s.Zone, s.Region)
 	case s.StopTime <= 0 || s.ApplyWithin <= 0 || s.DirectoryValid <= 0 || s.RetryWindow <= 0:
 		return errors.New("stop time, apply time, directory validity and retry window must be positive")
-	case s.RetryShare < 0 || s.RetryAllowance < 0 || s.MemoryBytes < 0 || s.Cores < 0:
-		return errors.New("retry share, retry allowance, memory and cores must not be negative")
+	case s.RetryShare < 0 || s.RetryAllowance < 0 || s.MemoryBytes < 0 || s.Cores < 0 || s.MaxDescriptors < 0:
+		return errors.New("retry share, retry allowance, memory, cores and descriptors must not be negative")
 	}
 	return nil
 }
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -25,6 +25,7 @@
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
 	"github.com/fireflylanding/fireflylanding/internal/follow"
+	"github.com/fireflylanding/fireflylanding/internal/guard"
 	"github.com/fireflylanding/fireflylanding/internal/parts"
 	"github.com/fireflylanding/fireflylanding/internal/peer"
 	"github.com/fireflylanding/fireflylanding/internal/pool"
@@ -54,8 +55,8 @@
 	Dial        pool.Dial
 	ListenPeers func(address string) (net.PacketConn, error)
 	// Directory and Checks serve the platform's calls.
-	Directory func(Discovery) *fiber.App
-	Checks    func(Discovery) *fiber.App
+	Directory func(Discovery, fiber.Config) *fiber.App
+	Checks    func(Discovery, fiber.Config) *fiber.App
 }
 
 // gcTargetShare is the share of the machine's memory that is set as the garbage collector's memory limit. The rest is for stacks, sockets
@@ -79,6 +80,7 @@
 	follower *follow.Follower
 	roster   *roster.Roster
 	engine   *relay.Engine
+	guard    *guard.Guard
 	edge     *edge.Server
 	peers    *peer.Transport
 	detector *wake.Detector
@@ -151,12 +153,13 @@
 		OnChange:      t.rebuild,
 		OnNewRevision: t.propagateState,
 	}, t.logger, clock)
+	t.guard = guard.New(callerMemory(settings.MemoryBytes), t.logger, t.counters, clock)
 	t.edge = edge.New(t.engine, adapter.Codec, edge.Sources{
 		Table:   t.follower.Table,
 		Gate:    t.checkServing,
 		Leaving: func() bool { return t.stopping.Load() || t.engine.Stranded() },
 		Clock:   clock,
-	}, t.logger, t.counters)
+	}, t.guard, t.logger, t.counters)
 	if err := t.openSockets(settings); err != nil {
 		return nil, err
 	}
@@ -263,17 +266,26 @@
 	t.logger.Log(wire.Event_EVENT_NODE_STARTED, zap.Uint64("generation", t.roster.Self().Generation))
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
-	directory, checks := t.adapter.Directory(t), t.adapter.Checks(t)
+	callers, reserved := guard.Descriptors(s.MaxDescriptors)
 	var tasks, listeners conc.WaitGroup
 	supervisor, ending := parts.New(stop, t.logger)
 	supervisor.Loop(&tasks, "peers", func() { t.peers.Serve(ctx, handler{tier: t}) })
 	supervisor.Loop(&tasks, "follower", func() { t.follower.Run(ctx) })
 	supervisor.Loop(&tasks, "maintenance", func() { t.maintain(ctx) })
 	supervisor.Loop(&tasks, "heartbeats", func() { t.runHeartbeats(ctx) })
-	supervisor.Serve(&listeners, "callers", func() error { return t.edge.Serve(t.sockets.callers) })
-	supervisor.Serve(&listeners, "directory", func() error { return directory.Listener(t.sockets.directory, listenConfig) })
-	supervisor.Serve(&listeners, "checks", func() error { return checks.Listener(t.sockets.checks, listenConfig) })
-	supervisor.Serve(&listeners, "metrics", func() error { return t.metricsApp().Listener(t.sockets.metrics, listenConfig) })
+	supervisor.Serve(&listeners, "callers", func() error { return t.edge.Serve(t.sockets.callers, callers) })
+	for name, part := range map[string]struct {
+		app    *fiber.App
+		socket net.Listener
+	}{
+		"directory": {t.adapter.Directory(t, appConfig), t.sockets.directory},
+		"checks":    {t.adapter.Checks(t, appConfig), t.sockets.checks},
+		"metrics":   {t.metricsApp(), t.sockets.metrics},
+	} {
+		t.guard.Attach(part.app.Server(), nil)
+		class := guard.Class{Name: name, Connections: reserved, ConnBytes: appConnBytes, Reserved: true}
+		supervisor.Serve(&listeners, name, func() error { return part.app.Listener(t.guard.Listen(part.socket, class), listenConfig) })
+	}
 	<-ending.Done()
 	failure := supervisor.Stop()
 	cut := t.shutdown()
@@ -289,6 +301,26 @@
 	return cut, failure
 }
 
+// appConfig bounds what the listeners for the platform read. Their requests need no body.
+var appConfig = fiber.Config{
+	BodyLimit:    1,
+	GETOnly:      true,
+	ReadTimeout:  5 * time.Second,
+	WriteTimeout: 10 * time.Second,
+	IdleTimeout:  15 * time.Second,
+}
+
+// appConnBytes is what a connection of these listeners takes: the buffers of the HTTP library, the stack of its goroutine and its state.
+const appConnBytes = 24 << 10
+
+// callerMemory returns the bytes that callers' connections, requests and answers may take on a machine.
+func callerMemory(machineBytes int64) int64 {
+	if machineBytes == 0 {
+		machineBytes = guard.MachineMemory()
+	}
+	return int64(guard.MemoryShare * float64(machineBytes))
+}
+
 var listenConfig = fiber.ListenConfig{DisableStartupMessage: true}
 
 // closeSockets closes all sockets when the process is about to exit.
