--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -64,8 +64,7 @@
 	return a.sending
 }
 
-// beginSending returns the message to send, which build copies from the request. It returns false after endBy, when the caller's connection may
-// already use the request's buffer for the next one.
+// beginSending returns the message to send, which build makes from the request. It returns false after endBy.
 func (a *attempt) beginSending(build func() []byte) (message []byte, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -137,6 +136,13 @@
 		a.endpoint.pool.Put(conn, now, 0)
 		return result{reason: wire.Reason_REASON_SEARCHER_PAUSED, waited: waited}
 	}
+	size := int64(len(request.Head) + len(request.Body))
+	if !a.endpoint.load.take(size) {
+		a.detachConn()
+		a.endpoint.pool.Put(conn, now, 0)
+		return result{reason: wire.Reason_REASON_MEMORY, waited: waited}
+	}
+	defer a.endpoint.load.release(size)
 	remaining := a.deadline.Sub(now)
 	var message []byte
 	ok := false
@@ -150,6 +156,9 @@
 	}
 	// A searcher may reply before it has read a long body, so the reply is read even after a failed write.
 	_, writeErr := conn.Write(message)
+	if body := separateBody(request); len(body) > 0 && writeErr == nil {
+		_, writeErr = conn.Write(body)
+	}
 	sentAt := e.clock()
 	r := e.readReply(conn, a.part.service, request)
 	r.waited, r.freshConn = waited, !conn.Reused()
@@ -159,14 +168,29 @@
 	return r
 }
 
-// attemptMessage returns the bytes of the request as the attempt sends them.
+// attemptMessage returns the bytes of the request as the attempt sends them, without a body that is sent by itself.
 func (e *Engine) attemptMessage(a *attempt, request *Request, remaining time.Duration) []byte {
-	message := make([]byte, 0, len(request.Head)+len(request.Body)+attemptHeadBytes)
+	message := make([]byte, 0, len(request.Head)+min(len(request.Body), maxCopiedBody)+attemptHeadBytes)
 	message = append(message, request.Head...)
 	message = e.codec.AppendAttempt(message, remaining, a.endpoint.searcher.ID())
+	if separateBody(request) != nil {
+		return message
+	}
 	return append(message, request.Body...)
 }
 
+// separateBody returns the body if it is sent by itself. Copies of a long body for the attempts at all shards would take many times the memory
+// that the caller's request draws on.
+func separateBody(request *Request) []byte {
+	if len(request.Body) <= maxCopiedBody {
+		return nil
+	}
+	return request.Body
+}
+
+// maxCopiedBody is the size in bytes up to which a body is sent in one write with its head.
+const maxCopiedBody = 4 << 10
+
 // attemptHeadBytes is the space reserved for the head fields that differ between attempts.
 const attemptHeadBytes = 128
 
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -28,6 +28,8 @@
 	pacer *pace.Pacer
 	// link holds the evidence on whether this node reaches the searcher.
 	link *reach.Link
+	// load counts the bytes of the requests in flight to the searcher.
+	load requestLoad
 	// nextWarmAt is the earliest time for opening the next connection in advance; only the node's tick uses it.
 	nextWarmAt time.Time
 	// nextProbeAt is the earliest time for opening the next connection to learn whether the searcher is reached; only the node's tick uses it.
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -204,7 +204,7 @@
 	case wire.Reason_REASON_SEARCHER_SHED:
 		return health.Shed{}
 	case wire.Reason_REASON_CANCELLED, wire.Reason_REASON_EXPIRED, wire.Reason_REASON_CONNECTION_SILENT, wire.Reason_REASON_SEARCHER_LEAVING,
-		wire.Reason_REASON_SEARCHER_PAUSED:
+		wire.Reason_REASON_SEARCHER_PAUSED, wire.Reason_REASON_MEMORY:
 		return health.Abandoned{}
 	case wire.Reason_REASON_CONNECT_FAILED, wire.Reason_REASON_WRONG_SEARCHER:
 		return health.Unreachable{}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -18,7 +18,8 @@
 	Version uint64
 	// Timeout is how long the caller waits from now on; 0 means that the caller gave none.
 	Timeout time.Duration
-	// Head is the request head for searchers, without the fields that differ between attempts. Body is the request body.
+	// Head is the request head for searchers, without the fields that differ between attempts. Body is the request body. It must not change
+	// after the answer either, since an attempt may still send it.
 	Head []byte
 	Body []byte
 	// HeadOnly is set when replies carry no body (HEAD requests).
