--- a/internal/cmd/crowd_test.go
+++ b/internal/cmd/crowd_test.go
@@ -136,6 +136,8 @@
 	within := post + fmt.Sprintf("Content-Length: %d\r\n\r\n", largeBodyBytes-1)
 	announced := sendBody(get+"Content-Length: 4000000\r\n\r\n", 3_999_999)
 	small := sendChunks(get+"Transfer-Encoding: chunked\r\n\r\n", 1<<10, 4_000_000)
+	silent := "POST /silent/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: 00000000000000b3\r\nX-Deadline-Ms: 5000\r\n" +
+		fmt.Sprintf("Content-Length: %d\r\n\r\n", largeBodyBytes)
 	unread := func(conn net.Conn) {
 		// A small buffer leaves the answer in the memory of the node.
 		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
@@ -158,6 +160,7 @@
 		"unfinished heads":     {crowd: crowd{3500, sendBody(post+"X-Long: ", 15_000)}, listener: "callers", memoryMB: headsMemoryMB},
 		"idle connections":     {crowd: crowd{600, func(net.Conn) {}}, listener: "callers", descriptors: crowdDescriptors},
 		"unread answers":       {crowd: crowd{80, unread}, listener: "callers"},
+		"silent searchers":     {crowd: crowd{200, sendBody(silent, largeBodyBytes)}, listener: "callers", maxBody: largeBodyBytes},
 		"directory announced":  {crowd: crowd{100, announced}, listener: "directory"},
 		"directory chunks":     {crowd: crowd{100, small}, listener: "directory"},
 		"directory idle":       {crowd: crowd{600, func(net.Conn) {}}, listener: "directory", descriptors: crowdDescriptors},
@@ -185,11 +188,13 @@
 				}}
 			})
 			n.store.Register(big, big.Address(), "z", "ready")
+			services := append(registerSilent(t, n.store), "one", "big")
 			n.store.SetMaxBodyBytes(max(test.maxBody, crowdBodyBytes))
 			n.store.PutConfig(2, []stand.Route{
 				{Host: "h", Prefix: "/a/", Service: "one", Unsafe: true, TimeoutMS: 5000, GoalMS: 4000},
 				{Host: "h", Prefix: "/big/", Service: "big", TimeoutMS: 5000, GoalMS: 4000},
-			}, []string{"one", "big"})
+				{Host: "h", Prefix: "/silent/", Shards: services[:silentShards], TopK: 2, MinCoverage: 0.5, TimeoutMS: 5000, GoalMS: 4000},
+			}, services)
 			if err := n.Start(); err != nil {
 				t.Fatal(err)
 			}
@@ -207,6 +212,31 @@
 	}
 }
 
+// silentShards is the number of searchers that read nothing of the requests that they get.
+const silentShards = 8
+
+// registerSilent registers a searcher that reads nothing for each of silentShards services, and returns the services.
+func registerSilent(t *testing.T, store *stand.Store) []string {
+	t.Helper()
+	services := make([]string, silentShards)
+	for i := range services {
+		services[i] = "silent" + strconv.Itoa(i)
+		searcher, err := stand.StartSearcher("i-"+services[i], services[i], 4, time.Millisecond)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(searcher.Close)
+		// Connections wait in the backlog of a listener that never accepts.
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = silent.Close() })
+		store.Register(searcher, silent.Addr().String(), "z", "ready")
+	}
+	return services
+}
+
 // Guards against the same of callers of the command serve.
 func TestServeHostileCallers(t *testing.T) {
 	post := func(path, framing string) string {
