Keep a quarter of the memory for callers to connections and small requests

A crowd of large bodies could fill the whole budget, so that new connections of ordinary callers were refused until its members had been slow for long enough to be closed.

--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -156,12 +156,13 @@
 	if !c.add(bytes) {
 		return net.ErrClosed
 	}
-	if g.used.Load() <= g.limit.Load() {
+	limit := g.limitFor(c)
+	if g.used.Load() <= limit {
 		return nil
 	}
 	now := g.clock()
 	g.mu.Lock()
-	ok := g.makeRoom(now, c)
+	ok := g.makeRoom(now, c, limit)
 	g.mu.Unlock()
 	if !ok {
 		c.add(-bytes)
@@ -173,8 +174,11 @@
 // holdAnswer draws the bytes of an answer from the budget.
 func (c *Conn) holdAnswer(bytes int64) {
 	g := c.listener.guard
-	if c.add(bytes) && g.used.Load() > g.limit.Load() {
-		g.makeRoomForAnswer(g.clock(), c)
+	if !c.add(bytes) {
+		return
+	}
+	if limit := g.limitFor(c); g.used.Load() > limit {
+		g.makeRoomForAnswer(g.clock(), c, limit)
 	}
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -25,6 +25,9 @@
 	idleGrace    = 50 * time.Millisecond
 	receiveGrace = 100 * time.Millisecond
 	sendGrace    = time.Second
+	// largeShare is the share of the budget that requests and answers beyond firstReadBytes may fill. The rest is for connections and small
+	// requests, which find room beside a crowd of large ones.
+	largeShare = 0.75
 	// quietTime is the time without a refusal or closed connection after which callers count as unrestricted again.
 	quietTime = 5 * time.Second
 )
@@ -88,7 +91,7 @@
 		return false
 	}
 	g.used.Add(c.listener.class.ConnBytes)
-	if !g.makeRoom(now, c) && !c.listener.class.Reserved {
+	if !g.makeRoom(now, c, g.limit.Load()) && !c.listener.class.Reserved {
 		g.used.Add(-c.listener.class.ConnBytes)
 		g.recordShed(now, wire.Reason_REASON_MEMORY, c.listener.class.Name)
 		return false
@@ -110,10 +113,19 @@
 	return true
 }
 
-// makeRoom closes connections other than c until the budget is kept, and reports whether it is. It gives up when c itself would be the next
-// one.
-func (g *Guard) makeRoom(now time.Time, c *Conn) bool {
-	for g.used.Load() > g.limit.Load() {
+// limitFor returns up to how many bytes of the budget may be in use for a connection to hold more.
+func (g *Guard) limitFor(c *Conn) int64 {
+	limit := g.limit.Load()
+	if c.held.Load() <= firstReadBytes {
+		return limit
+	}
+	return int64(largeShare * float64(limit))
+}
+
+// makeRoom closes connections other than c until at most limit bytes are in use, and reports whether they are. It gives up when c itself would
+// be the next one.
+func (g *Guard) makeRoom(now time.Time, c *Conn, limit int64) bool {
+	for g.used.Load() > limit {
 		victim := g.choose(now, func(other *Conn) bool { return other != c && now.Sub(other.enteredAt()) >= other.loadState().grace() })
 		if victim == nil || victim.loadState() != idle && c.loadState() == receiving && c.cost(now) > victim.cost(now) {
 			return false
@@ -123,15 +135,15 @@
 	return true
 }
 
-// makeRoomForAnswer closes connections other than c until the budget is kept. An answer that is ready takes its memory already, so that answers
+// makeRoomForAnswer closes connections other than c until at most limit bytes are in use. An answer that is ready takes its memory already, so that answers
 // which others have not read yet are given up even before sendGrace.
-func (g *Guard) makeRoomForAnswer(now time.Time, c *Conn) {
+func (g *Guard) makeRoomForAnswer(now time.Time, c *Conn, limit int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.makeRoom(now, c) {
+	if g.makeRoom(now, c, limit) {
 		return
 	}
-	for g.used.Load() > g.limit.Load() {
+	for g.used.Load() > limit {
 		victim := g.choose(now, func(other *Conn) bool { return other != c && other.loadState() == sending && other.held.Load() > 0 })
 		if victim == nil {
 			return
--- a/internal/guard/server.go
+++ b/internal/guard/server.go
@@ -44,6 +44,11 @@
 			next(ctx)
 			return
 		}
+		if c.closed.Load() {
+			// Nobody would get the answer.
+			ctx.SetConnectionClose()
+			return
+		}
 		if length := ctx.Request.Header.ContentLength(); length == 0 || length == identity {
 			c.enter(g.clock(), running)
 		}
