--- a/internal/guard/server.go
+++ b/internal/guard/server.go
@@ -35,6 +35,7 @@
 			c.enter(g.clock(), receiving)
 		case s == fasthttp.StateIdle:
 			c.release()
+			c.linger.Store(false)
 			c.enter(g.clock(), idle)
 		}
 	}
@@ -100,6 +101,7 @@
 	}
 	if err != nil {
 		c.release()
+		c.linger.Store(errors.IsAny(err, ErrTooLong, ErrNoMemory))
 		return nil, err
 	}
 	c.enter(c.listener.guard.clock(), running)
