--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -32,6 +32,8 @@
 	// warmth is guarded by the lock of the balancer. cold is set while the searcher was last seen as cold.
 	warmth warmth
 	cold   atomic.Bool
+	// load counts the bytes of the requests in flight to the searcher.
+	load requestLoad
 	// nextWarmAt is the earliest time for opening the next connection in advance; only the node's tick uses it.
 	nextWarmAt time.Time
 	// nextProbeAt is the earliest time for opening the next connection to learn whether the searcher is reached; only the node's tick uses it.
