Decide on both kinds of requests by the work in flight and what callers lose

Queries over shards were bounded by number, late ones counted at their deadline only, and requests to one searcher were not bounded at all. The limiter now counts learned work, counts a missed goal at that moment, orders and refuses waiting requests by rank and goal, and computes the retry delay from the rate at which work ends.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -116,21 +116,21 @@
 // serve finds the route of a request and runs it.
 func (s *Server) serve(ctx *fasthttp.RequestCtx, now time.Time, id string, timeout time.Duration) relay.Answer {
 	if refusal := s.sources.Gate(); refusal != nil {
-		return s.refuse(id, refusal.Reason())
+		return s.refuse(id, timeout, refusal.Reason())
 	}
 	table := s.sources.Table()
 	if table == nil {
-		return s.refuse(id, wire.Reason_REASON_NOT_READY)
+		return s.refuse(id, timeout, wire.Reason_REASON_NOT_READY)
 	}
 	if r := exceededLimit(&ctx.Request, table.Limits()); r != wire.Reason_REASON_UNSPECIFIED {
-		return s.refuse(id, r)
+		return s.refuse(id, timeout, r)
 	}
 	if id == "" {
-		return s.refuse(id, wire.Reason_REASON_BAD_REQUEST)
+		return s.refuse(id, timeout, wire.Reason_REASON_BAD_REQUEST)
 	}
 	found, ok := table.Find(string(ctx.Request.Header.Host()), string(ctx.Request.Header.RequestURI()))
 	if !ok {
-		return s.refuse(id, wire.Reason_REASON_ROUTE_UNKNOWN)
+		return s.refuse(id, timeout, wire.Reason_REASON_ROUTE_UNKNOWN)
 	}
 	body := ctx.Request.Body()
 	return s.engine.Serve(now, &relay.Request{
@@ -165,10 +165,15 @@
 }
 
 // refuse counts and logs a request that is not run, and returns the answer.
-func (s *Server) refuse(id string, r wire.Reason) relay.Answer {
+func (s *Server) refuse(id string, timeout time.Duration, r wire.Reason) relay.Answer {
 	s.counters.Add(r)
 	s.logger.Log(wire.Event_EVENT_REQUEST_FAILED, zap.String("request", id), zap.String("reason", reason.Name(r)), zap.Bool("not_run", true))
-	return relay.Refused{Reason: r, NotRun: true, RetryAfter: refusalRetryAfter}
+	after := refusalRetryAfter
+	if timeout > 0 {
+		// Callers do not follow a longer delay than a third of the time that they have left.
+		after = min(after, timeout/3)
+	}
+	return relay.Refused{Reason: r, NotRun: true, RetryAfter: after}
 }
 
 // refusalRetryAfter is the delay that callers are told to wait after a refusal by the server itself.
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -1,211 +1,357 @@
-// Package intake limits the queries over shards that a node has in flight. The limit adapts to the share of queries that are answered in
-// time: beyond it, more queries would only lengthen the queues at the searchers until all queries are late. Urgent queries are admitted
-// first.
+// Package intake decides which requests a node sends to the searchers, which wait and which are refused, so that what is delayed or refused
+// when capacity is short costs callers least. It bounds the work in flight by a learned limit: beyond it, more requests would only lengthen
+// the queues at the searchers until all are late.
 package intake
 
 import (
-	"slices"
+	"container/heap"
+	"math"
 	"sync"
 	"time"
+
+	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
 const (
-	// numRanks is the number of waiting queues; ranks beyond the last share the last queue.
+	// numRanks is the number of ranks that are told apart; ranks beyond the last count as the last.
 	numRanks = 3
-	// initialLimit is the limit before any outcome was recorded; minLimit and maxLimit are the bounds of the limit.
-	initialLimit = 32.0
-	minLimit     = 4.0
-	maxLimit     = 4096.0
-	// lateWeight is the weight of one query in the late share of its own rank. crossRankDecay is the fraction by which each query lowers
-	// the late shares of all ranks, so that the share of an inactive rank decays.
-	lateWeight     = 0.05
-	crossRankDecay = 0.005
-	// The limit is multiplied by decreaseFactor for each query that ends while the late share is above highLateShare. It grows by one in
-	// about limit queries while the late share is below lowLateShare.
-	highLateShare  = 0.25
-	lowLateShare   = 0.1
-	decreaseFactor = 0.97
-	// minUsedShare is the fraction of the limit that must be in use for the limit to change: below it, queries are late for other reasons.
-	minUsedShare = 0.5
-	// urgentReservedShare is the fraction of the limit that is reserved for queries of rank 0.
-	urgentReservedShare = 0.2
+	// leastInitialLimit and mostInitialLimit bound the limit before the first overload, and minLimit and maxLimit the learned one, in requests
+	// of the costliest route. In calm a node has fewer requests in flight than the least.
+	leastInitialLimit = 6.0
+	mostInitialLimit  = 32.0
+	minLimit          = 1.0
+	maxLimit          = 4096.0
+	// reservedShare is the fraction of the limit that each rank leaves to more urgent ones that were seen within rankMemory.
+	reservedShare = 0.1
+	rankMemory    = 10 * time.Second
+	// floorShare is the fraction of the work admitted for more urgent ranks that a rank may have when it would be refused otherwise, so that it
+	// is not starved. maxFloor bounds what is saved up, in requests of the costliest route.
+	floorShare = 0.03
+	maxFloor   = 2.0
+	// lateHoldShare is the fraction of its room that a request keeps once it has missed its goal: most of its parts have ended by then.
+	lateHoldShare = 0.5
 )
 
-// Outcome is how a query ended: InTime, Late, or Ignored when it says nothing about the load.
+// Outcome is how a request ended: InTime, Late, or Ignored when it says nothing about the load.
 type Outcome interface{ outcome() }
 
 // InTime is an answer within the latency goal.
 type InTime struct{}
 
-// Late is a query without an answer within the latency goal.
+// Late is a request without an answer within the latency goal.
 type Late struct{}
 
-// Ignored is a query that ended for another reason, such as a caller that disconnected.
+// Shed is a request that could not be answered, since searchers turned parts of it away for lack of room.
+type Shed struct{}
+
+// Ignored is a request that ended for another reason, such as a caller that disconnected.
 type Ignored struct{}
 
 func (InTime) outcome()  {}
 func (Late) outcome()    {}
+func (Shed) outcome()    {}
 func (Ignored) outcome() {}
 
-// Limiter is an adaptive concurrency limiter with a waiting queue for each rank. It is safe for concurrent use.
+// Request is what decides about a request.
+type Request struct {
+	// Route names the route, whose work is learned.
+	Route string
+	// Rank is the urgency; 0 is the most urgent.
+	Rank int
+	// Goal is when the answer loses most of its value, Deadline when it loses all of it.
+	Goal     time.Time
+	Deadline time.Time
+	// LateCounts is set when an answer between the goal and the deadline keeps a good part of its value.
+	LateCounts bool
+	// Slots is this node's part of the slots of the narrowest service that the request needs, 0 if unknown.
+	Slots float64
+}
+
+// Limiter is the admission control of a group of routes that share searchers. It is safe for concurrent use.
 type Limiter struct {
-	mu    sync.Mutex
-	limit float64
-	// inFlight counts the queries that were admitted and not released.
-	inFlight int
-	// lateShare is the recent share of late queries by rank. The highest share decides, since urgent queries are few and their goals are
-	// short.
-	lateShare [numRanks]float64
-	waiting   [numRanks][]*Permit
-}
-
-// Permit is a query that is admitted or waiting. Its fields are guarded by the limiter's mutex.
-type Permit struct {
-	rank     int
-	ready    chan struct{}
-	admitted bool
+	mu       sync.Mutex
+	control  control
+	works    works
+	returns  returns
+	inFlight float64
+	running  int
+	overdue  goalQueue
+	waiting  []*Ticket
+	// seenAt is when a request of a rank last came, floor the work that a rank may have beyond its order.
+	seenAt [numRanks]time.Time
+	floor  [numRanks]float64
+	// refusedAt is when a request was last refused.
+	refusedAt time.Time
 }
 
-// Ready returns a channel that is closed when the query is admitted.
-func (p *Permit) Ready() <-chan struct{} { return p.ready }
+// Ticket is a request that was decided on or waits. Its fields are guarded by the limiter's mutex, except ready.
+type Ticket struct {
+	request  Request
+	rank     int
+	cost     float64
+	asked    time.Time
+	until    time.Time
+	decision Decision
+	// ready is closed when a waiting request is decided on; it is nil for requests that were decided on immediately.
+	ready chan struct{}
+	// held is the room that the request takes while it runs. index is its position among the running requests, -1 once it missed its goal.
+	held    float64
+	started time.Time
+	index   int
+	late    bool
+}
 
-// New returns a limiter with the initial limit.
-func New() *Limiter { return &Limiter{limit: initialLimit} }
+// New returns a limiter that has learned nothing yet.
+func New() *Limiter { return &Limiter{works: newWorks(), control: control{initial: math.Inf(1)}} }
 
-// Acquire admits a query of a rank or puts it in the waiting queue; 0 is the most urgent rank. It returns nil when too many queries wait
-// already.
-func (l *Limiter) Acquire(rank int) *Permit {
+// Ask decides about a request. Release must be called for one that runs, once it has ended. Poll must be called for one that waits when its
+// time is over, unless its channel Ready was closed before.
+func (l *Limiter) Ask(now time.Time, r Request) *Ticket {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := &Permit{rank: min(max(rank, 0), numRanks-1), ready: make(chan struct{})}
-	if l.waitingUpTo(p.rank) == 0 && l.hasRoom(p.rank) {
-		l.admit(p)
-		return p
-	}
-	if float64(l.waitingUpTo(p.rank)) >= l.limit {
-		return nil
+	l.advance(now)
+	t := l.newTicket(now, r)
+	l.seenAt[t.rank] = now
+	l.control.expect(t.rank, r.Slots, r.Goal.Sub(now))
+	t.decision = l.judge(now, t)
+	switch d := t.decision.(type) {
+	case Run:
+		l.start(now, t)
+	case Wait:
+		t.until, t.ready = d.Until, make(chan struct{})
+		l.enqueue(now, t)
+	case Refuse:
+		l.refuse(now, t, d.Reason)
 	}
-	l.waiting[p.rank] = append(l.waiting[p.rank], p)
-	return p
+	return t
 }
 
-// waitingUpTo returns the number of waiting queries that are at least as urgent as a rank.
-func (l *Limiter) waitingUpTo(rank int) int {
-	count := 0
-	for r := 0; r <= rank; r++ {
-		count += len(l.waiting[r])
+// Preview returns what Ask would decide about a request, without any effect.
+func (l *Limiter) Preview(now time.Time, r Request) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.judge(now, l.newTicket(now, r))
+	if refuse, ok := d.(Refuse); ok {
+		refuse.After = l.returns.peek(now, r, min(max(r.Rank, 0), numRanks-1))
+		return refuse
 	}
-	return count
+	return d
 }
 
-func (l *Limiter) hasRoom(rank int) bool {
-	limit := l.limit
-	if rank > 0 {
-		limit *= 1 - urgentReservedShare
-	}
-	return float64(l.inFlight+1) <= limit
+func (l *Limiter) newTicket(now time.Time, r Request) *Ticket {
+	return &Ticket{request: r, rank: min(max(r.Rank, 0), numRanks-1), cost: l.works.cost(r.Route), asked: now, index: -1}
 }
 
-func (l *Limiter) admit(p *Permit) {
-	p.admitted = true
-	l.inFlight++
-	close(p.ready)
+// Decision returns what was decided last about a request.
+func (l *Limiter) Decision(t *Ticket) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return t.decision
 }
 
-// Cancel removes a query from the waiting queue. It returns false when the query was admitted in the meantime; Release must be called then.
-func (l *Limiter) Cancel(p *Permit) bool {
+// Ready returns a channel that is closed when a waiting request is decided on.
+func (t *Ticket) Ready() <-chan struct{} { return t.ready }
+
+// Waited reports whether a request had to wait.
+func (t *Ticket) Waited() bool { return t.ready != nil }
+
+// Poll decides about waiting requests again, and refuses this one if its time is over.
+func (l *Limiter) Poll(now time.Time, t *Ticket) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if p.admitted {
-		return false
-	}
-	list := l.waiting[p.rank]
-	for i, other := range list {
-		if other == p {
-			l.waiting[p.rank] = append(list[:i], list[i+1:]...)
-			break
-		}
-	}
-	return true
+	l.advance(now)
+	return t.decision
 }
 
-// Release ends an admitted query, records its outcome, and admits the next waiting queries.
-func (l *Limiter) Release(p *Permit, outcome Outcome) {
+// Release ends a request that ran, records its outcome, and admits waiting ones.
+func (l *Limiter) Release(now time.Time, t *Ticket, outcome Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	used := float64(l.inFlight) >= minUsedShare*l.limit
-	l.inFlight--
-	l.recordOutcome(p.rank, outcome)
-	if used {
-		l.adjustLimit()
+	used := l.used()
+	l.countOverdue(now)
+	if t.index >= 0 {
+		heap.Remove(&l.overdue, t.index)
 	}
-	for rank := range l.waiting {
-		for len(l.waiting[rank]) > 0 && l.hasRoom(rank) {
-			l.admit(l.waiting[rank][0])
-			l.waiting[rank] = l.waiting[rank][1:]
+	took := now.Sub(t.started)
+	switch outcome.(type) {
+	case InTime:
+		l.works.learn(t.request.Route, took, used)
+		l.control.record(t.rank, took, t.request.Goal.Sub(t.asked))
+	case Late:
+		if !t.late {
+			l.control.recordLate(t.rank, max(took, t.request.Goal.Sub(t.asked)))
 		}
 	}
+	if _, shed := outcome.(Shed); shed {
+		l.control.recordLate(t.rank, max(took, t.request.Goal.Sub(t.asked)))
+		l.control.shed(now, l.works.unit(), l.inFlight)
+	} else if used {
+		l.control.adjust(now, l.works.unit(), l.inFlight)
+	}
+	l.inFlight -= t.held
+	l.running--
+	if l.running == 0 {
+		l.inFlight = 0
+	}
+	l.advance(now)
+}
+
+// advance counts the requests that have missed their goal, and decides about the waiting ones.
+func (l *Limiter) advance(now time.Time) {
+	l.countOverdue(now)
+	l.review(now)
 }
 
-func (l *Limiter) recordOutcome(rank int, outcome Outcome) {
-	for other := range l.lateShare {
-		l.lateShare[other] -= l.lateShare[other] * crossRankDecay
+// countOverdue counts requests as late at the moment at which they miss their goal, since their end may come much later.
+func (l *Limiter) countOverdue(now time.Time) {
+	for len(l.overdue) > 0 && l.overdue[0].request.Goal.Before(now) {
+		t := heap.Pop(&l.overdue).(*Ticket)
+		used := l.used()
+		t.late = true
+		l.control.recordLate(t.rank, t.request.Goal.Sub(t.started))
+		if used {
+			l.control.adjust(now, l.works.unit(), l.inFlight)
+		}
+		l.inFlight -= t.held * (1 - lateHoldShare)
+		t.held *= lateHoldShare
 	}
-	switch outcome.(type) {
-	case InTime:
-		l.lateShare[rank] -= l.lateShare[rank] * lateWeight
-	case Late:
-		l.lateShare[rank] += (1 - l.lateShare[rank]) * lateWeight
+}
+
+// used reports whether enough of the limit is in use for it to change: below that, requests are late for other reasons.
+func (l *Limiter) used() bool { return l.inFlight >= minUsedShare*l.limit() }
+
+func (l *Limiter) limit() float64 { return l.control.limit(l.works.unit()) }
+
+// room returns the limit for the work in flight when a request of a rank is to start.
+func (l *Limiter) room(now time.Time, rank int) float64 {
+	limit := l.limit()
+	for urgent := range rank {
+		if now.Sub(l.seenAt[urgent]) < rankMemory {
+			limit -= limit * reservedShare
+		}
 	}
+	return limit
+}
+
+func (l *Limiter) hasRoom(now time.Time, t *Ticket) bool {
+	return l.running == 0 || l.inFlight+t.cost <= l.room(now, t.rank)
 }
 
-func (l *Limiter) adjustLimit() {
-	late := slices.Max(l.lateShare[:])
-	switch {
-	case late > highLateShare:
-		l.limit = max(l.limit*decreaseFactor, minLimit)
-	case late < lowLateShare:
-		l.limit = min(l.limit+1/l.limit, maxLimit)
+func (l *Limiter) start(now time.Time, t *Ticket) {
+	t.decision, t.started, t.held = Run{}, now, t.cost
+	l.inFlight += t.cost
+	l.running++
+	heap.Push(&l.overdue, t)
+	for rank := t.rank + 1; rank < numRanks; rank++ {
+		l.floor[rank] = min(l.floor[rank]+t.cost*floorShare, maxFloor*l.works.unit())
 	}
+	l.floor[t.rank] = max(l.floor[t.rank]-t.cost, 0)
 }
 
-// Saturated reports whether another query of the least urgent rank would have to wait.
-func (l *Limiter) Saturated() bool {
+func (l *Limiter) refuse(now time.Time, t *Ticket, r wire.Reason) {
+	l.refusedAt = now
+	t.decision = Refuse{Reason: r, After: l.returns.next(now, t.request, t.rank, t.cost, l.rate())}
+}
+
+// RetryAfter returns when the caller of a request should come back that was refused for lack of room after it was admitted.
+func (l *Limiter) RetryAfter(now time.Time, r Request) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.hasRoom(numRanks - 1)
+	return l.returns.next(now, r, min(max(r.Rank, 0), numRanks-1), l.works.cost(r.Route), l.rate())
 }
 
+// rate returns the work that ends per millisecond, by Little's law from the work in flight and the recent latency.
+func (l *Limiter) rate() float64 { return l.control.rate(l.inFlight, l.works.unit()) }
+
+// Saturated reports whether work waits, or another request of the least urgent rank would have to.
+func (l *Limiter) Saturated(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting) > 0 || (l.running > 0 && l.inFlight+l.works.unit() > l.room(now, numRanks-1))
+}
+
+// Waits reports whether requests wait.
+func (l *Limiter) Waits() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting) > 0
+}
+
+// overloadMemory is how long a group counts as overloaded after the last refusal.
+const overloadMemory = 2 * time.Second
+
 // State is a snapshot of a limiter.
 type State struct {
-	// Limit is the number of queries that may be in flight, InFlight the number in flight, and Waiting the number in the waiting queues.
-	Limit    int
-	InFlight int
+	// Limit is the work that may be in flight and InFlight the work in flight, in requests of the costliest route. Running and Waiting count
+	// requests.
+	Limit    float64
+	InFlight float64
+	Running  int
 	Waiting  int
-	// LateShare is the recent share of queries without an answer within the goal, of the rank where it is highest.
+	// LateShare is the recent share of requests without an answer within the goal, of the rank where it is highest.
 	LateShare float64
+	// PerSecond is the rate at which work ends, in requests of the costliest route.
+	PerSecond float64
+	// Latency is the recent latency from admission to the answer.
+	Latency time.Duration
+	// Overloaded is set while requests are refused.
+	Overloaded bool
 }
 
 // State returns the current state.
-func (l *Limiter) State() State {
+func (l *Limiter) State(now time.Time) State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return State{Limit: int(l.limit), InFlight: l.inFlight, Waiting: l.waitingUpTo(numRanks - 1), LateShare: slices.Max(l.lateShare[:])}
+	unit := l.works.unit()
+	return State{Limit: l.limit() / unit, InFlight: l.inFlight / unit, Running: l.running, Waiting: len(l.waiting), LateShare: l.control.lateShare(),
+		PerSecond: 1000 * l.rate() / unit, Latency: time.Duration(l.control.latency * float64(time.Millisecond)),
+		Overloaded: !l.refusedAt.IsZero() && now.Sub(l.refusedAt) < overloadMemory}
 }
 
-// Wait waits until a query is admitted, at most for the given time, and reports whether it was admitted.
-func (l *Limiter) Wait(p *Permit, most time.Duration) bool {
-	select {
-	case <-p.ready:
-		return true
-	default:
-	}
-	timer := time.NewTimer(most)
-	defer timer.Stop()
-	select {
-	case <-p.ready:
-		return true
-	case <-timer.C:
-		return !l.Cancel(p)
+// Await returns the decision about a request once it is Run or Refuse. It waits at most until the request's time is over.
+func (l *Limiter) Await(clock func() time.Time, t *Ticket) Decision {
+	for {
+		wait, ok := l.Decision(t).(Wait)
+		if !ok {
+			return l.Decision(t)
+		}
+		timer := time.NewTimer(max(wait.Until.Sub(clock()), time.Millisecond))
+		select {
+		case <-t.ready:
+		case <-timer.C:
+			now := clock()
+			if now.Before(wait.Until) {
+				now = wait.Until
+			}
+			l.Poll(now, t)
+		}
+		timer.Stop()
 	}
 }
+
+// goalQueue is a heap of the running requests by their goals.
+type goalQueue []*Ticket
+
+func (q goalQueue) Len() int           { return len(q) }
+func (q goalQueue) Less(i, j int) bool { return q[i].request.Goal.Before(q[j].request.Goal) }
+func (q goalQueue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (q *goalQueue) Push(x any) {
+	t := x.(*Ticket)
+	t.index = len(*q)
+	*q = append(*q, t)
+}
+
+// Pop implements heap.Interface.
+func (q *goalQueue) Pop() any {
+	last := len(*q) - 1
+	t := (*q)[last]
+	(*q)[last] = nil
+	*q = (*q)[:last]
+	t.index = -1
+	return t
+}
--- a/internal/intake/limiter_test.go
+++ b/internal/intake/limiter_test.go
@@ -16,54 +16,72 @@
 	inTime    int
 }
 
-// completion is a running query and the time at which it ends.
+// arrival is a query of a load, completion one that runs and the time at which it ends.
+type arrival struct {
+	at   time.Duration
+	load *load
+}
+
 type completion struct {
-	at         time.Duration
-	admittedAt time.Duration
-	permit     *Permit
-	load       *load
+	arrival
+	ends   time.Duration
+	ticket *Ticket
 }
 
-// simulate runs loads against a server with one FIFO queue and a fixed service time per query, behind a limiter, or without one when it is
-// nil. Queries that are not admitted immediately are refused.
-func simulate(limiter *Limiter, work, length time.Duration, loads ...*load) {
+func arrivals(length time.Duration, loads []*load) []arrival {
 	random := rand.New(rand.NewPCG(1, 2))
-	type arrival struct {
-		at   time.Duration
-		load *load
-	}
-	var arrivals []arrival
+	var list []arrival
 	for _, l := range loads {
 		for at := time.Duration(0); at < length; at += time.Duration(random.ExpFloat64() / l.perSecond * float64(time.Second)) {
-			arrivals = append(arrivals, arrival{at: at, load: l})
+			list = append(list, arrival{at: at, load: l})
 		}
 	}
-	sort.Slice(arrivals, func(i, j int) bool { return arrivals[i].at < arrivals[j].at })
+	sort.Slice(list, func(i, j int) bool { return list[i].at < list[j].at })
+	return list
+}
+
+// simulate runs loads against a server with one FIFO queue and a fixed service time per query, behind a limiter, or without one when it is
+// nil. Refused queries do not come back.
+func simulate(limiter *Limiter, work, length time.Duration, loads ...*load) {
 	var free time.Duration
-	var running []completion
-	for _, a := range arrivals {
-		for len(running) > 0 && running[0].at <= a.at {
+	var running, waiting []completion
+	startAdmitted := func(at time.Duration) {
+		kept := waiting[:0]
+		for _, w := range waiting {
+			switch limiter.Poll(playStart.Add(at), w.ticket).(type) {
+			case Run:
+				free = max(free, at) + work
+				running = append(running, completion{arrival: w.arrival, ends: free, ticket: w.ticket})
+			case Wait:
+				kept = append(kept, w)
+			}
+		}
+		waiting = kept
+	}
+	for _, a := range arrivals(length, loads) {
+		for len(running) > 0 && running[0].ends <= a.at {
 			done := running[0]
 			running = running[1:]
 			done.load.served++
 			var outcome Outcome = Late{}
-			if done.at-done.admittedAt <= done.load.goal {
+			if done.ends-done.at <= done.load.goal {
 				done.load.inTime++
 				outcome = InTime{}
 			}
 			if limiter != nil {
-				limiter.Release(done.permit, outcome)
+				limiter.Release(playStart.Add(done.ends), done.ticket, outcome)
+				startAdmitted(done.ends)
 			}
 		}
-		var permit *Permit
-		if limiter != nil {
-			permit = limiter.Acquire(a.load.rank)
-			if permit == nil || (!permit.admitted && limiter.Cancel(permit)) {
-				continue
-			}
+		if limiter == nil {
+			free = max(free, a.at) + work
+			running = append(running, completion{arrival: a, ends: free})
+			continue
 		}
-		free = max(free, a.at) + work
-		running = append(running, completion{at: free, admittedAt: a.at, permit: permit, load: a.load})
+		now := playStart.Add(a.at)
+		ticket := limiter.Ask(now, Request{Route: "r", Rank: a.load.rank, Goal: now.Add(a.load.goal), Deadline: now.Add(10 * a.load.goal)})
+		waiting = append(waiting, completion{arrival: a, ticket: ticket})
+		startAdmitted(a.at)
 	}
 }
 
@@ -77,10 +95,9 @@
 	)
 	capacity := int(length / work)
 	tests := map[string]struct {
-		limiter      *Limiter
-		perSecond    float64
-		least, most  int
-		leastOfUsual float64
+		limiter     *Limiter
+		perSecond   float64
+		least, most int
 	}{
 		"three times the capacity":                {limiter: New(), perSecond: 600, least: capacity * 6 / 10, most: capacity},
 		"three times the capacity, without limit": {perSecond: 600, least: 0, most: capacity / 10},
@@ -107,73 +124,55 @@
 	}
 }
 
+// ask returns a request of a rank that arrives at a time, with a goal of 150 ms and a deadline of 1.5 s.
+func ask(l *Limiter, now time.Time, rank int) *Ticket {
+	return l.Ask(now, Request{Route: "r", Rank: rank, Goal: now.Add(150 * time.Millisecond), Deadline: now.Add(1500 * time.Millisecond)})
+}
+
+func isRunning(l *Limiter, ticket *Ticket) bool { _, ok := l.Decision(ticket).(Run); return ok }
+
 // Guards against a limit that falls when queries are late for reasons other than their number. Here they are late although only one is in
 // flight at a time.
 func TestLimitStaysWhileUnused(t *testing.T) {
 	l := New()
-	for range 1000 {
-		p := l.Acquire(1)
-		if p == nil || !p.admitted {
-			t.Fatalf("query was not admitted while %d are in flight", l.State().InFlight)
+	before := l.State(playStart).Limit
+	for i := range 1000 {
+		now := playStart.Add(time.Duration(i) * time.Second)
+		p := ask(l, now, 1)
+		if !isRunning(l, p) {
+			t.Fatalf("query was not admitted while %d are running", l.State(now).Running)
 		}
-		l.Release(p, Late{})
+		l.Release(now.Add(500*time.Millisecond), p, Late{})
 	}
-	if got := l.State().Limit; got != initialLimit {
-		t.Errorf("got limit %d, want %v", got, initialLimit)
+	if got := l.State(playStart).Limit; got != before {
+		t.Errorf("got limit %v, want %v", got, before)
 	}
 }
 
-// Guards against waiting queues that do not keep the order of ranks, lose the places of cancelled queries, or grow without bound, and
-// against less urgent queries that use the reserved part of the limit, so that urgent ones are not admitted.
-func TestWaitingOrder(t *testing.T) {
-	l := New()
-	var admitted []*Permit
-	for l.hasRoom(1) {
-		admitted = append(admitted, l.Acquire(1))
-	}
-	later := l.Acquire(2)
-	cancelled := l.Acquire(1)
-	first := l.Acquire(1)
-	reserved := int(l.limit * urgentReservedShare)
-	for range reserved {
-		if p := l.Acquire(0); p == nil || !p.admitted {
-			t.Fatal("urgent query was not admitted to the reserved part of the limit")
+// fill runs requests of rank 0 until none more is admitted, after the work of the route was learned as 10 ms.
+func fill(l *Limiter, now time.Time) []*Ticket {
+	first := ask(l, now.Add(-10*time.Millisecond), 0)
+	l.Release(now, first, InTime{})
+	var running []*Ticket
+	for {
+		if _, ok := l.Preview(now, Request{Route: "r", Goal: now.Add(150 * time.Millisecond), Deadline: now.Add(time.Second)}).(Run); !ok {
+			return running
 		}
-	}
-	if !l.Cancel(cancelled) {
-		t.Error("cancel of a waiting query: got false, want true")
-	}
-	for range reserved + 1 {
-		l.Release(admitted[0], Ignored{})
-	}
-	if !first.admitted || l.Cancel(first) {
-		t.Error("the more urgent query is still waiting, want it admitted first")
-	}
-	if later.admitted || cancelled.admitted {
-		t.Errorf("less urgent query admitted: %v, cancelled query admitted: %v, want neither", later.admitted, cancelled.admitted)
-	}
-	for range 2 * int(initialLimit) {
-		l.Acquire(2)
-	}
-	if state := l.State(); state.Waiting > state.Limit+1 {
-		t.Errorf("got %d waiting queries, want at most %d", state.Waiting, state.Limit+1)
+		running = append(running, ask(l, now, 0))
 	}
 }
 
 // Guards against a query that waits longer than allowed, and against one that is admitted meanwhile but counts as refused.
-func TestWait(t *testing.T) {
+func TestAwait(t *testing.T) {
 	l := New()
-	var admitted *Permit
-	for l.hasRoom(0) {
-		admitted = l.Acquire(0)
-	}
-	waiting := l.Acquire(0)
-	if l.Wait(waiting, time.Millisecond) {
+	now := time.Now()
+	running := fill(l, now)
+	if _, ok := l.Await(time.Now, ask(l, now, 1)).(Refuse); !ok {
 		t.Error("limit reached: query was admitted, want it refused")
 	}
-	waiting = l.Acquire(0)
-	l.Release(admitted, InTime{})
-	if !l.Wait(waiting, time.Millisecond) {
+	waiting := ask(l, time.Now(), 0)
+	l.Release(time.Now(), running[0], InTime{})
+	if _, ok := l.Await(time.Now, waiting).(Run); !ok {
 		t.Error("after a release: query was refused, want it admitted")
 	}
 }
--- /dev/null
+++ b/internal/relay/admission.go
@@ -0,0 +1,184 @@
+package relay
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fireflylanding/fireflylanding/internal/intake"
+	"github.com/fireflylanding/fireflylanding/internal/route"
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+// limiterFor returns the limiter that a route shares with all routes of its group.
+func (e *Engine) limiterFor(r *route.Route) *intake.Limiter {
+	if l, ok := e.limiters.Load(r.Group()); ok {
+		return l.(*intake.Limiter)
+	}
+	l, _ := e.limiters.LoadOrStore(r.Group(), intake.New())
+	return l.(*intake.Limiter)
+}
+
+// pruneLimiters drops the limiters of groups that are no longer in the table.
+func (e *Engine) pruneLimiters(table *route.Table) {
+	groups := make(map[string]bool)
+	for _, r := range table.Routes() {
+		groups[r.Group()] = true
+	}
+	e.limiters.Range(func(group, _ any) bool {
+		if !groups[group.(string)] {
+			e.limiters.Delete(group)
+			e.overloaded.Delete(group)
+		}
+		return true
+	})
+}
+
+// updateSlots computes the slots of the narrowest service of each route.
+func (e *Engine) updateSlots(table *route.Table) {
+	byService := e.balancer.current.Load().byService
+	slots := make(map[*route.Route]int)
+	for _, r := range table.Routes() {
+		least := -1
+		for _, service := range r.Services() {
+			sum := 0
+			for _, ep := range byService[service] {
+				sum += ep.searcher.Slots()
+			}
+			if least < 0 || sum < least {
+				least = sum
+			}
+		}
+		slots[r] = max(least, 0)
+	}
+	e.slots.Store(&slots)
+}
+
+// slotShare returns this node's part of the slots of a route's narrowest service, 0 if unknown.
+func (e *Engine) slotShare(r *route.Route) float64 {
+	slots := e.slots.Load()
+	if slots == nil {
+		return 0
+	}
+	return float64((*slots)[r]) / float64(max(e.nodes.Load(), 1))
+}
+
+// intakeRequest describes a request of a route to its limiter.
+func (e *Engine) intakeRequest(r *route.Route, started, end time.Time) intake.Request {
+	policy := r.Policy()
+	_, gather := r.Target().(route.Gather)
+	return intake.Request{
+		Route: r.Name(), Rank: policy.Rank, Goal: started.Add(policy.Goal), Deadline: end, LateCounts: !gather, Slots: e.slotShare(r),
+	}
+}
+
+// PreviewAdmission returns what would be decided now about a request of a route that may take until the given end. It changes nothing.
+func (e *Engine) PreviewAdmission(now time.Time, r *route.Route, end time.Time) intake.Decision {
+	if l, ok := e.limiters.Load(r.Group()); ok {
+		return l.(*intake.Limiter).Preview(now, e.intakeRequest(r, now, end))
+	}
+	return intake.Run{}
+}
+
+// runAdmitted runs a request when the limiter admits it, and refuses it otherwise.
+func (f *fanout) runAdmitted() Answer {
+	ticket := f.limiter.Ask(f.started, f.engine.intakeRequest(f.request.Route, f.started, f.end()))
+	if refuse, ok := f.limiter.Await(f.engine.clock, ticket).(intake.Refuse); ok {
+		return f.rejectAdmission(refuse)
+	}
+	if ticket.Waited() && f.request.CallerGone() {
+		f.limiter.Release(f.engine.clock(), ticket, intake.Ignored{})
+		return f.reject(wire.Reason_REASON_CALLER_GONE)
+	}
+	answer := f.run()
+	f.limiter.Release(f.engine.clock(), ticket, f.admissionOutcome(answer))
+	return answer
+}
+
+// rejectAdmission refuses a request that the limiter did not admit. The log line has what decided it.
+func (f *fanout) rejectAdmission(refuse intake.Refuse) Answer {
+	now := f.engine.clock()
+	state := f.limiter.State(now)
+	f.retryAfter = refuse.After
+	return f.reject(refuse.Reason, zap.Float64("limit", state.Limit), zap.Float64("in_flight", state.InFlight), zap.Int("running", state.Running),
+		zap.Int("waiting", state.Waiting), zap.Float64("late", state.LateShare), zap.Float64("per_second", state.PerSecond),
+		zap.Duration("latency", state.Latency), zap.Duration("waited", now.Sub(f.started)), zap.Duration("retry_after", refuse.After),
+		zap.Int("rank", f.request.Route.Policy().Rank))
+}
+
+// admissionOutcome classifies the answer for the limiter. Failures that say nothing about the load are ignored.
+func (f *fanout) admissionOutcome(answer Answer) intake.Outcome {
+	now, goal := f.engine.clock(), f.goalAt.Add(answerMargin)
+	if f.deadline.Before(goal) && !now.Before(f.deadline.Add(-answerMargin)) {
+		// The caller gave less time than the goal.
+		return intake.Ignored{}
+	}
+	switch answer := answer.(type) {
+	case Merged:
+		if now.Before(goal) {
+			return intake.InTime{}
+		}
+	case Forwarded:
+		switch {
+		case f.succeeded == 0:
+			return intake.Ignored{}
+		case now.Before(goal):
+			return intake.InTime{}
+		}
+	case Refused:
+		switch {
+		case answer.Reason == wire.Reason_REASON_CALLER_GONE:
+			return intake.Ignored{}
+		case f.shed():
+			return intake.Shed{}
+		case now.Before(goal):
+			return intake.Ignored{}
+		}
+	}
+	return intake.Late{}
+}
+
+// shed reports whether searchers turned away a part for lack of room.
+func (f *fanout) shed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.parts {
+		if f.parts[i].settled && f.parts[i].reason == wire.Reason_REASON_SEARCHER_SHED {
+			return true
+		}
+	}
+	return false
+}
+
+// givesWay reports whether a retry of a part is left to first attempts that wait for admission. A part without which a query over shards can't
+// be answered is retried all the same, since the work of all its other parts would be lost.
+func (f *fanout) givesWay() bool {
+	if !f.limiter.Waits() {
+		return false
+	}
+	if _, ok := f.request.Route.Target().(route.Gather); !ok {
+		return true
+	}
+	return float64(f.succeeded+f.pending-1) >= f.minCoverage*float64(len(f.parts))
+}
+
+// observeOverload logs when a group of routes begins or ends to refuse requests.
+func (e *Engine) observeOverload(now time.Time) {
+	e.limiters.Range(func(group, held any) bool {
+		state := held.(*intake.Limiter).State(now)
+		_, before := e.overloaded.Load(group)
+		if state.Overloaded == before {
+			return true
+		}
+		event := wire.Event_EVENT_OVERLOAD_ENDED
+		if state.Overloaded {
+			event = wire.Event_EVENT_OVERLOAD_BEGUN
+			e.overloaded.Store(group, true)
+		} else {
+			e.overloaded.Delete(group)
+		}
+		e.logger.Log(event, zap.String("group", group.(string)), zap.Float64("limit", state.Limit), zap.Float64("in_flight", state.InFlight),
+			zap.Int("waiting", state.Waiting), zap.Float64("late", state.LateShare), zap.Float64("per_second", state.PerSecond))
+		return true
+	})
+}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -16,7 +16,6 @@
 	"github.com/fireflylanding/fireflylanding/internal/budget"
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
-	"github.com/fireflylanding/fireflylanding/internal/intake"
 	"github.com/fireflylanding/fireflylanding/internal/meter"
 	"github.com/fireflylanding/fireflylanding/internal/mono"
 	"github.com/fireflylanding/fireflylanding/internal/reach"
@@ -54,8 +53,11 @@
 	// replies bounds the bytes of the replies in reading; replySizes maps each service to the size of its replies.
 	replies    *meter.Budget
 	replySizes sync.Map
-	// limiters maps each group of routes over shards to its limiter.
-	limiters sync.Map
+	// limiters maps each group of routes to its limiter, overloaded the groups that refuse requests, as logged. slots is the number of slots of
+	// the narrowest service of each route.
+	limiters   sync.Map
+	overloaded sync.Map
+	slots      atomic.Pointer[map[*route.Route]int]
 	// nodes is the number of nodes that share the budget.
 	nodes atomic.Int64
 	// active is set while callers are routed to this node.
@@ -115,6 +117,7 @@
 	for _, ended := range append(e.balancer.update(snapshot, table), snapshot.Replaced()...) {
 		e.searcherEnded(e.clock(), ended)
 	}
+	e.updateSlots(table)
 }
 
 // SetNodes recomputes this node's share of the searchers' connections and of the retry and hedge budget.
@@ -133,6 +136,7 @@
 	e.balancer.maintain(now)
 	e.expireSuspicions(now)
 	e.updateReach(now)
+	e.observeOverload(now)
 	if e.Reach().Low() || (e.doubted.Load() && !e.active.Load()) {
 		e.balancer.probe(ctx, now, func(f func()) { e.tasks.Go(f) })
 	}
@@ -212,36 +216,7 @@
 	if e.Stranded() && !f.servable(now) {
 		return f.reject(wire.Reason_REASON_LINKS_LOST, zap.Float64("share", e.Reach().Share()))
 	}
-	if f.limiter == nil {
-		return f.run()
-	}
-	return f.runLimited()
-}
-
-// limiterFor returns the limiter that a route shares with all routes of its group, or nil for a route to one service.
-func (e *Engine) limiterFor(r *route.Route) *intake.Limiter {
-	if _, ok := r.Target().(route.Gather); !ok {
-		return nil
-	}
-	if l, ok := e.limiters.Load(r.Group()); ok {
-		return l.(*intake.Limiter)
-	}
-	l, _ := e.limiters.LoadOrStore(r.Group(), intake.New())
-	return l.(*intake.Limiter)
-}
-
-// pruneLimiters drops the limiters of groups that are no longer in the table.
-func (e *Engine) pruneLimiters(table *route.Table) {
-	groups := make(map[string]bool)
-	for _, r := range table.Routes() {
-		groups[r.Group()] = true
-	}
-	e.limiters.Range(func(group, _ any) bool {
-		if !groups[group.(string)] {
-			e.limiters.Delete(group)
-		}
-		return true
-	})
+	return f.runAdmitted()
 }
 
 func (e *Engine) budgetWindow(service string) *budget.Window {
--- a/internal/relay/fanout.go
+++ b/internal/relay/fanout.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/fireflylanding/fireflylanding/internal/intake"
 	"github.com/fireflylanding/fireflylanding/internal/mono"
 	"github.com/fireflylanding/fireflylanding/internal/route"
@@ -37,7 +35,7 @@
 // fanout is the execution of one request. Its fields are guarded by mu, since each attempt settles its part from its own goroutine.
 type fanout struct {
 	engine *Engine
-	// limiter bounds the queries in flight of the route's group; it is nil for a request to one service.
+	// limiter decides about the requests of the route's group.
 	limiter  *intake.Limiter
 	request  *Request
 	started  time.Time
@@ -66,6 +64,8 @@
 	callerGone bool
 	// linksLost is set when the request ends early, since the searchers that it needs are not reached any more.
 	linksLost bool
+	// retryAfter is the retry delay that the limiter decided on, 0 if it did not.
+	retryAfter time.Duration
 	// attemptLog holds the attempts for the log line of the request.
 	attemptLog attemptLog
 }
@@ -106,24 +106,6 @@
 	return f
 }
 
-// admissionWaitShare is the fraction of the route's goal that a query waits for admission. It is small, so that a refused caller still has
-// time to try again.
-const admissionWaitShare = 0.1
-
-// runLimited runs a query if the limiter admits it, and refuses it otherwise.
-func (f *fanout) runLimited() Answer {
-	policy := f.request.Route.Policy()
-	permit := f.limiter.Acquire(policy.Rank)
-	if permit == nil || !f.limiter.Wait(permit, time.Duration(float64(policy.Goal)*admissionWaitShare)) {
-		state := f.limiter.State()
-		return f.reject(wire.Reason_REASON_ADMISSION, zap.Int("limit", state.Limit), zap.Int("in_flight", state.InFlight),
-			zap.Int("waiting", state.Waiting), zap.Float64("late", state.LateShare))
-	}
-	answer := f.run()
-	f.limiter.Release(permit, f.admissionOutcome(answer))
-	return answer
-}
-
 // run sends the request to all parts and returns the answer.
 func (f *fanout) run() Answer {
 	defer f.cancel()
--- a/internal/relay/fanout_test.go
+++ b/internal/relay/fanout_test.go
@@ -32,10 +32,15 @@
 	return e, f
 }
 
-// saturate acquires permits up to the limit.
-func saturate(l *intake.Limiter) {
-	for range l.State().Limit {
-		l.Acquire(0)
+// saturate lets requests run up to the limit.
+func saturate(f *fanout) {
+	r := f.engine.intakeRequest(f.request.Route, start, start.Add(time.Minute))
+	r.Rank = 0
+	for {
+		if _, ok := f.limiter.Preview(start, r).(intake.Run); !ok {
+			return
+		}
+		f.limiter.Ask(start, r)
 	}
 }
 
@@ -52,7 +57,7 @@
 		t.Run(name, func(t *testing.T) {
 			e, f := newGatherFanout(t)
 			if test.saturated {
-				saturate(f.limiter)
+				saturate(f)
 			}
 			f.mu.Lock()
 			f.hedge(start.Add(50*time.Millisecond), &f.parts[0])
@@ -68,9 +73,9 @@
 // refused.
 func TestQueryBeyondTheLimitIsRefusedAtOnce(t *testing.T) {
 	e, f := newGatherFanout(t)
-	saturate(f.limiter)
+	saturate(f)
 	began := time.Now()
-	answer, ok := f.runLimited().(Refused)
+	answer, ok := f.runAdmitted().(Refused)
 	if !ok || answer.Reason != wire.Reason_REASON_ADMISSION || !answer.NotRun || answer.RetryAfter <= 0 {
 		t.Errorf("got %+v, want a refusal for lack of capacity, not run, with a retry delay", answer)
 	}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/fireflylanding/fireflylanding/internal/intake"
 	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -46,21 +45,6 @@
 	return answer
 }
 
-// admissionOutcome classifies the answer for the admission limiter.
-func (f *fanout) admissionOutcome(answer Answer) intake.Outcome {
-	switch answer := answer.(type) {
-	case Merged:
-		if f.engine.clock().Before(f.goalAt.Add(answerMargin)) {
-			return intake.InTime{}
-		}
-	case Refused:
-		if answer.Reason == wire.Reason_REASON_CALLER_GONE {
-			return intake.Ignored{}
-		}
-	}
-	return intake.Late{}
-}
-
 func (f *fanout) answer(now time.Time) Answer {
 	if f.callerGone {
 		return f.refused(wire.Reason_REASON_CALLER_GONE)
@@ -120,12 +104,22 @@
 	}
 }
 
+// maxReturnPart is the part of the time left beyond which callers do not follow a retry delay.
+const maxReturnPart = 3
+
 func (f *fanout) refused(r wire.Reason) Refused {
 	f.engine.countReason(r)
-	after := retryAfter
-	if r == wire.Reason_REASON_LINKS_LOST {
+	now, after := f.engine.clock(), retryAfter
+	switch {
+	case f.retryAfter > 0:
+		after = f.retryAfter
+	case r == wire.Reason_REASON_LINKS_LOST:
 		after = elsewhereRetryAfter
+	case r == wire.Reason_REASON_SEARCHER_SHED:
+		after = f.limiter.RetryAfter(now, f.engine.intakeRequest(f.request.Route, f.started, f.end()))
 	}
+	// Callers do not follow a longer delay than a third of the time that they have left.
+	after = min(after, max(f.end().Sub(now)/maxReturnPart, 0))
 	return Refused{Reason: r, NotRun: !f.mayHaveRun, RetryAfter: after}
 }
 
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -113,7 +113,7 @@
 		p.hedgeAt = now.Add(hedgeRetryInterval)
 		return
 	}
-	if f.limiter != nil && f.limiter.Saturated() {
+	if f.limiter.Saturated(now) {
 		f.engine.countReason(wire.Reason_REASON_HEDGE_SATURATED)
 		p.hedgeAt = now.Add(hedgeRetryInterval)
 		return
@@ -252,6 +252,10 @@
 		f.engine.countReason(wire.Reason_REASON_RETRY_NO_TIME)
 		return false
 	}
+	if f.givesWay() {
+		f.engine.countReason(wire.Reason_REASON_HEDGE_SATURATED)
+		return false
+	}
 	if r.sent && !f.engine.allowExtraAttempt(now, p.service) {
 		f.engine.countReason(wire.Reason_REASON_RETRY_BUDGET)
 		return false
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -10,10 +10,15 @@
 
 // LimitReport is the state of the admission limiter of a group of routes.
 type LimitReport struct {
-	Limit    int     `json:"limit"`
-	InFlight int     `json:"in_flight"`
-	Waiting  int     `json:"waiting"`
-	Late     float64 `json:"late_share"`
+	// Limit and InFlight are in requests of the group's costliest route.
+	Limit      float64 `json:"limit"`
+	InFlight   float64 `json:"in_flight"`
+	Running    int     `json:"running"`
+	Waiting    int     `json:"waiting"`
+	Late       float64 `json:"late_share"`
+	PerSecond  float64 `json:"per_second"`
+	Latency    int64   `json:"latency_ms"`
+	Overloaded bool    `json:"overloaded"`
 }
 
 // SearcherReport is the state of a searcher as this node observes it through its own requests. Times are in milliseconds.
@@ -38,8 +43,9 @@
 func (e *Engine) Limits() map[string]LimitReport {
 	reports := make(map[string]LimitReport)
 	e.limiters.Range(func(group, held any) bool {
-		state := held.(*intake.Limiter).State()
-		reports[group.(string)] = LimitReport{Limit: state.Limit, InFlight: state.InFlight, Waiting: state.Waiting, Late: state.LateShare}
+		state := held.(*intake.Limiter).State(e.clock())
+		reports[group.(string)] = LimitReport{Limit: state.Limit, InFlight: state.InFlight, Running: state.Running, Waiting: state.Waiting,
+			Late: state.LateShare, PerSecond: state.PerSecond, Latency: state.Latency.Milliseconds(), Overloaded: state.Overloaded}
 		return true
 	})
 	return reports
--- a/internal/tier/metrics.go
+++ b/internal/tier/metrics.go
@@ -5,6 +5,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/fireflylanding/fireflylanding/internal/expo"
+	"github.com/fireflylanding/fireflylanding/internal/relay"
 )
 
 // metricsPath serves the metrics of a node. adminMetricsPath serves them too, since the status command reads them there.
@@ -48,17 +49,27 @@
 		"quarantine.unconfirmed":    func() int64 { return int64(t.engine.UnconfirmedCrashes()) },
 		"quarantine.dropped":        func() int64 { return int64(t.marks.Dropped()) },
 		"intake.limit":              func() int64 { return t.minLimit() },
-		"replies.bytes":             func() int64 { return t.engine.ReplyMemory() },
-		"requests.in_flight":        func() int64 { return int64(t.engine.InFlight()) },
-		"callers.connections":       func() int64 { return int64(t.edge.Connections()) },
+		"intake.waiting":            func() int64 { return t.sumLimits(func(l relay.LimitReport) int { return l.Waiting }) },
+		"intake.running":            func() int64 { return t.sumLimits(func(l relay.LimitReport) int { return l.Running }) },
+		"intake.overloaded": func() int64 {
+			return t.sumLimits(func(l relay.LimitReport) int {
+				if l.Overloaded {
+					return 1
+				}
+				return 0
+			})
+		},
+		"replies.bytes":       func() int64 { return t.engine.ReplyMemory() },
+		"requests.in_flight":  func() int64 { return int64(t.engine.InFlight()) },
+		"callers.connections": func() int64 { return int64(t.edge.Connections()) },
 	} {
 		_ = t.registry.Register(name, metrics.NewFunctionalGauge(read))
 	}
 }
 
-// minLimit returns the lowest limit on queries in flight among the groups of routes, or 0 before the first query.
+// minLimit returns the lowest limit on the work in flight, in requests of the costliest route, among the groups of routes, or 0 before the first query.
 func (t *Tier) minLimit() int64 {
-	least := 0
+	least := 0.0
 	for _, limit := range t.engine.Limits() {
 		if least == 0 || limit.Limit < least {
 			least = limit.Limit
@@ -66,3 +77,12 @@
 	}
 	return int64(least)
 }
+
+// sumLimits returns the sum of a figure over all groups of routes.
+func (t *Tier) sumLimits(figure func(relay.LimitReport) int) int64 {
+	sum := 0
+	for _, limit := range t.engine.Limits() {
+		sum += figure(limit)
+	}
+	return int64(sum)
+}
