Guarantee room to urgent ranks, and keep waiting requests to one searcher in their turn

Urgent requests were refused while admitted less urgent ones held the room, and requests to one searcher were refused after long waits. Tests replay floods on several nodes with pausing searchers and check each rule.

--- a/internal/intake/control.go
+++ b/internal/intake/control.go
@@ -80,8 +80,9 @@
 	if c.lateShare() <= highLateShare || milliseconds(now.Sub(c.decreased)) < c.latency || c.limit(unit) <= minShedLimit*unit {
 		return
 	}
-	c.learned = max(min(c.limit(unit), inFlight), minShedLimit*unit)
+	c.learned = min(c.limit(unit), max(inFlight, minShedLimit*unit))
 	c.adjust(now, unit, inFlight)
+	c.learned = max(c.learned, minShedLimit*unit)
 }
 
 // record counts an answer in time.
@@ -101,6 +102,10 @@
 		c.late[other] -= c.late[other] * crossRankDecay
 	}
 	c.late[rank] += (late - c.late[rank]) * lateWeight
+	c.recordLatency(took)
+}
+
+func (c *control) recordLatency(took time.Duration) {
 	if c.latency == 0 {
 		c.latency = milliseconds(took)
 	}
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -24,6 +24,12 @@
 	// reservedShare is the fraction of the limit that each rank leaves to more urgent ones that were seen within rankMemory.
 	reservedShare = 0.1
 	rankMemory    = 10 * time.Second
+	// guaranteedShare is the fraction of the limit that the requests of a rank and of more urgent ones may have in flight however many less
+	// urgent ones are: those were admitted before and give the room back as they end.
+	guaranteedShare = 0.7
+	// urgentSlack is how much of a more urgent goal the latency of a less urgent request may take before it counts as tight: its own work is
+	// usually greater.
+	urgentSlack = 1.25
 	// floorShare is the fraction of the work admitted for more urgent ranks that a rank may have when it would be refused otherwise, so that it
 	// is not starved. maxFloor bounds what is saved up, in requests of the costliest route.
 	floorShare = 0.03
@@ -74,9 +80,11 @@
 	works    works
 	returns  returns
 	inFlight float64
-	running  int
-	overdue  goalQueue
-	waiting  []*Ticket
+	// byRank is the part of the work in flight of each rank.
+	byRank  [numRanks]float64
+	running int
+	overdue goalQueue
+	waiting []*Ticket
 	// seenAt is when a request of a rank last came, floor the work that a rank may have beyond its order.
 	seenAt [numRanks]time.Time
 	floor  [numRanks]float64
@@ -176,9 +184,11 @@
 	switch outcome.(type) {
 	case InTime:
 		l.works.learn(t.request.Route, took, used)
-		l.control.record(t.rank, took, t.request.Goal.Sub(t.asked))
+		l.control.record(t.rank, took, l.urgentGoal(now, t))
 	case Late:
-		if !t.late {
+		if t.late {
+			l.control.recordLatency(took)
+		} else {
 			l.control.recordLate(t.rank, max(took, t.request.Goal.Sub(t.asked)))
 		}
 	}
@@ -188,11 +198,8 @@
 	} else if used {
 		l.control.adjust(now, l.works.unit(), l.inFlight)
 	}
-	l.inFlight -= t.held
+	l.hold(t, 0)
 	l.running--
-	if l.running == 0 {
-		l.inFlight = 0
-	}
 	l.advance(now)
 }
 
@@ -212,8 +219,7 @@
 		if used {
 			l.control.adjust(now, l.works.unit(), l.inFlight)
 		}
-		l.inFlight -= t.held * (1 - lateHoldShare)
-		t.held *= lateHoldShare
+		l.hold(t, t.held*lateHoldShare)
 	}
 }
 
@@ -222,6 +228,18 @@
 
 func (l *Limiter) limit() float64 { return l.control.limit(l.works.unit()) }
 
+// urgentGoal returns the shortest goal among a request's own and those of more urgent ranks that were seen lately, since all share the queues of
+// the searchers.
+func (l *Limiter) urgentGoal(now time.Time, t *Ticket) time.Duration {
+	goal := t.request.Goal.Sub(t.asked)
+	for rank := range t.rank {
+		if now.Sub(l.seenAt[rank]) < rankMemory {
+			goal = min(goal, duration(urgentSlack*l.control.goals[rank]))
+		}
+	}
+	return goal
+}
+
 // room returns the limit for the work in flight when a request of a rank is to start.
 func (l *Limiter) room(now time.Time, rank int) float64 {
 	limit := l.limit()
@@ -234,12 +252,19 @@
 }
 
 func (l *Limiter) hasRoom(now time.Time, t *Ticket) bool {
-	return l.running == 0 || l.inFlight+t.cost <= l.room(now, t.rank)
+	if l.running == 0 || l.inFlight+t.cost <= l.room(now, t.rank) {
+		return true
+	}
+	urgent := t.cost
+	for rank := range t.rank + 1 {
+		urgent += l.byRank[rank]
+	}
+	return urgent <= guaranteedShare*l.limit()
 }
 
 func (l *Limiter) start(now time.Time, t *Ticket) {
-	t.decision, t.started, t.held = Run{}, now, t.cost
-	l.inFlight += t.cost
+	t.decision, t.started = Run{}, now
+	l.hold(t, t.cost)
 	l.running++
 	heap.Push(&l.overdue, t)
 	for rank := t.rank + 1; rank < numRanks; rank++ {
@@ -248,6 +273,13 @@
 	l.floor[t.rank] = max(l.floor[t.rank]-t.cost, 0)
 }
 
+// hold changes the room that a request takes.
+func (l *Limiter) hold(t *Ticket, held float64) {
+	l.inFlight = max(l.inFlight+held-t.held, 0)
+	l.byRank[t.rank] = max(l.byRank[t.rank]+held-t.held, 0)
+	t.held = held
+}
+
 func (l *Limiter) refuse(now time.Time, t *Ticket, r wire.Reason) {
 	l.refusedAt = now
 	t.decision = Refuse{Reason: r, After: l.returns.next(now, t.request, t.rank, t.cost, l.rate())}
--- /dev/null
+++ b/internal/intake/rules_test.go
@@ -0,0 +1,268 @@
+package intake
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fireflylanding/fireflylanding/internal/wire"
+)
+
+const (
+	goal     = 150 * time.Millisecond
+	deadline = 1500 * time.Millisecond
+)
+
+// learned returns a limiter that has learned the work of the routes "r" (10 ms) and "cheap" (2 ms), for 24 slots, and the present time.
+func learned() (*Limiter, time.Time) {
+	l, now := New(), playStart
+	for range 20 {
+		for route, work := range map[string]time.Duration{"r": 10 * time.Millisecond, "cheap": 2 * time.Millisecond} {
+			ticket := l.Ask(now, Request{Route: route, Rank: 2, Goal: now.Add(goal), Deadline: now.Add(deadline), Slots: 2})
+			l.Release(now.Add(work), ticket, InTime{})
+		}
+		now = now.Add(20 * time.Millisecond)
+	}
+	return l, now.Add(2 * rankMemory)
+}
+
+// fillWith asks for requests until one does not run, and returns those that do.
+func fillWith(l *Limiter, now time.Time, r Request) []*Ticket {
+	var running []*Ticket
+	for {
+		if _, ok := l.Preview(now, r).(Run); !ok {
+			return running
+		}
+		running = append(running, l.Ask(now, r))
+	}
+}
+
+func request(now time.Time, rank int) Request {
+	return Request{Route: "r", Rank: rank, Goal: now.Add(goal), Deadline: now.Add(deadline), Slots: 2}
+}
+
+func refusal(d Decision) wire.Reason {
+	if r, ok := d.(Refuse); ok {
+		return r.Reason
+	}
+	return wire.Reason_REASON_UNSPECIFIED
+}
+
+// Guards against a limit that counts requests, so that a flood of cheap ones is refused while the searchers are idle (payroll name x20).
+func TestCheapRequestsTakeLessRoom(t *testing.T) {
+	l, now := learned()
+	costly := len(fillWith(l, now, request(now, 0)))
+	l, now = learned()
+	r := request(now, 0)
+	r.Route = "cheap"
+	if cheap := len(fillWith(l, now, r)); cheap < 4*costly {
+		t.Errorf("got %d requests of 2 ms beside %d of 10 ms, want at least four times as many", cheap, costly)
+	}
+}
+
+// Guards against a limit that learns from the end of late requests, seconds after the searchers were overloaded (payroll all x5, half slow).
+func TestMissedGoalCountsAtThatMoment(t *testing.T) {
+	l, now := learned()
+	running := len(fillWith(l, now, request(now, 0)))
+	before := l.State(now).Limit
+	// No request ends: the next ones find the limit lowered as soon as the first are late.
+	l.Ask(now.Add(goal+time.Millisecond), request(now.Add(goal+time.Millisecond), 0))
+	state := l.State(now)
+	if state.Limit >= before || state.LateShare == 0 {
+		t.Errorf("got limit %v and late share %v with %d late requests, want less than %v and more than 0", state.Limit, state.LateShare, running, before)
+	}
+}
+
+// Guards against the node's whole limit being filled before the first request is late, when many nodes share few slots (payroll all x8, 40
+// nodes).
+func TestInitialLimitFollowsFromTheSlots(t *testing.T) {
+	tests := map[string]struct {
+		slots       float64
+		least, most int
+	}{
+		"a third of a slot": {slots: 0.3, least: 6, most: 6},
+		"two slots":         {slots: 2, least: 15, most: 20},
+		"unknown":           {least: 32, most: 32},
+		"many slots":        {slots: 1000, least: 32, most: 32},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := New()
+			r := Request{Route: "r", Goal: playStart.Add(goal), Deadline: playStart.Add(deadline), Slots: test.slots}
+			l.Release(playStart.Add(10*time.Millisecond), l.Ask(playStart, r), Ignored{})
+			l.works.learn("r", 10*time.Millisecond, false)
+			if got := int(l.State(playStart).Limit); got < test.least || got > test.most {
+				t.Errorf("got limit %d, want %d to %d", got, test.least, test.most)
+			}
+		})
+	}
+}
+
+// Guards against waiting requests that are served as they came, so that urgent ones and those that are due miss their goals (exercises browse
+// x20).
+func TestWaitingOrder(t *testing.T) {
+	l, now := learned()
+	running := fillWith(l, now, request(now, 0))
+	later := request(now, 1)
+	later.Goal = now.Add(2 * goal)
+	first, second, third := l.Ask(now, later), l.Ask(now, request(now, 1)), l.Ask(now, request(now, 0))
+	for i, want := range []*Ticket{third, second, first} {
+		for _, ticket := range running[2*i : 2*i+2] {
+			l.Release(now.Add(5*time.Millisecond), ticket, Ignored{})
+		}
+		if !isRunning(l, want) {
+			t.Errorf("after %d releases: got %v for the request of rank %d, want it to run", 2*i+2, l.Decision(want), want.rank)
+		}
+	}
+}
+
+// Guards against callers that wait for a refusal: of a request whose time is over, that can't be in time behind others, or that is displaced by
+// a more urgent one (payroll all x20).
+func TestHopelessRequestsAreRefusedEarly(t *testing.T) {
+	l, now := learned()
+	expired := request(now, 0)
+	expired.Deadline = now.Add(5 * time.Millisecond)
+	if got := refusal(l.Ask(now, expired).decision); got != wire.Reason_REASON_CANNOT_MEET_DEADLINE {
+		t.Errorf("deadline before the end of its work: got %v, want CANNOT_MEET_DEADLINE", got)
+	}
+	fillWith(l, now, request(now, 0))
+	var waiting []*Ticket
+	for {
+		ticket := l.Ask(now, request(now, 2))
+		if _, ok := ticket.decision.(Wait); !ok {
+			if got := refusal(ticket.decision); got != wire.Reason_REASON_ADMISSION && got != wire.Reason_REASON_CANNOT_MEET_DEADLINE {
+				t.Errorf("behind %d others: got %v, want a refusal at once", len(waiting), got)
+			}
+			break
+		}
+		waiting = append(waiting, ticket)
+	}
+	if len(waiting) == 0 {
+		t.Fatal("got no waiting request")
+	}
+	// Urgent requests take the place of the last waiting one.
+	for range 2 {
+		l.Ask(now, request(now, 0))
+	}
+	last := waiting[len(waiting)-1]
+	if got := refusal(l.Decision(last)); got != wire.Reason_REASON_DISPLACED {
+		t.Errorf("the last of %d waiting requests: got %v, want DISPLACED", len(waiting), got)
+	}
+	select {
+	case <-last.Ready():
+	default:
+		t.Error("the displaced request was not woken")
+	}
+	// All others are refused within a quarter of the goal, though nothing ends.
+	l.Poll(now.Add(goal/4), waiting[0])
+	for _, ticket := range waiting {
+		if refusal(l.Decision(ticket)) == wire.Reason_REASON_UNSPECIFIED {
+			t.Errorf("got %v a quarter of the goal later, want a refusal", l.Decision(ticket))
+		}
+	}
+}
+
+// Guards against a refusal long after a quarter of the goal of a request to one searcher, whose caller can't be served in time any more but
+// gains from a late answer: it keeps its turn (payroll all x20, payslip).
+func TestLateAnswerOfOneSearcherCounts(t *testing.T) {
+	l, now := learned()
+	running := fillWith(l, now, request(now, 0))
+	r := request(now, 1)
+	r.LateCounts = true
+	waiting := l.Ask(now, r)
+	now = now.Add(goal * 6 / 10)
+	sooner := request(now, 1)
+	sooner.Goal = waiting.request.Goal.Add(-10 * time.Millisecond)
+	fresh := l.Ask(now, sooner)
+	if _, ok := l.Decision(waiting).(Wait); !ok {
+		t.Fatalf("got %v after more than a quarter of the goal, want it to wait", l.Decision(waiting))
+	}
+	for !isRunning(l, waiting) && len(running) > 0 {
+		l.Release(now, running[0], Late{})
+		running = running[1:]
+		if isRunning(l, fresh) && !isRunning(l, waiting) {
+			t.Fatal("a request that came later ran first")
+		}
+	}
+	if !isRunning(l, waiting) {
+		t.Errorf("got %v after all others ended, want it to run", l.Decision(waiting))
+	}
+}
+
+// Guards against a rank that gets nothing while more urgent requests take all room (exercises all x20).
+func TestLeastUrgentRankIsNotStarved(t *testing.T) {
+	l, now := learned()
+	got := 0
+	running := fillWith(l, now, request(now, 0))
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		l.Release(now, running[0], InTime{})
+		running = append(running[1:], l.Ask(now, request(now, 0)))
+		if ticket := l.Ask(now, request(now, 2)); isRunning(l, ticket) {
+			got++
+			l.Release(now, ticket, Ignored{})
+		}
+	}
+	if least, most := 1000*floorShare/2, 1000*floorShare*2; float64(got) < least || float64(got) > most {
+		t.Errorf("got %d of 1000 less urgent requests admitted, want %v to %v", got, least, most)
+	}
+}
+
+// Guards against callers that come back in one wave, sooner than work ends, or later than they are willing to wait (payroll all x8).
+func TestReturnsAreSpread(t *testing.T) {
+	l, now := learned()
+	fillWith(l, now, request(now, 0))
+	perBucket := make(map[time.Duration]int)
+	const callers = 200
+	bucketLength := deadline / 30
+	ending := l.rate() * milliseconds(bucketLength) / l.works.cost("r")
+	for range callers {
+		refuse, ok := l.Ask(now, request(now, 2)).decision.(Refuse)
+		if !ok {
+			continue
+		}
+		if refuse.After < minReturn || refuse.After > deadline/3 {
+			t.Fatalf("got %v, want %v to a third of the deadline of %v", refuse.After, minReturn, deadline)
+		}
+		perBucket[refuse.After/bucketLength]++
+	}
+	for bucket, count := range perBucket {
+		if float64(count) > max(ending, callers/8) {
+			t.Errorf("got %d of %d callers back within %v from %v on, want at most the %.0f that end", count, callers, bucketLength, bucket*bucketLength, ending)
+		}
+	}
+	urgent := l.returns.peek(now, request(now, 0), 0)
+	if least := l.returns.peek(now, request(now, 2), 2); urgent >= least {
+		t.Errorf("got %v for an urgent caller, want less than the %v of the least urgent", urgent, least)
+	}
+}
+
+// Guards against a limit that stays when searchers turn requests away: those end too soon to use it (payroll all x8, shedding).
+func TestShedRequestsLowerTheLimit(t *testing.T) {
+	l, now := learned()
+	before := l.State(now).Limit
+	for range 200 {
+		now = now.Add(5 * time.Millisecond)
+		l.Release(now.Add(time.Millisecond), l.Ask(now, request(now, 1)), Shed{})
+	}
+	if got := l.State(now).Limit; got >= before || got < minShedLimit {
+		t.Errorf("got limit %v after requests were shed, want less than %v and at least %v", got, before, minShedLimit)
+	}
+}
+
+// Guards against a preview that changes what later requests get.
+func TestPreviewChangesNothing(t *testing.T) {
+	l, now := learned()
+	fillWith(l, now, request(now, 0))
+	for l.Ask(now, request(now, 2)).ready != nil {
+		continue
+	}
+	before, after := l.State(now), l.returns
+	for range 50 {
+		if d := l.Preview(now, request(now, 2)); refusal(d) == wire.Reason_REASON_UNSPECIFIED {
+			t.Fatalf("got %v, want a refusal", d)
+		}
+	}
+	if got := l.State(now); got != before || l.returns != after {
+		t.Errorf("got state %+v, want %+v", got, before)
+	}
+}
--- a/internal/intake/waiting.go
+++ b/internal/intake/waiting.go
@@ -12,7 +12,7 @@
 	// second attempt.
 	waitShare = 0.25
 	// lateWaitShare is the fraction of the deadline that a request may wait whose late answer still counts.
-	lateWaitShare = 0.25
+	lateWaitShare = 0.5
 	// maxWaiting bounds the requests that wait.
 	maxWaiting = 512
 )
@@ -35,39 +35,56 @@
 	if l.floor[t.rank] >= t.cost {
 		return Run{}
 	}
-	start, until := l.expectedStart(now, t, ahead), latestStart(t, service)
-	switch {
+	switch start := l.expectedStart(now, t, ahead); {
 	case usefulUntil(t).Before(start.Add(service)):
 		return Refuse{Reason: wire.Reason_REASON_CANNOT_MEET_DEADLINE}
-	case until.Before(start) || len(l.waiting) >= maxWaiting:
+	case startBy(t, service).Before(start) || len(l.waiting) >= maxWaiting:
 		return Refuse{Reason: wire.Reason_REASON_ADMISSION}
 	default:
-		return Wait{Until: until}
+		return Wait{Until: latestStart(t, service)}
 	}
 }
 
-// precedes reports whether a waiting request a comes before b: by rank, then what can still meet its goal, then by goal.
+// precedes reports whether a waiting request a comes before b: by rank, then those that are committed, then what can still meet its goal, then by
+// goal.
 func precedes(now time.Time, a, b *Ticket, service time.Duration) bool {
 	if a.rank != b.rank {
 		return a.rank < b.rank
 	}
+	if ac, bc := committed(now, a), committed(now, b); ac != bc {
+		return ac
+	}
 	if am, bm := now.Add(service).Before(a.request.Goal), now.Add(service).Before(b.request.Goal); am != bm {
 		return am
 	}
 	return !b.request.Goal.Before(a.request.Goal)
 }
 
-// latestStart returns until when a request may wait.
+// committed reports whether a request has waited so long that its caller could not be served in time on a second attempt. It is not overtaken
+// within its rank any more, since a refusal would be the worst for its caller.
+func committed(now time.Time, t *Ticket) bool {
+	return t.request.LateCounts && t.ready != nil && float64(now.Sub(t.asked)) > waitShare*float64(t.request.Goal.Sub(t.asked))
+}
+
+// startBy returns until when a request must be expected to start for it to wait at all.
+func startBy(t *Ticket, service time.Duration) time.Time {
+	useful := t.request.Goal
+	if t.request.Deadline.Before(useful) {
+		useful = t.request.Deadline
+	}
+	by := t.asked.Add(time.Duration(float64(useful.Sub(t.asked)) * waitShare))
+	if last := useful.Add(-service); last.Before(by) {
+		return last
+	}
+	return by
+}
+
+// latestStart returns until when a request waits that was expected to start earlier.
 func latestStart(t *Ticket, service time.Duration) time.Time {
 	if t.request.LateCounts {
 		return t.asked.Add(time.Duration(float64(t.request.Deadline.Sub(t.asked)-service) * lateWaitShare))
 	}
-	useful := usefulUntil(t)
-	until := t.asked.Add(time.Duration(float64(useful.Sub(t.asked)) * waitShare))
-	if last := useful.Add(-service); last.Before(until) {
-		return last
-	}
-	return until
+	return startBy(t, service)
 }
 
 // expectedStart returns when a request is expected to start behind waiting ones of the given work.
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -116,7 +116,7 @@
 	case r == wire.Reason_REASON_LINKS_LOST:
 		after = elsewhereRetryAfter
 	case r == wire.Reason_REASON_SEARCHER_SHED:
-		after = f.limiter.RetryAfter(now, f.engine.intakeRequest(f.request.Route, f.started, f.end()))
+		after = max(retryAfter, f.limiter.RetryAfter(now, f.engine.intakeRequest(f.request.Route, f.started, f.end())))
 	}
 	// Callers do not follow a longer delay than a third of the time that they have left.
 	after = min(after, max(f.end().Sub(now)/maxReturnPart, 0))
