--- a/internal/intake/control.go
+++ b/internal/intake/control.go
@@ -135,10 +135,12 @@
 
 // rate returns the work that ends per millisecond, by Little's law.
 func (c *control) rate(inFlight, unit float64) float64 {
-	if c.latency == 0 {
-		return max(inFlight, unit) / unit
+	latency := c.latency
+	if latency == 0 {
+		// Before the first answer it is not known; an answer is to come within the goal.
+		latency = max(slices.Max(c.goals[:]), 1)
 	}
-	return max(inFlight, unit) / c.latency
+	return max(inFlight, unit) / latency
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -66,10 +66,12 @@
 // intakeRequest describes a request of a route to its limiter.
 func (e *Engine) intakeRequest(r *route.Route, started, end time.Time) intake.Request {
 	policy := r.Policy()
-	_, gather := r.Target().(route.Gather)
-	return intake.Request{
-		Route: r.Name(), Rank: policy.Rank, Goal: started.Add(policy.Goal), Deadline: end, LateCounts: !gather, Slots: e.slotShare(r),
+	goal := end
+	if policy.Goal > 0 {
+		goal = started.Add(policy.Goal)
 	}
+	_, gather := r.Target().(route.Gather)
+	return intake.Request{Route: r.Name(), Rank: policy.Rank, Goal: goal, Deadline: end, LateCounts: !gather, Slots: e.slotShare(r)}
 }
 
 // PreviewAdmission returns what would be decided now about a request of a route that may take until the given end. It changes nothing.
@@ -108,7 +110,7 @@
 
 // admissionOutcome classifies the answer for the limiter. Failures that say nothing about the load are ignored.
 func (f *fanout) admissionOutcome(answer Answer) intake.Outcome {
-	now, goal := f.engine.clock(), f.goalAt.Add(answerMargin)
+	now, goal := f.engine.clock(), f.engine.intakeRequest(f.request.Route, f.started, f.deadline).Goal
 	if f.deadline.Before(goal) && !now.Before(f.deadline.Add(-answerMargin)) {
 		// The caller gave less time than the goal.
 		return intake.Ignored{}
