Learn the limit from four fifths of its use, and falls of a quarter at most

Pauses of searchers made requests late while the limit was hardly used, so that it fell below what the searchers can take.

--- a/internal/intake/control.go
+++ b/internal/intake/control.go
@@ -9,8 +9,11 @@
 const (
 	// lateWeight is the weight of one request in the late share of its own rank. crossRankDecay is the fraction by which each request lowers
 	// the late shares of all ranks, so that the share of an inactive rank decays.
-	lateWeight     = 0.05
+	lateWeight     = 0.03
 	crossRankDecay = 0.005
+	// A request after a longer time weighs more, by its part of lateTime up to mostLateWeight: few requests to one searcher end in a second.
+	lateTime       = 8 * time.Second
+	mostLateWeight = 0.1
 	// tightShare is the fraction of the goal from which on an answer in time counts as half late: latency rises before answers are late.
 	tightShare = 0.75
 	// Above highLateShare the limit falls, at most once in the time that a request takes, since its effect is not seen earlier; below
@@ -27,9 +30,10 @@
 	// A fall leaves what ends within targetShare of the goal, at least mildDecrease and at most strongDecrease of the limit.
 	targetShare    = 0.6
 	mildDecrease   = 0.9
-	strongDecrease = 0.5
-	// minUsedShare is the fraction of the limit that must be in use for the limit to change.
-	minUsedShare = 0.5
+	strongDecrease = 0.75
+	// minUsedShare is the fraction of the limit that must be in use for the limit to change: below that, requests are late for other reasons, such
+	// as paused searchers.
+	minUsedShare = 0.8
 	// latencyWeight is the weight of one request in the recent latency.
 	latencyWeight = 0.1
 )
@@ -43,6 +47,7 @@
 	// latency is the recent latency of requests, goal the recent goal of the rank that is late most.
 	latency   float64
 	goals     [numRanks]float64
+	sampledAt [numRanks]time.Time
 	decreased time.Time
 }
 
@@ -86,22 +91,26 @@
 }
 
 // record counts an answer in time.
-func (c *control) record(rank int, took, goal time.Duration) {
+func (c *control) record(now time.Time, rank int, took, goal time.Duration) {
 	sample := 0.0
 	if float64(took) > tightShare*float64(goal) {
 		sample = 0.5
 	}
-	c.sample(rank, sample, took)
+	c.sample(now, rank, sample, took)
 }
 
 // recordLate counts a request without an answer within the goal.
-func (c *control) recordLate(rank int, took time.Duration) { c.sample(rank, 1, took) }
+func (c *control) recordLate(now time.Time, rank int, took time.Duration) {
+	c.sample(now, rank, 1, took)
+}
 
-func (c *control) sample(rank int, late float64, took time.Duration) {
+func (c *control) sample(now time.Time, rank int, late float64, took time.Duration) {
 	for other := range c.late {
 		c.late[other] -= c.late[other] * crossRankDecay
 	}
-	c.late[rank] += (late - c.late[rank]) * lateWeight
+	weight := min(max(float64(now.Sub(c.sampledAt[rank]))/float64(lateTime), lateWeight), mostLateWeight)
+	c.sampledAt[rank] = now
+	c.late[rank] += (late - c.late[rank]) * weight
 	c.recordLatency(took)
 }
 
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -34,8 +34,6 @@
 	// is not starved. maxFloor bounds what is saved up, in requests of the costliest route.
 	floorShare = 0.03
 	maxFloor   = 2.0
-	// lateHoldShare is the fraction of its room that a request keeps once it has missed its goal: most of its parts have ended by then.
-	lateHoldShare = 0.5
 )
 
 // Outcome is how a request ended: InTime, Late, or Ignored when it says nothing about the load.
@@ -184,16 +182,16 @@
 	switch outcome.(type) {
 	case InTime:
 		l.works.learn(t.request.Route, took, used)
-		l.control.record(t.rank, took, l.urgentGoal(now, t))
+		l.control.record(now, t.rank, took, l.urgentGoal(now, t))
 	case Late:
 		if t.late {
 			l.control.recordLatency(took)
 		} else {
-			l.control.recordLate(t.rank, max(took, t.request.Goal.Sub(t.asked)))
+			l.control.recordLate(now, t.rank, max(took, t.request.Goal.Sub(t.asked)))
 		}
 	}
 	if _, shed := outcome.(Shed); shed {
-		l.control.recordLate(t.rank, max(took, t.request.Goal.Sub(t.asked)))
+		l.control.recordLate(now, t.rank, max(took, t.request.Goal.Sub(t.asked)))
 		l.control.shed(now, l.works.unit(), l.inFlight)
 	} else if used {
 		l.control.adjust(now, l.works.unit(), l.inFlight)
@@ -209,17 +207,17 @@
 	l.review(now)
 }
 
-// countOverdue counts requests as late at the moment at which they miss their goal, since their end may come much later.
+// countOverdue counts requests as late at the moment at which they miss their goal, since their end may come much later. They keep their room,
+// since the searchers still work for them.
 func (l *Limiter) countOverdue(now time.Time) {
 	for len(l.overdue) > 0 && l.overdue[0].request.Goal.Before(now) {
 		t := heap.Pop(&l.overdue).(*Ticket)
 		used := l.used()
 		t.late = true
-		l.control.recordLate(t.rank, t.request.Goal.Sub(t.started))
+		l.control.recordLate(now, t.rank, t.request.Goal.Sub(t.started))
 		if used {
 			l.control.adjust(now, l.works.unit(), l.inFlight)
 		}
-		l.hold(t, t.held*lateHoldShare)
 	}
 }
 
