--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -168,17 +168,21 @@
 func (s *Server) refuse(id string, timeout time.Duration, r wire.Reason) relay.Answer {
 	s.counters.Add(r)
 	s.logger.Log(wire.Event_EVENT_REQUEST_FAILED, zap.String("request", id), zap.String("reason", reason.Name(r)), zap.Bool("not_run", true))
-	after := refusalRetryAfter
-	if timeout > 0 {
-		// Callers do not follow a longer delay than a third of the time that they have left.
-		after = min(after, timeout/3)
-	}
-	return relay.Refused{Reason: r, NotRun: true, RetryAfter: after}
+	return relay.Refused{Reason: r, NotRun: true, RetryAfter: refusalDelay(timeout)}
 }
 
 // refusalRetryAfter is the delay that callers are told to wait after a refusal by the server itself.
 const refusalRetryAfter = 100 * time.Millisecond
 
+// refusalDelay returns the retry delay for a caller that waits for the given time, 0 if unknown: callers do not follow a longer delay than a third
+// of the time that they have left.
+func refusalDelay(timeout time.Duration) time.Duration {
+	if timeout <= 0 {
+		return refusalRetryAfter
+	}
+	return min(refusalRetryAfter, timeout/3)
+}
+
 // answer writes an answer to the response.
 func (s *Server) answer(ctx *fasthttp.RequestCtx, id string, answer relay.Answer) {
 	switch answer := answer.(type) {
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -92,9 +92,11 @@
 
 // Ticket is a request that was decided on or waits. Its fields are guarded by the limiter's mutex, except ready.
 type Ticket struct {
-	request  Request
-	rank     int
-	cost     float64
+	request Request
+	rank    int
+	cost    float64
+	// service is the learned time of the request, 0 while unknown.
+	service  time.Duration
 	asked    time.Time
 	until    time.Time
 	decision Decision
@@ -145,7 +147,8 @@
 }
 
 func (l *Limiter) newTicket(now time.Time, r Request) *Ticket {
-	return &Ticket{request: r, rank: min(max(r.Rank, 0), numRanks-1), cost: l.works.cost(r.Route), asked: now, index: -1}
+	return &Ticket{request: r, rank: min(max(r.Rank, 0), numRanks-1), cost: l.works.cost(r.Route),
+		service: duration(l.works.byRoute[r.Route]), asked: now, index: -1}
 }
 
 // Decision returns what was decided last about a request.
--- a/internal/intake/waiting.go
+++ b/internal/intake/waiting.go
@@ -19,13 +19,13 @@
 
 // judge decides about a request that is neither running nor waiting. It changes nothing.
 func (l *Limiter) judge(now time.Time, t *Ticket) Decision {
-	service := duration(l.works.byRoute[t.request.Route])
+	service := t.service
 	if !now.Add(service).Before(t.request.Deadline) {
 		return Refuse{Reason: wire.Reason_REASON_CANNOT_MEET_DEADLINE}
 	}
 	ahead := 0.0
 	for _, other := range l.waiting {
-		if precedes(now, other, t, service) {
+		if precedes(now, other, t) {
 			ahead += other.cost
 		}
 	}
@@ -47,14 +47,14 @@
 
 // precedes reports whether a waiting request a comes before b: by rank, then those that are committed, then what can still meet its goal, then by
 // goal.
-func precedes(now time.Time, a, b *Ticket, service time.Duration) bool {
+func precedes(now time.Time, a, b *Ticket) bool {
 	if a.rank != b.rank {
 		return a.rank < b.rank
 	}
 	if ac, bc := committed(now, a), committed(now, b); ac != bc {
 		return ac
 	}
-	if am, bm := now.Add(service).Before(a.request.Goal), now.Add(service).Before(b.request.Goal); am != bm {
+	if am, bm := now.Add(a.service).Before(a.request.Goal), now.Add(b.service).Before(b.request.Goal); am != bm {
 		return am
 	}
 	return !b.request.Goal.Before(a.request.Goal)
@@ -100,18 +100,21 @@
 	l.dropHopeless(now, t)
 }
 
+// order sorts the waiting requests again if time has changed their order.
 func (l *Limiter) order(now time.Time) {
-	slices.SortStableFunc(l.waiting, func(a, b *Ticket) int {
-		service := duration(l.works.byRoute[a.request.Route])
-		switch {
-		case a == b:
+	compare := func(a, b *Ticket) int {
+		switch before, after := precedes(now, a, b), precedes(now, b, a); {
+		case before == after:
 			return 0
-		case precedes(now, a, b, service):
+		case before:
 			return -1
 		default:
 			return 1
 		}
-	})
+	}
+	if !slices.IsSortedFunc(l.waiting, compare) {
+		slices.SortStableFunc(l.waiting, compare)
+	}
 }
 
 // review starts waiting requests in order while there is room, and refuses those that can't start in time any more.
@@ -150,8 +153,8 @@
 
 // dropReason returns why a waiting request is refused.
 func (l *Limiter) dropReason(now time.Time, t *Ticket, displaced bool) wire.Reason {
-	switch service := duration(l.works.byRoute[t.request.Route]); {
-	case !now.Add(service).Before(usefulUntil(t)):
+	switch {
+	case !now.Add(t.service).Before(usefulUntil(t)):
 		return wire.Reason_REASON_CANNOT_MEET_DEADLINE
 	case displaced:
 		return wire.Reason_REASON_DISPLACED
