--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -50,8 +50,8 @@
 		t.Fatal(err)
 	}
 	e.logger = logger
-	if got := e.slotShare(f.request.Route); got != 8 {
-		t.Errorf("got a share of %v slots, want all 8 of the four searchers", got)
+	if got := e.intakeRequest(f.request.Route, start, f.deadline); got.Slots != 8 || !got.LateCounts {
+		t.Errorf("got %+v, want all 8 slots of the four searchers, and a late answer that counts", got)
 	}
 	if got := e.PreviewAdmission(start, f.request.Route, f.deadline); got != (intake.Run{}) {
 		t.Errorf("got preview %v, want Run", got)
