--- a/internal/cmd/where.go
+++ b/internal/cmd/where.go
@@ -111,10 +111,14 @@
 }
 
 func limitState(a relay.AdmissionReport) string {
+	state := ""
+	if a.Reason != "" {
+		state = fmt.Sprintf(" (%s, come back in %.0f ms)", a.Reason, a.RetryAfter)
+	}
 	if a.Limit == nil {
-		return ", not limited"
+		return state + ", not limited"
 	}
-	return fmt.Sprintf(", group %s: %d of %d in flight, %d waiting, %.0f%% late", a.Group, a.Limit.InFlight, a.Limit.Limit, a.Limit.Waiting, 100*a.Limit.Late)
+	return state + fmt.Sprintf(", group %s: %.0f of %.0f in flight, %d waiting, %.0f%% late", a.Group, a.Limit.InFlight, a.Limit.Limit, a.Limit.Waiting, 100*a.Limit.Late)
 }
 
 func writeService(w io.Writer, service relay.ServicePlacement) {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -126,25 +126,25 @@
 // serve finds the route of a request and runs it.
 func (s *Server) serve(ctx *fasthttp.RequestCtx, now time.Time, id string, timeout time.Duration) relay.Answer {
 	if refusal := s.sources.Gate(); refusal != nil {
-		return s.refuse(id, refusal.Reason())
+		return s.refuse(id, timeout, refusal.Reason())
 	}
 	table := s.sources.Table()
 	if table == nil {
-		return s.refuse(id, wire.Reason_REASON_NOT_READY)
+		return s.refuse(id, timeout, wire.Reason_REASON_NOT_READY)
 	}
 	if r := exceededLimit(&ctx.Request, table.Limits()); r != wire.Reason_REASON_UNSPECIFIED {
-		return s.refuse(id, r)
+		return s.refuse(id, timeout, r)
 	}
 	if id == "" {
-		return s.refuse(id, wire.Reason_REASON_BAD_REQUEST)
+		return s.refuse(id, timeout, wire.Reason_REASON_BAD_REQUEST)
 	}
 	found, ok := table.Find(string(ctx.Request.Header.Host()), string(ctx.Request.Header.RequestURI()))
 	if !ok {
-		return s.refuse(id, wire.Reason_REASON_ROUTE_UNKNOWN)
+		return s.refuse(id, timeout, wire.Reason_REASON_ROUTE_UNKNOWN)
 	}
 	body, err := guard.ReadBody(ctx, min(table.Limits().MaxBodyBytes, maxBodyBytes))
 	if err != nil {
-		return s.refuseBody(ctx, id, err)
+		return s.refuseBody(ctx, id, timeout, err)
 	}
 	return s.engine.Serve(now, &relay.Request{
 		ID:         id,
@@ -178,16 +178,16 @@
 }
 
 // refuseBody refuses a request whose body was not read.
-func (s *Server) refuseBody(ctx *fasthttp.RequestCtx, id string, err error) relay.Answer {
+func (s *Server) refuseBody(ctx *fasthttp.RequestCtx, id string, timeout time.Duration, err error) relay.Answer {
 	switch {
 	case errors.Is(err, guard.ErrTooLong):
-		return s.refuse(id, wire.Reason_REASON_BODY_TOO_LARGE)
+		return s.refuse(id, timeout, wire.Reason_REASON_BODY_TOO_LARGE)
 	case errors.Is(err, guard.ErrNoMemory):
-		return s.refuse(id, wire.Reason_REASON_MEMORY)
+		return s.refuse(id, timeout, wire.Reason_REASON_MEMORY)
 	}
 	// The rest of the body can't be told from a next request.
 	ctx.SetConnectionClose()
-	return s.refuse(id, readReason(err))
+	return s.refuse(id, timeout, readReason(err))
 }
 
 // readReason returns why a request could not be read.
@@ -207,15 +207,24 @@
 }
 
 // refuse counts and logs a request that is not run, and returns the answer.
-func (s *Server) refuse(id string, r wire.Reason) relay.Answer {
+func (s *Server) refuse(id string, timeout time.Duration, r wire.Reason) relay.Answer {
 	s.counters.Add(r)
 	s.logger.Log(wire.Event_EVENT_REQUEST_FAILED, zap.String("request", id), zap.String("reason", reason.Name(r)), zap.Bool("not_run", true))
-	return relay.Refused{Reason: r, NotRun: true, RetryAfter: refusalRetryAfter}
+	return relay.Refused{Reason: r, NotRun: true, RetryAfter: refusalDelay(timeout)}
 }
 
 // refusalRetryAfter is the delay that callers are told to wait after a refusal by the server itself.
 const refusalRetryAfter = 100 * time.Millisecond
 
+// refusalDelay returns the retry delay for a caller that waits for the given time, 0 if unknown: callers do not follow a longer delay than a third
+// of the time that they have left.
+func refusalDelay(timeout time.Duration) time.Duration {
+	if timeout <= 0 {
+		return refusalRetryAfter
+	}
+	return min(refusalRetryAfter, timeout/3)
+}
+
 // answer writes an answer to the response.
 func (s *Server) answer(ctx *fasthttp.RequestCtx, id string, answer relay.Answer) {
 	switch answer := answer.(type) {
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -32,12 +32,15 @@
 	Services  []ServicePlacement `json:"services"`
 }
 
-// AdmissionReport is the state of the admission control of a route and what it would decide: run, wait or refuse. Limit is nil for a route
-// without a limiter.
+// AdmissionReport is the state of the admission control of a group of routes and what it would decide: run, wait or refuse. Limit is nil before
+// the first request of the group.
 type AdmissionReport struct {
-	Decision string       `json:"decision"`
-	Group    string       `json:"group,omitempty"`
-	Limit    *LimitReport `json:"limit,omitempty"`
+	Decision string `json:"decision"`
+	// Reason and RetryAfter are set for a refusal.
+	Reason     string       `json:"reason,omitempty"`
+	RetryAfter float64      `json:"retry_after_ms,omitempty"`
+	Group      string       `json:"group"`
+	Limit      *LimitReport `json:"limit,omitempty"`
 }
 
 // ServicePlacement is the choice for the part of a request that goes to a service.
@@ -79,7 +82,7 @@
 	report := PlacementReport{
 		Route: r.Name(), Target: "single", Rank: policy.Rank, Safe: policy.Idempotent, Restricted: homes.Restricted(), Homes: homes.Regions(),
 		Goal: milliseconds(policy.Goal), Deadline: milliseconds(f.end().Sub(now)), TimeLeft: milliseconds(f.timeLeft(now)),
-		Admission: e.admissionReport(r),
+		Admission: e.admissionReport(now, r, f.end()),
 	}
 	weights := make(map[string]float64)
 	switch target := r.Target().(type) {
@@ -110,29 +113,23 @@
 	return report
 }
 
-// admissionReport estimates what admission control would decide for a request that arrives now.
-func (e *Engine) admissionReport(r *route.Route) AdmissionReport {
-	if _, ok := r.Target().(route.Gather); !ok {
-		return AdmissionReport{Decision: "run"}
+// admissionReport returns what admission control would decide about a request that arrives now and ends by the given time.
+func (e *Engine) admissionReport(now time.Time, r *route.Route, end time.Time) AdmissionReport {
+	report := AdmissionReport{Group: r.Group()}
+	switch decision := e.PreviewAdmission(now, r, end).(type) {
+	case intake.Run:
+		report.Decision = "run"
+	case intake.Wait:
+		report.Decision = "wait"
+	case intake.Refuse:
+		report.Decision, report.Reason = "refuse", reason.Name(decision.Reason)
+		report.RetryAfter = milliseconds(decision.After)
 	}
-	limiter := intake.New()
 	if known, ok := e.limiters.Load(r.Group()); ok {
-		limiter = known.(*intake.Limiter)
+		limit := limitReport(known.(*intake.Limiter).State(now))
+		report.Limit = &limit
 	}
-	state := limiter.State()
-	room := state.InFlight < state.Limit
-	if r.Policy().Rank > 0 {
-		room = !limiter.Saturated() && state.Waiting == 0
-	}
-	decision := "wait"
-	switch {
-	case room:
-		decision = "run"
-	case state.Waiting >= state.Limit:
-		decision = "refuse"
-	}
-	report := limitReport(state)
-	return AdmissionReport{Decision: decision, Group: r.Group(), Limit: &report}
+	return report
 }
 
 // servicePlacement reports the choice among the searchers of a service, including those that a choice does not consider.
