--- a/internal/intake/control.go
+++ b/internal/intake/control.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -11,24 +10,13 @@
 	// the late shares of all ranks, so that the share of an inactive rank decays.
 	lateWeight     = 0.05
 	crossRankDecay = 0.005
-	// tightShare is the fraction of the goal from which on an answer in time counts as half late: latency rises before answers are late.
-	tightShare = 0.75
-	// Above highLateShare the limit falls, at most once in the time that a request takes, since its effect is not seen earlier; below
-	// lowLateShare it grows by growth requests in as many as the limit.
-	highLateShare = 0.25
-	lowLateShare  = 0.1
-	growth        = 1.0
-	// While fewer than noLateShare are late the limit grows fastGrowth times as fast, since it is far from what the searchers can take.
-	noLateShare = 0.01
-	fastGrowth  = 4.0
-	// minShedLimit is the limit below which requests that were turned away do not lower it, in requests of the costliest route: searchers
-	// may turn requests away for other reasons than their number.
-	minShedLimit = 4.0
-	// A fall leaves what ends within targetShare of the goal, at least mildDecrease and at most strongDecrease of the limit.
-	targetShare    = 0.6
-	mildDecrease   = 0.9
-	strongDecrease = 0.5
-	// minUsedShare is the fraction of the limit that must be in use for the limit to change.
+	// The limit is multiplied by decreaseFactor for each request that ends while the late share is above highLateShare. It grows by one request
+	// of the costliest route in as many as the limit while the late share is below lowLateShare.
+	highLateShare  = 0.25
+	lowLateShare   = 0.1
+	decreaseFactor = 0.97
+	// minUsedShare is the fraction of the limit that must be in use for the limit to change: below that, requests are late for other reasons, such
+	// as paused searchers.
 	minUsedShare = 0.5
 	// latencyWeight is the weight of one request in the recent latency.
 	latencyWeight = 0.1
@@ -36,72 +24,31 @@
 
 // control learns the limit of the work in flight. Work and latency are in milliseconds.
 type control struct {
-	// learned is 0 until the limit has changed for the first time; until then initial is the work that the slots do within the goal.
+	// learned is the limit in requests of the costliest route.
 	learned float64
-	initial float64
 	late    [numRanks]float64
-	// latency is the recent latency of requests, goal the recent goal of the rank that is late most.
-	latency   float64
-	goals     [numRanks]float64
-	decreased time.Time
+	// latency is the recent latency of requests, goals the recent goals by rank.
+	latency float64
+	goals   [numRanks]float64
 }
 
-func (c *control) limit(unit float64) float64 {
-	if c.learned == 0 {
-		return min(max(c.initial, leastInitialLimit*unit), mostInitialLimit*unit)
-	}
-	return max(c.learned, minLimit*unit)
-}
+func (c *control) limit(unit float64) float64 { return c.learned * unit }
 
 func (c *control) lateShare() float64 { return slices.Max(c.late[:]) }
 
-// expect sets the initial limit from this node's part of the slots and the shortest goal.
-func (c *control) expect(rank int, slots float64, goal time.Duration) {
-	c.goals[rank] = milliseconds(goal)
-	if c.learned > 0 {
-		return
-	}
-	if slots == 0 {
-		c.initial = math.Inf(1)
-		return
-	}
-	least := math.Inf(1)
-	for _, known := range c.goals {
-		if known > 0 {
-			least = min(least, known)
-		}
-	}
-	c.initial = slots * least * targetShare
-}
-
-// shed lowers the limit below the work in flight when searchers turn requests away, however little of the limit is in use: requests that
-// are turned away hardly use it.
-func (c *control) shed(now time.Time, unit, inFlight float64) {
-	if c.lateShare() <= highLateShare || milliseconds(now.Sub(c.decreased)) < c.latency || c.limit(unit) <= minShedLimit*unit {
-		return
-	}
-	c.learned = min(c.limit(unit), max(inFlight, minShedLimit*unit))
-	c.adjust(now, unit, inFlight)
-	c.learned = max(c.learned, minShedLimit*unit)
-}
+// expect records the goal of a request.
+func (c *control) expect(rank int, goal time.Duration) { c.goals[rank] = milliseconds(goal) }
 
-// record counts an answer in time.
-func (c *control) record(rank int, took, goal time.Duration) {
+// record counts a request that was answered in time or not.
+func (c *control) record(rank int, late bool, took time.Duration) {
 	sample := 0.0
-	if float64(took) > tightShare*float64(goal) {
-		sample = 0.5
+	if late {
+		sample = 1
 	}
-	c.sample(rank, sample, took)
-}
-
-// recordLate counts a request without an answer within the goal.
-func (c *control) recordLate(rank int, took time.Duration) { c.sample(rank, 1, took) }
-
-func (c *control) sample(rank int, late float64, took time.Duration) {
 	for other := range c.late {
 		c.late[other] -= c.late[other] * crossRankDecay
 	}
-	c.late[rank] += (late - c.late[rank]) * lateWeight
+	c.late[rank] += (sample - c.late[rank]) * lateWeight
 	c.recordLatency(took)
 }
 
@@ -112,24 +59,12 @@
 	c.latency += (milliseconds(took) - c.latency) * latencyWeight
 }
 
-func (c *control) adjust(now time.Time, unit, inFlight float64) {
-	limit, late := c.limit(unit), c.lateShare()
-	switch {
+func (c *control) adjust() {
+	switch late := c.lateShare(); {
 	case late > highLateShare:
-		if milliseconds(now.Sub(c.decreased)) < c.latency {
-			return
-		}
-		c.decreased = now
-		worst := slices.Index(c.late[:], late)
-		sustained := c.rate(inFlight, unit) * c.goals[worst] * targetShare
-		c.learned = max(min(max(sustained, limit*strongDecrease), limit*mildDecrease), minLimit*unit)
-		c.late[worst] = (highLateShare + lowLateShare) / 2
+		c.learned = max(c.learned*decreaseFactor, minLimit)
 	case late < lowLateShare:
-		step := growth
-		if late < noLateShare {
-			step *= fastGrowth
-		}
-		c.learned = min(limit+step*unit*unit/limit, maxLimit*unit)
+		c.learned = min(c.learned+1/c.learned, maxLimit)
 	}
 }
 
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -5,7 +5,6 @@
 
 import (
 	"container/heap"
-	"math"
 	"sync"
 	"time"
 
@@ -15,27 +14,20 @@
 const (
 	// numRanks is the number of ranks that are told apart; ranks beyond the last count as the last.
 	numRanks = 3
-	// leastInitialLimit and mostInitialLimit bound the limit before the first overload, and minLimit and maxLimit the learned one, in requests
-	// of the costliest route. In calm a node has fewer requests in flight than the least.
-	leastInitialLimit = 6.0
-	mostInitialLimit  = 32.0
-	minLimit          = 1.0
-	maxLimit          = 4096.0
+	// initialLimit is the limit before any outcome was recorded, minLimit and maxLimit bound the learned one, in requests of the costliest route.
+	initialLimit = 32.0
+	minLimit     = 4.0
+	maxLimit     = 4096.0
 	// reservedShare is the fraction of the limit that each rank leaves to more urgent ones that were seen within rankMemory.
 	reservedShare = 0.1
 	rankMemory    = 10 * time.Second
 	// guaranteedShare is the fraction of the limit that the requests of a rank and of more urgent ones may have in flight however many less
 	// urgent ones are: those were admitted before and give the room back as they end.
 	guaranteedShare = 0.7
-	// urgentSlack is how much of a more urgent goal the latency of a less urgent request may take before it counts as tight: its own work is
-	// usually greater.
-	urgentSlack = 1.25
 	// floorShare is the fraction of the work admitted for more urgent ranks that a rank may have when it would be refused otherwise, so that it
 	// is not starved. maxFloor bounds what is saved up, in requests of the costliest route.
 	floorShare = 0.03
 	maxFloor   = 2.0
-	// lateHoldShare is the fraction of its room that a request keeps once it has missed its goal: most of its parts have ended by then.
-	lateHoldShare = 0.5
 )
 
 // Outcome is how a request ended: InTime, Late, or Ignored when it says nothing about the load.
@@ -110,7 +102,7 @@
 }
 
 // New returns a limiter that has learned nothing yet.
-func New() *Limiter { return &Limiter{works: newWorks(), control: control{initial: math.Inf(1)}} }
+func New() *Limiter { return &Limiter{works: newWorks(), control: control{learned: initialLimit}} }
 
 // Ask decides about a request. Release must be called for one that runs, once it has ended. Poll must be called for one that waits when its
 // time is over, unless its channel Ready was closed before.
@@ -120,7 +112,7 @@
 	l.advance(now)
 	t := l.newTicket(now, r)
 	l.seenAt[t.rank] = now
-	l.control.expect(t.rank, r.Slots, r.Goal.Sub(now))
+	l.control.expect(t.rank, r.Goal.Sub(now))
 	t.decision = l.judge(now, t)
 	switch d := t.decision.(type) {
 	case Run:
@@ -140,7 +132,7 @@
 	defer l.mu.Unlock()
 	d := l.judge(now, l.newTicket(now, r))
 	if refuse, ok := d.(Refuse); ok {
-		refuse.After = l.returns.peek(now, r, min(max(r.Rank, 0), numRanks-1))
+		refuse.After = l.returns.peek(now, r, min(max(r.Rank, 0), numRanks-1), l.service(r.Route))
 		return refuse
 	}
 	return d
@@ -184,19 +176,16 @@
 	switch outcome.(type) {
 	case InTime:
 		l.works.learn(t.request.Route, took, used)
-		l.control.record(t.rank, took, l.urgentGoal(now, t))
-	case Late:
+		l.control.record(t.rank, false, took)
+	case Late, Shed:
 		if t.late {
 			l.control.recordLatency(took)
 		} else {
-			l.control.recordLate(t.rank, max(took, t.request.Goal.Sub(t.asked)))
+			l.control.record(t.rank, true, took)
 		}
 	}
-	if _, shed := outcome.(Shed); shed {
-		l.control.recordLate(t.rank, max(took, t.request.Goal.Sub(t.asked)))
-		l.control.shed(now, l.works.unit(), l.inFlight)
-	} else if used {
-		l.control.adjust(now, l.works.unit(), l.inFlight)
+	if used {
+		l.control.adjust()
 	}
 	l.hold(t, 0)
 	l.running--
@@ -215,11 +204,10 @@
 		t := heap.Pop(&l.overdue).(*Ticket)
 		used := l.used()
 		t.late = true
-		l.control.recordLate(t.rank, t.request.Goal.Sub(t.started))
+		l.control.record(t.rank, true, t.request.Goal.Sub(t.started))
 		if used {
-			l.control.adjust(now, l.works.unit(), l.inFlight)
+			l.control.adjust()
 		}
-		l.hold(t, t.held*lateHoldShare)
 	}
 }
 
@@ -228,18 +216,6 @@
 
 func (l *Limiter) limit() float64 { return l.control.limit(l.works.unit()) }
 
-// urgentGoal returns the shortest goal among a request's own and those of more urgent ranks that were seen lately, since all share the queues of
-// the searchers.
-func (l *Limiter) urgentGoal(now time.Time, t *Ticket) time.Duration {
-	goal := t.request.Goal.Sub(t.asked)
-	for rank := range t.rank {
-		if now.Sub(l.seenAt[rank]) < rankMemory {
-			goal = min(goal, duration(urgentSlack*l.control.goals[rank]))
-		}
-	}
-	return goal
-}
-
 // room returns the limit for the work in flight when a request of a rank is to start.
 func (l *Limiter) room(now time.Time, rank int) float64 {
 	limit := l.limit()
@@ -282,14 +258,14 @@
 
 func (l *Limiter) refuse(now time.Time, t *Ticket, r wire.Reason) {
 	l.refusedAt = now
-	t.decision = Refuse{Reason: r, After: l.returns.next(now, t.request, t.rank, t.cost, l.rate())}
+	t.decision = Refuse{Reason: r, After: l.returns.next(now, t.request, t.rank, t.cost, l.rate(), l.service(t.request.Route))}
 }
 
 // RetryAfter returns when the caller of a request should come back that was refused for lack of room after it was admitted.
 func (l *Limiter) RetryAfter(now time.Time, r Request) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.returns.next(now, r, min(max(r.Rank, 0), numRanks-1), l.works.cost(r.Route), l.rate())
+	return l.returns.next(now, r, min(max(r.Rank, 0), numRanks-1), l.works.cost(r.Route), l.rate(), l.service(r.Route))
 }
 
 // rate returns the work that ends per millisecond, by Little's law from the work in flight and the recent latency.
@@ -387,3 +363,6 @@
 	t.index = -1
 	return t
 }
+
+// service returns the time that a request of a route takes when it does not queue, 0 while unknown.
+func (l *Limiter) service(route string) time.Duration { return duration(l.works.byRoute[route]) }
--- a/internal/intake/returns.go
+++ b/internal/intake/returns.go
@@ -24,9 +24,9 @@
 }
 
 // next returns the retry delay for a refused request.
-func (r *returns) next(now time.Time, request Request, rank int, cost, rate float64) time.Duration {
+func (r *returns) next(now time.Time, request Request, rank int, cost, rate float64, service time.Duration) time.Duration {
 	at := r.earliest(now, rank).Add(duration(cost / (rate * returnRateShare)))
-	most := longestReturn(now, request)
+	most := longestReturn(now, request, service)
 	r.spread = math.Mod(r.spread+spreadStep, 1)
 	if after := at.Sub(now); after <= most {
 		r.nextAt[rank] = at
@@ -38,8 +38,8 @@
 }
 
 // peek returns about what next would return.
-func (r *returns) peek(now time.Time, request Request, rank int) time.Duration {
-	return min(r.earliest(now, rank).Sub(now), longestReturn(now, request))
+func (r *returns) peek(now time.Time, request Request, rank int, service time.Duration) time.Duration {
+	return min(r.earliest(now, rank).Sub(now), longestReturn(now, request, service))
 }
 
 // earliest returns when the callers of a rank and of more urgent ones that were refused before are back.
@@ -53,6 +53,12 @@
 	return at
 }
 
-func longestReturn(now time.Time, request Request) time.Duration {
-	return max(time.Duration(float64(request.Deadline.Sub(now))*maxReturnShare), 0)
+// longestReturn returns the longest retry delay that callers follow. A caller that can still be served in time comes back before it is too late
+// for that.
+func longestReturn(now time.Time, request Request, service time.Duration) time.Duration {
+	most := max(time.Duration(float64(request.Deadline.Sub(now))*maxReturnShare), 0)
+	if useful := request.Goal.Sub(now) - service; useful > minReturn {
+		return min(most, useful)
+	}
+	return most
 }
--- a/internal/intake/waiting.go
+++ b/internal/intake/waiting.go
@@ -10,7 +10,7 @@
 const (
 	// waitShare is the fraction of the goal that a request may wait: a caller that is refused within it can still be served in time on its
 	// second attempt.
-	waitShare = 0.25
+	waitShare = 0.1
 	// lateWaitShare is the fraction of the deadline that a request may wait whose late answer still counts.
 	lateWaitShare = 0.5
 	// maxWaiting bounds the requests that wait.
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -133,7 +133,7 @@
 			return intake.Ignored{}
 		case f.shed():
 			return intake.Shed{}
-		case now.Before(goal):
+		case answer.Reason != wire.Reason_REASON_COVERAGE && now.Before(goal):
 			return intake.Ignored{}
 		}
 	}
