--- a/internal/intake/control.go
+++ b/internal/intake/control.go
@@ -14,7 +14,7 @@
 	// of the costliest route in as many as the limit while the late share is below lowLateShare.
 	highLateShare  = 0.25
 	lowLateShare   = 0.1
-	decreaseFactor = 0.97
+	decreaseFactor = 0.95
 	// minUsedShare is the fraction of the limit that must be in use for the limit to change: below that, requests are late for other reasons, such
 	// as paused searchers.
 	minUsedShare = 0.5
