--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -250,11 +250,14 @@
 
 // setBody moves the body of a reply to an answer. A connection keeps the buffer of a body that is copied, so that only small ones are.
 func setBody(answer, reply *fasthttp.Response) {
-	if len(reply.Body()) <= copiedAnswerBytes {
-		answer.SetBody(reply.Body())
+	body := reply.Body()
+	if len(body) <= copiedAnswerBytes {
+		answer.SetBody(body)
 		return
 	}
-	answer.SetBodyRaw(reply.SwapBody(nil))
+	// The buffer of the reply is used again, unless it is taken out. A body that was set without a buffer is not in it.
+	reply.SwapBody(nil)
+	answer.SetBodyRaw(body)
 }
 
 // statusCode returns the HTTP status of a refusal. Status 503 guarantees that the request did not run; 502 and 504 guarantee nothing.
--- a/internal/intake/returns.go
+++ b/internal/intake/returns.go
@@ -24,22 +24,22 @@
 }
 
 // next returns the retry delay for a refused request.
-func (r *returns) next(now time.Time, request Request, rank int, cost, rate float64) time.Duration {
+func (r *returns) next(now time.Time, request Request, rank int, cost, rate float64, service time.Duration) time.Duration {
 	at := r.earliest(now, rank).Add(duration(cost / (rate * returnRateShare)))
-	most := longestReturn(now, request)
-	r.spread = math.Mod(r.spread+spreadStep, 1)
-	if after := at.Sub(now); after <= most {
+	useful, most := usefulReturn(now, request, service), longestReturn(now, request)
+	if after := at.Sub(now); after <= useful {
 		r.nextAt[rank] = at
 		return after
 	}
-	// The callers that are due already take all room that is expected within the time that this one waits.
-	r.nextAt[rank] = now.Add(most)
-	return time.Duration(float64(most) * (1 + r.spread) / 2)
+	// The callers that are due already take all room that is expected before an answer is late. This one comes back behind them.
+	r.nextAt[rank] = now.Add(useful)
+	r.spread = math.Mod(r.spread+spreadStep, 1)
+	return useful + time.Duration(float64(most-useful)*r.spread)
 }
 
 // peek returns about what next would return.
-func (r *returns) peek(now time.Time, request Request, rank int) time.Duration {
-	return min(r.earliest(now, rank).Sub(now), longestReturn(now, request))
+func (r *returns) peek(now time.Time, request Request, rank int, service time.Duration) time.Duration {
+	return min(r.earliest(now, rank).Sub(now), usefulReturn(now, request, service))
 }
 
 // earliest returns when the callers of a rank and of more urgent ones that were refused before are back.
@@ -53,6 +53,16 @@
 	return at
 }
 
+// longestReturn returns the longest retry delay that callers follow.
 func longestReturn(now time.Time, request Request) time.Duration {
 	return max(time.Duration(float64(request.Deadline.Sub(now))*maxReturnShare), 0)
 }
+
+// usefulReturn returns the longest retry delay after which a caller can still be served in time, or longestReturn if that is shorter or if it is too
+// late.
+func usefulReturn(now time.Time, request Request, service time.Duration) time.Duration {
+	if useful := request.Goal.Sub(now) - service; useful > minReturn {
+		return min(useful, longestReturn(now, request))
+	}
+	return longestReturn(now, request)
+}
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -15,7 +15,11 @@
 	if l, ok := e.limiters.Load(r.Group()); ok {
 		return l.(*intake.Limiter)
 	}
-	l, _ := e.limiters.LoadOrStore(r.Group(), intake.New())
+	initial := intake.InitialToSearcher
+	if _, ok := r.Target().(route.Gather); ok {
+		initial = intake.InitialOverShards
+	}
+	l, _ := e.limiters.LoadOrStore(r.Group(), intake.New(initial))
 	return l.(*intake.Limiter)
 }
 
@@ -34,35 +38,6 @@
 	})
 }
 
-// updateSlots computes the slots of the narrowest service of each route.
-func (e *Engine) updateSlots(table *route.Table) {
-	byService := e.balancer.current.Load().byService
-	slots := make(map[*route.Route]int)
-	for _, r := range table.Routes() {
-		least := -1
-		for _, service := range r.Services() {
-			sum := 0
-			for _, ep := range byService[service] {
-				sum += ep.searcher.Slots()
-			}
-			if least < 0 || sum < least {
-				least = sum
-			}
-		}
-		slots[r] = max(least, 0)
-	}
-	e.slots.Store(&slots)
-}
-
-// slotShare returns this node's part of the slots of a route's narrowest service, 0 if unknown.
-func (e *Engine) slotShare(r *route.Route) float64 {
-	slots := e.slots.Load()
-	if slots == nil {
-		return 0
-	}
-	return float64((*slots)[r]) / float64(max(e.nodes.Load(), 1))
-}
-
 // intakeRequest describes a request of a route to its limiter.
 func (e *Engine) intakeRequest(r *route.Route, started, end time.Time) intake.Request {
 	policy := r.Policy()
@@ -71,7 +46,7 @@
 		goal = started.Add(policy.Goal)
 	}
 	_, gather := r.Target().(route.Gather)
-	return intake.Request{Route: r.Name(), Rank: policy.Rank, Goal: goal, Deadline: end, LateCounts: !gather, Slots: e.slotShare(r)}
+	return intake.Request{Route: r.Name(), Rank: policy.Rank, Goal: goal, Deadline: end, LateCounts: !gather}
 }
 
 // PreviewAdmission returns what would be decided now about a request of a route that may take until the given end. It changes nothing.
@@ -131,21 +106,24 @@
 		switch {
 		case answer.Reason == wire.Reason_REASON_CALLER_GONE:
 			return intake.Ignored{}
-		case f.shed():
-			return intake.Shed{}
-		case now.Before(goal):
+		case !f.overloaded() && now.Before(goal):
 			return intake.Ignored{}
 		}
 	}
 	return intake.Late{}
 }
 
-// shed reports whether searchers turned away a part for lack of room.
-func (f *fanout) shed() bool {
+// overloaded reports whether a part failed as it does when searchers have too much work: they turn requests away, and reset connections while
+// their queues are long. A request to one searcher that lost its connection says nothing about the load.
+func (f *fanout) overloaded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range f.parts {
-		if f.parts[i].settled && f.parts[i].reason == wire.Reason_REASON_SEARCHER_SHED {
+		switch p := &f.parts[i]; {
+		case !p.settled:
+		case p.reason == wire.Reason_REASON_SEARCHER_SHED:
+			return true
+		case len(f.parts) > 1 && (p.reason == wire.Reason_REASON_CONNECT_FAILED || p.reason == wire.Reason_REASON_CONNECTION_LOST):
 			return true
 		}
 	}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -53,11 +53,9 @@
 	// replies bounds the bytes of the replies in reading; replySizes maps each service to the size of its replies.
 	replies    *meter.Budget
 	replySizes sync.Map
-	// limiters maps each group of routes to its limiter, overloaded the groups that refuse requests, as logged. slots is the number of slots of
-	// the narrowest service of each route.
+	// limiters maps each group of routes to its limiter, overloaded the groups that refuse requests, as logged.
 	limiters   sync.Map
 	overloaded sync.Map
-	slots      atomic.Pointer[map[*route.Route]int]
 	// nodes is the number of nodes that share the budget.
 	nodes atomic.Int64
 	// active is set while callers are routed to this node.
@@ -123,7 +121,6 @@
 	for _, ended := range append(e.balancer.update(snapshot, table), snapshot.Replaced()...) {
 		e.searcherEnded(e.clock(), ended)
 	}
-	e.updateSlots(table)
 }
 
 // SetNodes recomputes this node's share of the searchers' connections and of the retry and hedge budget.
