--- a/internal/intake/loads_test.go
+++ b/internal/intake/loads_test.go
@@ -66,25 +66,25 @@
 func loads() map[string]func() *play {
 	const nodes, shards = 12, 12
 	return map[string]func() *play{
-		"calm payroll":            func() *play { return flooded(pausing(nodes, shards), payroll(shards), "", 1) },
-		"calm exercises":          func() *play { return flooded(pausing(nodes, shards), exercises(shards), "", 1) },
-		"calm payroll, half slow": func() *play { return flooded(slowed(pausing(nodes, shards)), payroll(shards), "", 1) },
-		"payroll all x8, shedding": func() *play {
+		"calm payroll":           func() *play { return flooded(pausing(nodes, shards), payroll(shards), "", 1) },
+		"calm exercises":         func() *play { return flooded(pausing(nodes, shards), exercises(shards), "", 1) },
+		"calm payroll half slow": func() *play { return flooded(slowed(pausing(nodes, shards)), payroll(shards), "", 1) },
+		"payroll all x8 shedding": func() *play {
 			s := pausing(nodes, shards)
 			s.searcherQueue = 16
 			return flooded(s, payroll(shards), "", 8)
 		},
-		"payroll all x2":            func() *play { return flooded(pausing(nodes, shards), payroll(shards), "", 2) },
-		"payroll all x4":            func() *play { return flooded(pausing(nodes, shards), payroll(shards), "", 4) },
-		"payroll all x8, 40 nodes":  func() *play { return flooded(pausing(40, shards), payroll(shards), "", 8) },
-		"payroll all x8, 2 nodes":   func() *play { return flooded(pausing(2, shards), payroll(shards), "", 8) },
-		"payroll all x8":            func() *play { return flooded(pausing(nodes, shards), payroll(shards), "", 8) },
-		"payroll all x20":           func() *play { return flooded(pausing(nodes, shards), payroll(shards), "", 20) },
-		"payroll all x5, half slow": func() *play { return flooded(slowed(pausing(nodes, shards)), payroll(shards), "", 5) },
-		"payroll all x8, eager":     func() *play { return flooded(pausing(nodes, shards), eagerly(payroll(shards)), "", 8) },
-		"payroll name x20":          func() *play { return flooded(pausing(nodes, shards), payroll(shards), "name", 20) },
-		"exercises browse x20":      func() *play { return flooded(pausing(nodes, shards), exercises(shards), "browse", 20) },
-		"exercises hint x20":        func() *play { return flooded(pausing(nodes, shards), exercises(shards), "hint", 20) },
-		"exercises all x20":         func() *play { return flooded(pausing(nodes, shards), exercises(shards), "", 20) },
+		"payroll all x2":           func() *play { return flooded(pausing(nodes, shards), payroll(shards), "", 2) },
+		"payroll all x4":           func() *play { return flooded(pausing(nodes, shards), payroll(shards), "", 4) },
+		"payroll all x8 40 nodes":  func() *play { return flooded(pausing(40, shards), payroll(shards), "", 8) },
+		"payroll all x8 2 nodes":   func() *play { return flooded(pausing(2, shards), payroll(shards), "", 8) },
+		"payroll all x8":           func() *play { return flooded(pausing(nodes, shards), payroll(shards), "", 8) },
+		"payroll all x20":          func() *play { return flooded(pausing(nodes, shards), payroll(shards), "", 20) },
+		"payroll all x5 half slow": func() *play { return flooded(slowed(pausing(nodes, shards)), payroll(shards), "", 5) },
+		"payroll all x8 eager":     func() *play { return flooded(pausing(nodes, shards), eagerly(payroll(shards)), "", 8) },
+		"payroll name x20":         func() *play { return flooded(pausing(nodes, shards), payroll(shards), "name", 20) },
+		"exercises browse x20":     func() *play { return flooded(pausing(nodes, shards), exercises(shards), "browse", 20) },
+		"exercises hint x20":       func() *play { return flooded(pausing(nodes, shards), exercises(shards), "hint", 20) },
+		"exercises all x20":        func() *play { return flooded(pausing(nodes, shards), exercises(shards), "", 20) },
 	}
 }
--- a/internal/intake/plays_test.go
+++ b/internal/intake/plays_test.go
@@ -11,18 +11,18 @@
 		// inTime is the least share in time by class.
 		inTime map[string]float64
 	}{
-		"calm payroll":              {useful: 0.99, inTime: map[string]float64{"staff": 0.995, "name": 0.995, "payslip": 0.995}},
-		"calm payroll, half slow":   {useful: 0.99, inTime: map[string]float64{"staff": 0.995, "name": 0.985, "payslip": 0.995}},
-		"calm exercises":            {useful: 0.99, inTime: map[string]float64{"browse": 0.995, "hint": 0.995, "grade": 0.995}},
-		"payroll all x2":            {useful: 0.98, inTime: map[string]float64{"staff": 0.99, "name": 0.98, "payslip": 0.99}},
-		"payroll name x20":          {useful: 0.95, inTime: map[string]float64{"staff": 0.99}},
-		"payroll all x8":            {useful: 0.74},
-		"payroll all x8, eager":     {useful: 0.7},
-		"payroll all x8, shedding":  {useful: 0.75},
-		"payroll all x20":           {useful: 0.75},
-		"payroll all x5, half slow": {useful: 0.58},
-		"exercises browse x20":      {useful: 0.68, inTime: map[string]float64{"hint": 0.95}},
-		"exercises all x20":         {useful: 0.68, inTime: map[string]float64{"hint": 0.8}},
+		"calm payroll":             {useful: 0.99, inTime: map[string]float64{"staff": 0.995, "name": 0.995, "payslip": 0.995}},
+		"calm payroll half slow":   {useful: 0.99, inTime: map[string]float64{"staff": 0.995, "name": 0.985, "payslip": 0.995}},
+		"calm exercises":           {useful: 0.99, inTime: map[string]float64{"browse": 0.995, "hint": 0.995, "grade": 0.995}},
+		"payroll all x2":           {useful: 0.98, inTime: map[string]float64{"staff": 0.99, "name": 0.98, "payslip": 0.99}},
+		"payroll name x20":         {useful: 0.95, inTime: map[string]float64{"staff": 0.99}},
+		"payroll all x8":           {useful: 0.74},
+		"payroll all x8 eager":     {useful: 0.7},
+		"payroll all x8 shedding":  {useful: 0.75},
+		"payroll all x20":          {useful: 0.75},
+		"payroll all x5 half slow": {useful: 0.58},
+		"exercises browse x20":     {useful: 0.68, inTime: map[string]float64{"hint": 0.95}},
+		"exercises all x20":        {useful: 0.68, inTime: map[string]float64{"hint": 0.8}},
 	}
 	all := loads()
 	for name, test := range tests {
