--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -237,6 +237,9 @@
 	if r.drillRandom.IntN(2) == 0 {
 		r.checkStrandedNode(ctx)
 	}
+	if r.evacuationRandom.IntN(2) == 0 {
+		r.checkEvacuation(ctx)
+	}
 	endLimits := r.limitSearchers()
 	cutAt := time.Now()
 	cut := r.loseSearchersUnseen(ctx)
--- a/internal/soak/scarce.go
+++ b/internal/soak/scarce.go
@@ -36,8 +36,8 @@
 // announcingReply announces a long chunk and sends little of it.
 var announcingReply = stand.EndlessReply{Start: "%sTransfer-Encoding: chunked\r\n\r\n7ffff0\r\n", Repeat: "x", Pause: 20 * time.Millisecond}
 
-// checkShortages uses up the descriptors of a node, or lets searchers announce much more than they send, by the draw of the round. The node must
-// serve again when descriptors are free, and no node may exceed its memory.
+// checkShortages uses up the descriptors of a node, lets searchers announce much more than they send, or sends bodies far over the operator's limit, by
+// the draw of the round. The node must serve again afterwards, and no node may exceed its memory.
 func (r *runner) checkShortages(ctx context.Context, random *rand.Rand) {
 	switch random.IntN(3) {
 	case 0:
@@ -46,6 +46,9 @@
 	case 1:
 		r.recordFault("searchers announce much")
 		r.announceMuch(ctx, r.fleet.nodes[random.IntN(len(r.fleet.nodes))])
+	default:
+		r.recordFault("bodies over the limit")
+		r.sendLongBodies(ctx, r.fleet.nodes[random.IntN(len(r.fleet.nodes))])
 	}
 	for _, p := range r.fleet.nodes {
 		if peak, err := stand.PeakMemory(p.pid()); err == nil && peak > memoryLimit {
@@ -138,3 +141,41 @@
 	}
 	delay.Sleep(ctx, recoveryPhase)
 }
+
+// longBodies are the heads of requests with bodies far over the operator's limit, and longBodyBytes is what is sent of each body.
+var longBodies = []string{
+	"POST /a/1 HTTP/1.1\r\nHost: " + host + "\r\nContent-Length: 16000000\r\n\r\n",
+	"POST /a/1 HTTP/1.1\r\nHost: " + host + "\r\nTransfer-Encoding: chunked\r\n\r\nf42400\r\n",
+}
+
+const longBodyBytes = 8 << 20
+
+// sendLongBodies sends bodies over the operator's limit to the listeners of a node, on many connections at once.
+func (r *runner) sendLongBodies(ctx context.Context, p *process) {
+	from := time.Now()
+	listeners := map[string]string{"callers": p.callerAddress(), "checks": p.readyAddress(), "directory": p.directoryAddress()}
+	var callers conc.WaitGroup
+	for _, address := range listeners {
+		for i := range crowd {
+			callers.Go(func() {
+				conn, err := net.DialTimeout("tcp", address, time.Second)
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				// The node closes the connection, so that the rest can't be sent.
+				_ = conn.SetDeadline(from.Add(shortageTime))
+				if _, err := conn.Write([]byte(longBodies[i%len(longBodies)])); err == nil {
+					_, _ = conn.Write(make([]byte, longBodyBytes))
+				}
+			})
+		}
+	}
+	callers.Wait()
+	r.recordDisturbance(p, interval{from: from, to: time.Now().Add(contactTime)})
+	for listener, address := range listeners {
+		if !answers(ctx, address) {
+			r.addViolation("listeners", "the listener for %s of %s answers nothing %v after bodies over the limit", listener, p.machine.Node, shortageBound)
+		}
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -70,6 +70,8 @@
 	drillRandom *rand.Rand
 	// scarceRandom selects the shortages, for the same reason.
 	scarceRandom *rand.Rand
+	// evacuationRandom selects the evacuations.
+	evacuationRandom *rand.Rand
 
 	mu           sync.Mutex
 	evidence     evidence
@@ -85,7 +87,8 @@
 
 // Run runs a soak and returns its report. It returns an error only if the fleet does not start.
 func Run(ctx context.Context, s Settings) (Report, error) {
-	r := &runner{settings: s, random: rand.New(rand.NewPCG(s.Seed, s.Seed)), drillRandom: rand.New(rand.NewPCG(s.Seed, drillStream)), scarceRandom: rand.New(rand.NewPCG(s.Seed, scarceStream))}
+	r := &runner{settings: s, random: rand.New(rand.NewPCG(s.Seed, s.Seed)), drillRandom: rand.New(rand.NewPCG(s.Seed, drillStream)), scarceRandom: rand.New(rand.NewPCG(s.Seed, scarceStream)),
+		evacuationRandom: rand.New(rand.NewPCG(s.Seed, evacuationStream))}
 	r.evidence.allowed = make(map[string][]string)
 	r.evidence.drainBound = drainBound
 	err := r.start(ctx)
