Refuse a query over shards as not run only if no shard has answered

A query that lacked coverage was refused with 503 although some searchers had run their part, since only replies that failed counted. It now gets 502 or 504 once a part has a reply.

--- a/internal/relay/fanout_test.go
+++ b/internal/relay/fanout_test.go
@@ -123,3 +123,15 @@
 		})
 	}
 }
+
+// Guards against a refusal as not run, on which callers rely, of a query over shards of which some have answered.
+func TestQueryWithoutCoverageHasRun(t *testing.T) {
+	_, f := newGatherFanout(t)
+	f.parts = append(f.parts, part{service: "two"})
+	f.pending = 2
+	f.settle(&f.parts[0], wire.Reason_REASON_UNSPECIFIED)
+	f.settle(&f.parts[1], wire.Reason_REASON_SEARCHER_SHED)
+	if got, ok := f.finish(start).(Refused); !ok || got.Reason != wire.Reason_REASON_COVERAGE || got.NotRun {
+		t.Errorf("got %+v, want a refusal for lack of coverage that may have run", got)
+	}
+}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -120,7 +120,8 @@
 	}
 	// Callers do not follow a longer delay than a third of the time that they have left.
 	after = min(after, max(f.end().Sub(now)/maxReturnPart, 0))
-	return Refused{Reason: r, NotRun: !f.mayHaveRun, RetryAfter: after}
+	// Parts with a reply have run, even if the answer does not use it.
+	return Refused{Reason: r, NotRun: !f.mayHaveRun && f.succeeded == 0, RetryAfter: after}
 }
 
 // missingServices returns the services without a reply.
