Withdraw waiting requests whose callers have left or whose node stops

A waiting request was only looked at again when it could start or its own time was over, up to half of its deadline later. Until then it held back others, and a node that stopped did not answer it.

--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -5,6 +5,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"sync"
 	"time"
 
@@ -322,27 +323,49 @@
 		Overloaded: !l.refusedAt.IsZero() && now.Sub(l.refusedAt) < overloadMemory}
 }
 
-// Await returns the decision about a request once it is Run or Refuse. It waits at most until the request's time is over.
-func (l *Limiter) Await(clock func() time.Time, t *Ticket) Decision {
+// Await returns the decision about a request once it is Run or Refuse. It waits at most until the request's time is over, and withdraws
+// the request when ended, which is asked every interval, returns a reason.
+func (l *Limiter) Await(clock func() time.Time, t *Ticket, interval time.Duration, ended func(now time.Time) wire.Reason) Decision {
+	wait, ok := l.Decision(t).(Wait)
+	if !ok {
+		return l.Decision(t)
+	}
+	timer, ticker := time.NewTimer(max(wait.Until.Sub(clock()), time.Millisecond)), time.NewTicker(interval)
+	defer timer.Stop()
+	defer ticker.Stop()
 	for {
-		wait, ok := l.Decision(t).(Wait)
-		if !ok {
-			return l.Decision(t)
-		}
-		timer := time.NewTimer(max(wait.Until.Sub(clock()), time.Millisecond))
 		select {
 		case <-t.ready:
+			return l.Decision(t)
+		case <-ticker.C:
+			now := clock()
+			if r := ended(now); r != wire.Reason_REASON_UNSPECIFIED {
+				l.withdraw(now, t, r)
+				return l.Decision(t)
+			}
 		case <-timer.C:
 			now := clock()
 			if now.Before(wait.Until) {
 				now = wait.Until
 			}
-			l.Poll(now, t)
+			return l.Poll(now, t)
 		}
-		timer.Stop()
 	}
 }
 
+// withdraw refuses a request if it still waits. The caller does not come back, so its refusal says nothing about the load.
+func (l *Limiter) withdraw(now time.Time, t *Ticket, r wire.Reason) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := t.decision.(Wait); !ok {
+		return
+	}
+	t.decision = Refuse{Reason: r}
+	l.waiting = slices.DeleteFunc(l.waiting, func(other *Ticket) bool { return other == t })
+	close(t.ready)
+	l.advance(now)
+}
+
 // goalQueue is a heap of the running requests by their goals.
 type goalQueue []*Ticket
 
--- a/internal/intake/limiter_test.go
+++ b/internal/intake/limiter_test.go
@@ -5,6 +5,8 @@
 	"sort"
 	"testing"
 	"time"
+
+	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
 // load is a simulated flood at one shard: queries of a rank arrive at a rate, and count as in time when they end within the goal.
@@ -166,13 +168,14 @@
 func TestAwait(t *testing.T) {
 	l := New(InitialOverShards)
 	now := time.Now()
+	ended := func(time.Time) wire.Reason { return wire.Reason_REASON_UNSPECIFIED }
 	running := fill(l, now)
-	if _, ok := l.Await(time.Now, ask(l, now, 1)).(Refuse); !ok {
+	if _, ok := l.Await(time.Now, ask(l, now, 1), time.Hour, ended).(Refuse); !ok {
 		t.Error("limit reached: query was admitted, want it refused")
 	}
 	waiting := ask(l, time.Now(), 0)
 	l.Release(time.Now(), running[0], InTime{})
-	if _, ok := l.Await(time.Now, waiting).(Run); !ok {
+	if _, ok := l.Await(time.Now, waiting, time.Hour, ended).(Run); !ok {
 		t.Error("after a release: query was refused, want it admitted")
 	}
 }
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -60,7 +60,7 @@
 // runAdmitted runs a request when the limiter admits it, and refuses it otherwise.
 func (f *fanout) runAdmitted() Answer {
 	ticket := f.limiter.Ask(f.started, f.engine.intakeRequest(f.request.Route, f.started, f.end()))
-	if refuse, ok := f.limiter.Await(f.engine.clock, ticket).(intake.Refuse); ok {
+	if refuse, ok := f.await(ticket).(intake.Refuse); ok {
 		return f.rejectAdmission(refuse)
 	}
 	if ticket.Waited() && f.request.CallerGone() {
@@ -72,6 +72,20 @@
 	return answer
 }
 
+// await returns the final decision about a request. One that waits is withdrawn when its caller has left, or when the node stops.
+func (f *fanout) await(ticket *intake.Ticket) intake.Decision {
+	return f.limiter.Await(f.engine.clock, ticket, disconnectPollInterval, func(now time.Time) wire.Reason {
+		switch {
+		case f.request.CallerGone():
+			return wire.Reason_REASON_CALLER_GONE
+		case !now.Before(f.end().Add(-answerMargin)):
+			return wire.Reason_REASON_DEADLINE
+		default:
+			return wire.Reason_REASON_UNSPECIFIED
+		}
+	})
+}
+
 // rejectAdmission refuses a request that the limiter did not admit. The log line has what decided it.
 func (f *fanout) rejectAdmission(refuse intake.Refuse) Answer {
 	now := f.engine.clock()
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -167,3 +167,43 @@
 		})
 	}
 }
+
+// Guards against a waiting request that keeps its place for seconds after its caller has left or the node's stop time has come.
+func TestWaitingRequestIsWithdrawn(t *testing.T) {
+	tests := map[string]struct {
+		gone  bool
+		endIn time.Duration
+		want  wire.Reason
+	}{
+		"caller gone": {gone: true, want: wire.Reason_REASON_CALLER_GONE},
+		"node stops":  {endIn: 150 * time.Millisecond, want: wire.Reason_REASON_DEADLINE},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e, f := newSingleFanout(t)
+			e.clock = time.Now
+			now := time.Now()
+			f.started, f.deadline = now, now.Add(10*time.Second)
+			f.request.CallerGone = func() bool { return test.gone }
+			r := e.intakeRequest(f.request.Route, now, f.deadline)
+			r.Goal, r.Rank = r.Deadline, 0
+			for {
+				if _, ok := f.limiter.Preview(now, r).(intake.Run); !ok {
+					break
+				}
+				f.limiter.Ask(now, r)
+			}
+			ticket := f.limiter.Ask(now, r)
+			if !ticket.Waited() {
+				t.Fatal("the request does not wait")
+			}
+			if test.endIn > 0 {
+				e.EndBy(now.Add(test.endIn))
+			}
+			answer, ok := f.await(ticket).(intake.Refuse)
+			if took := time.Since(now); !ok || answer.Reason != test.want || took > time.Second || f.limiter.Waits() {
+				t.Errorf("got %+v after %v, waiting %v, want a refusal for %v", answer, took, f.limiter.Waits(), test.want)
+			}
+		})
+	}
+}
