Lower learned work that makes an idle node refuse a route

A route whose work was learned as longer than its callers wait was refused for good, since only requests that run correct it. Each such refusal on an idle node now lowers the work by a fiftieth until a request runs.

--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -127,6 +127,9 @@
 		l.enqueue(now, t)
 	case Refuse:
 		l.refuse(now, t, d.Reason)
+		if l.running == 0 && now.Before(r.Deadline) {
+			l.works.doubt(r.Route)
+		}
 	}
 	return t
 }
--- a/internal/intake/rules_test.go
+++ b/internal/intake/rules_test.go
@@ -251,3 +251,21 @@
 		t.Errorf("got %d less urgent requests after an urgent one was seen, want fewer than the %d without", beside, alone)
 	}
 }
+
+// Guards against a limiter that refuses all requests of a route for good: work that was learned while a searcher was slow and exceeds what callers
+// wait is only corrected by requests that run.
+func TestLearnedWorkBeyondTheDeadlineIsTriedAgain(t *testing.T) {
+	l, now := New(InitialToSearcher), playStart
+	ask := func(timeout time.Duration) *Ticket {
+		return l.Ask(now, Request{Route: "r", Goal: now.Add(timeout), Deadline: now.Add(timeout), LateCounts: true})
+	}
+	l.Release(now.Add(90*time.Millisecond), ask(100*time.Millisecond), InTime{})
+	now = now.Add(time.Second)
+	for range 100 {
+		now = now.Add(time.Second)
+		if _, ok := l.Decision(ask(50 * time.Millisecond)).(Run); ok {
+			return
+		}
+	}
+	t.Error("got 100 refusals on an idle node, want a request that runs")
+}
--- a/internal/intake/works.go
+++ b/internal/intake/works.go
@@ -7,6 +7,8 @@
 	// takes when it does not queue.
 	fallWeight = 0.2
 	riseWeight = 0.02
+	// doubtShare is the fraction by which a refusal on an idle node lowers the learned work: twice too much is corrected by 35 refusals.
+	doubtShare = 0.02
 	// minWork bounds the learned work from below, in milliseconds.
 	minWork = 0.1
 )
@@ -48,6 +50,18 @@
 	case !used:
 		work += (sample - work) * riseWeight
 	}
+	w.set(route, work)
+}
+
+// doubt lowers the work of a route of which a request was refused for it while nothing ran. Only requests that run correct what was learned while
+// searchers were slow, so that a route could be refused for good otherwise.
+func (w *works) doubt(route string) {
+	if work, ok := w.byRoute[route]; ok {
+		w.set(route, max(work*(1-doubtShare), minWork))
+	}
+}
+
+func (w *works) set(route string, work float64) {
 	w.byRoute[route] = work
 	w.greatest = 0
 	for _, other := range w.byRoute {
