Keep the retry schedule when a request without much time is refused

A refused request whose time left was short moved the next return of its rank back to the present, so that callers refused after it came back together with those refused before.

--- a/internal/intake/returns.go
+++ b/internal/intake/returns.go
@@ -32,7 +32,9 @@
 		return after
 	}
 	// The callers that are due already take all room that is expected before an answer is late. This one comes back behind them.
-	r.nextAt[rank] = now.Add(useful)
+	if behind := now.Add(useful); behind.After(r.nextAt[rank]) {
+		r.nextAt[rank] = behind
+	}
 	r.spread = math.Mod(r.spread+spreadStep, 1)
 	return useful + time.Duration(float64(most-useful)*r.spread)
 }
--- a/internal/intake/rules_test.go
+++ b/internal/intake/rules_test.go
@@ -269,3 +269,18 @@
 	}
 	t.Error("got 100 refusals on an idle node, want a request that runs")
 }
+
+// Guards against a refused request without time left that moves the times at which others come back to the present, so that they come together.
+func TestRefusalWithoutTimeLeftKeepsTheOthersApart(t *testing.T) {
+	var r returns
+	now := playStart
+	long := request(now, 1)
+	for range 3 {
+		r.next(now, long, 1, 10, 1, 0)
+	}
+	before := r.nextAt[1]
+	r.next(now, Request{Rank: 1, Goal: now, Deadline: now}, 1, 10, 1, 0)
+	if got := r.nextAt[1]; got.Before(before) {
+		t.Errorf("got next return %v earlier than before", before.Sub(got))
+	}
+}
