--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -63,12 +63,13 @@
 	if refuse, ok := f.await(ticket).(intake.Refuse); ok {
 		return f.rejectAdmission(refuse)
 	}
+	var outcome intake.Outcome = intake.Ignored{}
+	defer func() { f.limiter.Release(f.engine.clock(), ticket, outcome) }()
 	if ticket.Waited() && f.request.CallerGone() {
-		f.limiter.Release(f.engine.clock(), ticket, intake.Ignored{})
 		return f.reject(wire.Reason_REASON_CALLER_GONE)
 	}
 	answer := f.run()
-	f.limiter.Release(f.engine.clock(), ticket, f.admissionOutcome(answer))
+	outcome = f.admissionOutcome(answer)
 	return answer
 }
 
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -207,3 +207,19 @@
 		})
 	}
 }
+
+// Guards against room that is never given back when a request panics: the limiter would refuse more and more.
+func TestPanicReleasesRoom(t *testing.T) {
+	e, f := newSingleFanout(t)
+	now := start
+	e.clock = func() time.Time { return now }
+	f.request.CallerGone = func() bool { panic("caller") }
+	func() {
+		defer func() { _ = recover() }()
+		now = now.Add(2 * disconnectPollInterval)
+		f.runAdmitted()
+	}()
+	if got := f.limiter.State(now).Running; got != 0 {
+		t.Errorf("got %d running requests, want none", got)
+	}
+}
