Count the missed deadline of a request without a goal as late

Such a request ends shortly before its deadline, which is its goal for the limiter, and was ignored, so that the limit did not fall under overload.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -121,6 +121,8 @@
 		switch {
 		case answer.Reason == wire.Reason_REASON_CALLER_GONE:
 			return intake.Ignored{}
+		case answer.Reason == wire.Reason_REASON_DEADLINE && !now.Before(goal.Add(-answerMargin)):
+			// Without a goal, a request ends shortly before its deadline.
 		case !f.overloaded() && now.Before(goal):
 			return intake.Ignored{}
 		}
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -208,6 +208,31 @@
 	}
 }
 
+// Guards against a limit that does not fall for requests without a goal, which end just before their deadline when searchers are overloaded.
+func TestDeadlineOfRequestWithoutGoalIsLate(t *testing.T) {
+	e, f := newGatherFanout(t)
+	policy := f.request.Route.Policy()
+	policy.Goal = 0
+	r, err := route.NewRoute("r", "h", "/r/", f.request.Route.Target(), policy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.request.Route = r
+	tests := map[string]struct {
+		now  time.Time
+		want intake.Outcome
+	}{
+		"at the deadline":    {now: f.deadline.Add(-minRemaining), want: intake.Late{}},
+		"by a stop, earlier": {now: start.Add(policy.Timeout / 2), want: intake.Ignored{}},
+	}
+	for name, test := range tests {
+		e.clock = func() time.Time { return test.now }
+		if got := f.admissionOutcome(Refused{Reason: wire.Reason_REASON_DEADLINE}); got != test.want {
+			t.Errorf("%s: got %T, want %T", name, got, test.want)
+		}
+	}
+}
+
 // Guards against room that is never given back when a request panics: the limiter would refuse more and more.
 func TestPanicReleasesRoom(t *testing.T) {
 	e, f := newSingleFanout(t)
