Put routes in force after the searchers of their batch

Another goroutine could rebuild the engine between the two, with routes and no searchers, after which the node took all searchers for new and limited them as cold.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -431,10 +431,17 @@
 func (f *Follower) applyChanges(now time.Time, changed []Entry, holdUntil, doubtUntil time.Time) {
 	var registered []*fleet.Searcher
 	var removed []string
+	var tables []*route.Table
+	// The node becomes ready with its first routes, and takes searchers that appear later for cold.
+	defer func() {
+		for _, table := range tables {
+			f.installRoutes(table)
+		}
+	}()
 	for _, entry := range changed {
 		switch change := f.source.Decode(entry).(type) {
 		case Routes:
-			f.installRoutes(change.Table)
+			tables = append(tables, change.Table)
 		case Searcher:
 			registered = append(registered, change.Searcher)
 			f.logIgnoredFields(change.Ignored)
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -411,3 +411,31 @@
 		})
 	}
 }
+
+// orderSource records whether routes were visible when a searcher was decoded.
+type orderSource struct {
+	scriptedSource
+	visible func() bool
+	early   bool
+}
+
+func (s *orderSource) Decode(entry Entry) Change {
+	change := s.scriptedSource.Decode(entry)
+	if _, ok := change.(Searcher); ok {
+		s.early = s.early || s.visible()
+	}
+	return change
+}
+
+// Guards against a node that starts and is rebuilt by another goroutine with the routes but without the searchers of the first batch: it would
+// take them for new, and so for cold, when they appear.
+func TestRoutesAreVisibleAfterTheSearchersOfTheirBatch(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	source := &orderSource{}
+	f, _ := newFollower(source, true, &now)
+	source.visible = func() bool { return f.Table() != nil }
+	f.applyBatch(now, Batch{Revision: 2, Entries: []Entry{routes(1, 1), registration("a", 2)}}, now, time.Time{})
+	if source.early || f.Table() == nil {
+		t.Errorf("got routes visible before the searchers %v, afterwards %v, want only afterwards", source.early, f.Table() != nil)
+	}
+}
