--- a/internal/pace/cold.go
+++ b/internal/pace/cold.go
@@ -189,7 +189,7 @@
 		}
 		return
 	}
-	begins := bucket == nil
+	begins := bucket == nil || bucket.ended(now)
 	if begins {
 		bucket = &coldBucket{since: now}
 	}
--- a/internal/pace/cold_test.go
+++ b/internal/pace/cold_test.go
@@ -246,3 +246,23 @@
 		})
 	}
 }
+
+// Guards against requests that were chosen while a searcher was warm and reach it when it has become cold again before the share was next computed.
+func TestColdAgainBeforeTheNextTick(t *testing.T) {
+	now, views := start, NewViews()
+	views.Observe(now, NewMembers("a", map[string][]string{"r": {"a"}}), Census{Live: []string{"a"}, Known: []string{"a"}})
+	p := New("s", "r")
+	cold := Cold{PerSecond: 10, Until: now.Add(time.Second), Length: time.Second}
+	p.SetCold(now, cold, views, DefaultAllowance)
+	taken, again := cold.Until.Add(10*time.Millisecond), cold.Until.Add(20*time.Millisecond)
+	for range 50 {
+		if !p.Take(taken) {
+			t.Fatal("got no room at a warm searcher")
+		}
+	}
+	cold.Until = again.Add(time.Second)
+	p.SetCold(again, cold, views, DefaultAllowance)
+	if p.MaySend(again, taken) || p.ColdRoom(again) {
+		t.Errorf("got may send %v and room %v at a searcher that is cold again, want neither", p.MaySend(again, taken), p.ColdRoom(again))
+	}
+}
