--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -28,6 +28,9 @@
 	// is not starved. maxFloor bounds what is saved up, in requests of the costliest route.
 	floorShare = 0.03
 	maxFloor   = 2.0
+	// calmTime is how long nothing must have been refused and few requests late for a lowered limit to return to the initial one. The limit grows
+	// only while it is in use, and would stay as low as a flood left it. Waves of a flood are seconds apart.
+	calmTime = time.Minute
 )
 
 // Limits in requests of the costliest route before any outcome was recorded. A request to one searcher takes one slot, whereas a query over
@@ -83,6 +86,9 @@
 	floor  [numRanks]float64
 	// refusedAt is when a request was last refused.
 	refusedAt time.Time
+	// initial is the limit before anything was learned. strainedAt is when a request was last refused, or many were late.
+	initial    float64
+	strainedAt time.Time
 }
 
 // Ticket is a request that was decided on or waits. Its fields are guarded by the limiter's mutex, except ready.
@@ -106,7 +112,7 @@
 
 // New returns a limiter that has learned nothing yet, with the given limit in requests of the costliest route.
 func New(initialLimit float64) *Limiter {
-	return &Limiter{works: newWorks(), control: control{learned: initialLimit}}
+	return &Limiter{works: newWorks(), initial: initialLimit, control: control{learned: initialLimit}}
 }
 
 // Ask decides about a request. Release must be called for one that runs, once it has ended. Poll must be called for one that waits when its
@@ -204,9 +210,20 @@
 // advance counts the requests that have missed their goal, and decides about the waiting ones.
 func (l *Limiter) advance(now time.Time) {
 	l.countOverdue(now)
+	l.restore(now)
 	l.review(now)
 }
 
+// restore sets the initial limit again if a lower one was learned and it has been calm since.
+func (l *Limiter) restore(now time.Time) {
+	switch {
+	case l.strainedAt.IsZero() || len(l.waiting) > 0 || l.control.lateShare() >= lowLateShare:
+		l.strainedAt = now
+	case now.Sub(l.strainedAt) > calmTime:
+		l.control.learned = max(l.control.learned, l.initial)
+	}
+}
+
 // countOverdue counts requests as late at the moment at which they miss their goal, since their end may come much later. They keep their room,
 // since the searchers still work for them.
 func (l *Limiter) countOverdue(now time.Time) {
@@ -267,7 +284,7 @@
 }
 
 func (l *Limiter) refuse(now time.Time, t *Ticket, r wire.Reason) {
-	l.refusedAt = now
+	l.refusedAt, l.strainedAt = now, now
 	t.decision = Refuse{Reason: r, After: l.returns.next(now, t.request, t.rank, t.cost, l.rate(), l.service(t.request.Route))}
 }
 
--- a/internal/intake/rules_test.go
+++ b/internal/intake/rules_test.go
@@ -284,3 +284,23 @@
 		t.Errorf("got next return %v earlier than before", before.Sub(got))
 	}
 }
+
+// Guards against a limit that stays as low as a flood left it, since it grows only while half of it is in use: a burst in calm conditions would be
+// refused.
+func TestLimitIsRestoredInCalm(t *testing.T) {
+	l, now := New(InitialToSearcher), playStart
+	ask := func() *Ticket {
+		return l.Ask(now, Request{Route: "r", Rank: 2, Goal: now.Add(time.Second), Deadline: now.Add(10 * time.Second), LateCounts: true})
+	}
+	l.control.learned = minLimit
+	for range 1000 {
+		ticket := ask()
+		now = now.Add(120 * time.Millisecond)
+		l.Release(now, ticket, InTime{})
+	}
+	for i := range 100 {
+		if ticket := ask(); l.Decision(ticket) != (Run{}) {
+			t.Fatalf("request %d of a burst: got %+v, want Run", i, l.Decision(ticket))
+		}
+	}
+}
