--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -5,6 +5,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 	// is not starved. maxFloor bounds what is saved up, in requests of the costliest route.
 	floorShare = 0.03
 	maxFloor   = 2.0
+	// calmTime is how long nothing must have been refused and few requests late for a lowered limit to return to the initial one. The limit grows
+	// only while it is in use, and would stay as low as a flood left it. Waves of a flood are seconds apart.
+	calmTime = time.Minute
 )
 
 // Limits in requests of the costliest route before any outcome was recorded. A request to one searcher takes one slot, whereas a query over
@@ -82,6 +86,9 @@
 	floor  [numRanks]float64
 	// refusedAt is when a request was last refused.
 	refusedAt time.Time
+	// initial is the limit before anything was learned. strainedAt is when a request was last refused, or many were late.
+	initial    float64
+	strainedAt time.Time
 }
 
 // Ticket is a request that was decided on or waits. Its fields are guarded by the limiter's mutex, except ready.
@@ -105,7 +112,7 @@
 
 // New returns a limiter that has learned nothing yet, with the given limit in requests of the costliest route.
 func New(initialLimit float64) *Limiter {
-	return &Limiter{works: newWorks(), control: control{learned: initialLimit}}
+	return &Limiter{works: newWorks(), initial: initialLimit, control: control{learned: initialLimit}}
 }
 
 // Ask decides about a request. Release must be called for one that runs, once it has ended. Poll must be called for one that waits when its
@@ -126,6 +133,9 @@
 		l.enqueue(now, t)
 	case Refuse:
 		l.refuse(now, t, d.Reason)
+		if l.running == 0 && now.Before(r.Deadline) {
+			l.works.doubt(r.Route)
+		}
 	}
 	return t
 }
@@ -200,9 +210,20 @@
 // advance counts the requests that have missed their goal, and decides about the waiting ones.
 func (l *Limiter) advance(now time.Time) {
 	l.countOverdue(now)
+	l.restore(now)
 	l.review(now)
 }
 
+// restore sets the initial limit again if a lower one was learned and it has been calm since.
+func (l *Limiter) restore(now time.Time) {
+	switch {
+	case l.strainedAt.IsZero() || len(l.waiting) > 0 || l.control.lateShare() >= lowLateShare:
+		l.strainedAt = now
+	case now.Sub(l.strainedAt) > calmTime:
+		l.control.learned = max(l.control.learned, l.initial)
+	}
+}
+
 // countOverdue counts requests as late at the moment at which they miss their goal, since their end may come much later. They keep their room,
 // since the searchers still work for them.
 func (l *Limiter) countOverdue(now time.Time) {
@@ -263,7 +284,7 @@
 }
 
 func (l *Limiter) refuse(now time.Time, t *Ticket, r wire.Reason) {
-	l.refusedAt = now
+	l.refusedAt, l.strainedAt = now, now
 	t.decision = Refuse{Reason: r, After: l.returns.next(now, t.request, t.rank, t.cost, l.rate(), l.service(t.request.Route))}
 }
 
@@ -322,27 +343,49 @@
 		Overloaded: !l.refusedAt.IsZero() && now.Sub(l.refusedAt) < overloadMemory}
 }
 
-// Await returns the decision about a request once it is Run or Refuse. It waits at most until the request's time is over.
-func (l *Limiter) Await(clock func() time.Time, t *Ticket) Decision {
+// Await returns the decision about a request once it is Run or Refuse. It waits at most until the request's time is over, and withdraws
+// the request when ended, which is asked every interval, returns a reason.
+func (l *Limiter) Await(clock func() time.Time, t *Ticket, interval time.Duration, ended func(now time.Time) wire.Reason) Decision {
+	wait, ok := l.Decision(t).(Wait)
+	if !ok {
+		return l.Decision(t)
+	}
+	timer, ticker := time.NewTimer(max(wait.Until.Sub(clock()), time.Millisecond)), time.NewTicker(interval)
+	defer timer.Stop()
+	defer ticker.Stop()
 	for {
-		wait, ok := l.Decision(t).(Wait)
-		if !ok {
-			return l.Decision(t)
-		}
-		timer := time.NewTimer(max(wait.Until.Sub(clock()), time.Millisecond))
 		select {
 		case <-t.ready:
+			return l.Decision(t)
+		case <-ticker.C:
+			now := clock()
+			if r := ended(now); r != wire.Reason_REASON_UNSPECIFIED {
+				l.withdraw(now, t, r)
+				return l.Decision(t)
+			}
 		case <-timer.C:
 			now := clock()
 			if now.Before(wait.Until) {
 				now = wait.Until
 			}
-			l.Poll(now, t)
+			return l.Poll(now, t)
 		}
-		timer.Stop()
 	}
 }
 
+// withdraw refuses a request if it still waits. The caller does not come back, so its refusal says nothing about the load.
+func (l *Limiter) withdraw(now time.Time, t *Ticket, r wire.Reason) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := t.decision.(Wait); !ok {
+		return
+	}
+	t.decision = Refuse{Reason: r}
+	l.waiting = slices.DeleteFunc(l.waiting, func(other *Ticket) bool { return other == t })
+	close(t.ready)
+	l.advance(now)
+}
+
 // goalQueue is a heap of the running requests by their goals.
 type goalQueue []*Ticket
 
--- a/internal/intake/rules_test.go
+++ b/internal/intake/rules_test.go
@@ -251,3 +251,56 @@
 		t.Errorf("got %d less urgent requests after an urgent one was seen, want fewer than the %d without", beside, alone)
 	}
 }
+
+// Guards against a limiter that refuses all requests of a route for good: work that was learned while a searcher was slow and exceeds what callers
+// wait is only corrected by requests that run.
+func TestLearnedWorkBeyondTheDeadlineIsTriedAgain(t *testing.T) {
+	l, now := New(InitialToSearcher), playStart
+	ask := func(timeout time.Duration) *Ticket {
+		return l.Ask(now, Request{Route: "r", Goal: now.Add(timeout), Deadline: now.Add(timeout), LateCounts: true})
+	}
+	l.Release(now.Add(90*time.Millisecond), ask(100*time.Millisecond), InTime{})
+	now = now.Add(time.Second)
+	for range 100 {
+		now = now.Add(time.Second)
+		if _, ok := l.Decision(ask(50 * time.Millisecond)).(Run); ok {
+			return
+		}
+	}
+	t.Error("got 100 refusals on an idle node, want a request that runs")
+}
+
+// Guards against a refused request without time left that moves the times at which others come back to the present, so that they come together.
+func TestRefusalWithoutTimeLeftKeepsTheOthersApart(t *testing.T) {
+	var r returns
+	now := playStart
+	long := request(now, 1)
+	for range 3 {
+		r.next(now, long, 1, 10, 1, 0)
+	}
+	before := r.nextAt[1]
+	r.next(now, Request{Rank: 1, Goal: now, Deadline: now}, 1, 10, 1, 0)
+	if got := r.nextAt[1]; got.Before(before) {
+		t.Errorf("got next return %v earlier than before", before.Sub(got))
+	}
+}
+
+// Guards against a limit that stays as low as a flood left it, since it grows only while half of it is in use: a burst in calm conditions would be
+// refused.
+func TestLimitIsRestoredInCalm(t *testing.T) {
+	l, now := New(InitialToSearcher), playStart
+	ask := func() *Ticket {
+		return l.Ask(now, Request{Route: "r", Rank: 2, Goal: now.Add(time.Second), Deadline: now.Add(10 * time.Second), LateCounts: true})
+	}
+	l.control.learned = minLimit
+	for range 1000 {
+		ticket := ask()
+		now = now.Add(120 * time.Millisecond)
+		l.Release(now, ticket, InTime{})
+	}
+	for i := range 100 {
+		if ticket := ask(); l.Decision(ticket) != (Run{}) {
+			t.Fatalf("request %d of a burst: got %+v, want Run", i, l.Decision(ticket))
+		}
+	}
+}
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -60,18 +60,33 @@
 // runAdmitted runs a request when the limiter admits it, and refuses it otherwise.
 func (f *fanout) runAdmitted() Answer {
 	ticket := f.limiter.Ask(f.started, f.engine.intakeRequest(f.request.Route, f.started, f.end()))
-	if refuse, ok := f.limiter.Await(f.engine.clock, ticket).(intake.Refuse); ok {
+	if refuse, ok := f.await(ticket).(intake.Refuse); ok {
 		return f.rejectAdmission(refuse)
 	}
+	var outcome intake.Outcome = intake.Ignored{}
+	defer func() { f.limiter.Release(f.engine.clock(), ticket, outcome) }()
 	if ticket.Waited() && f.request.CallerGone() {
-		f.limiter.Release(f.engine.clock(), ticket, intake.Ignored{})
 		return f.reject(wire.Reason_REASON_CALLER_GONE)
 	}
 	answer := f.run()
-	f.limiter.Release(f.engine.clock(), ticket, f.admissionOutcome(answer))
+	outcome = f.admissionOutcome(answer)
 	return answer
 }
 
+// await returns the final decision about a request. One that waits is withdrawn when its caller has left, or when the node stops.
+func (f *fanout) await(ticket *intake.Ticket) intake.Decision {
+	return f.limiter.Await(f.engine.clock, ticket, disconnectPollInterval, func(now time.Time) wire.Reason {
+		switch {
+		case f.request.CallerGone():
+			return wire.Reason_REASON_CALLER_GONE
+		case !now.Before(f.end().Add(-answerMargin)):
+			return wire.Reason_REASON_DEADLINE
+		default:
+			return wire.Reason_REASON_UNSPECIFIED
+		}
+	})
+}
+
 // rejectAdmission refuses a request that the limiter did not admit. The log line has what decided it.
 func (f *fanout) rejectAdmission(refuse intake.Refuse) Answer {
 	now := f.engine.clock()
@@ -106,6 +121,8 @@
 		switch {
 		case answer.Reason == wire.Reason_REASON_CALLER_GONE:
 			return intake.Ignored{}
+		case answer.Reason == wire.Reason_REASON_DEADLINE && !now.Before(goal.Add(-answerMargin)):
+			// Without a goal, a request ends shortly before its deadline.
 		case !f.overloaded() && now.Before(goal):
 			return intake.Ignored{}
 		}
