Write nothing to a caller whose connection was given up

The guard marks a connection as closed before it closes the socket. A handler that saw the mark in between returned without an answer, so that the library could still send an empty one with status 200, and a body that lost its memory could be answered with 400. Writes now fail once the mark is set, so that the caller sees a closed connection.

--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -229,6 +229,10 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	written := 0
 	for {
+		if c.closed.Load() {
+			// The guard has given the connection up and is about to close it. An answer to a request that was not handled must not be sent.
+			return written, net.ErrClosed
+		}
 		if err := c.Conn.SetWriteDeadline(c.writeDeadline(c.listener.guard.clock())); err != nil {
 			return written, err
 		}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -238,3 +238,18 @@
 		}
 	}
 }
+
+// Guards against an answer on a connection that was given up before its request was handled, such as an empty one with status 200.
+func TestNothingIsWrittenOnceGivenUp(t *testing.T) {
+	now := time.Now()
+	g := newGuard(1<<20, &now)
+	near, far := net.Pipe()
+	defer near.Close()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	c := &Conn{Conn: near, listener: g.Listen(nil, Class{})}
+	// The guard closes the connection itself only afterwards.
+	c.closed.Store(true)
+	if n, err := c.Write([]byte("x")); n != 0 || !errors.Is(err, net.ErrClosed) {
+		t.Errorf("got %d bytes written and error %v, want none and %v", n, err, net.ErrClosed)
+	}
+}
