Refuse a body that the server did not ask for, even if the limit was raised since

A request that announces a body beyond the limit is handled before its body is read. If a new route table raised the limit before the handler compared it, the body was taken as empty and the request ran without it. It is now refused with 413.

--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -239,6 +239,35 @@
 	}
 }
 
+// Guards against a body that is taken as empty because the limit was lower when its head arrived.
+func TestLimitRaisedWhileRefusing(t *testing.T) {
+	calls := 0
+	got := errors.New("not handled")
+	server := &fasthttp.Server{StreamRequestBody: true, Logger: noLog{}, Handler: func(ctx *fasthttp.RequestCtx) {
+		_, got = ReadBody(ctx, testBodyBytes)
+	}}
+	now := time.Now()
+	newGuard(1<<20, &now).Attach(server, func() int {
+		// The server asks once when the head has arrived, and once before it hands the request to the handler.
+		if calls++; calls > 2 {
+			return testBodyBytes
+		}
+		return 0
+	})
+	near, far := net.Pipe()
+	go func() {
+		_, _ = io.WriteString(far, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n")
+		_, _ = io.Copy(io.Discard, far)
+	}()
+	if err := server.ServeConn(near); err != nil {
+		t.Fatal(err)
+	}
+	_ = far.Close()
+	if !errors.Is(got, ErrTooLong) {
+		t.Errorf("got %v for a body that was not read, want %v", got, ErrTooLong)
+	}
+}
+
 // Guards against an answer on a connection that was given up before its request was handled, such as an empty one with status 200.
 func TestNothingIsWrittenOnceGivenUp(t *testing.T) {
 	now := time.Now()
--- a/internal/guard/server.go
+++ b/internal/guard/server.go
@@ -120,10 +120,11 @@
 	length := ctx.Request.Header.ContentLength()
 	stream := ctx.RequestBodyStream()
 	switch {
-	case length > limit:
-		return nil, ErrTooLong
-	case length == 0 || length == identity || stream == nil:
+	case length == 0 || length == identity:
 		return nil, nil
+	case length > limit || stream == nil:
+		// Without a stream the body exceeded the limit when its head arrived, and the server did not ask for it. The limit may be higher now.
+		return nil, ErrTooLong
 	}
 	// One byte beyond the limit tells a body that exceeds it.
 	longest := limit + 1
