Decide about a request once its body is complete

Bodies are read by the handler, after the head. The time at which the head arrived was taken as the start of the request: the time that a caller took for a long or chunked body counted as the searchers', which the limiter learned as late answers, and a node that had begun to refuse requests meanwhile still started it. The time and the gate are now read again after the body, the caller's timeout is shortened by the time that the body took, and a request whose caller no longer waits is refused as not run.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -146,11 +146,20 @@
 	if err != nil {
 		return s.refuseBody(ctx, id, timeout, err)
 	}
-	return s.engine.Serve(now, &relay.Request{
+	// A body may arrive long after its head. The time that it takes is the caller's, not that of the searchers.
+	received := s.sources.Clock()
+	remaining := remainingTimeout(timeout, received.Sub(now))
+	if refusal := s.sources.Gate(); refusal != nil {
+		return s.refuse(id, remaining, refusal.Reason())
+	}
+	if remaining < 0 {
+		return s.refuse(id, timeout, wire.Reason_REASON_DEADLINE)
+	}
+	return s.engine.Serve(received, &relay.Request{
 		ID:         id,
 		Route:      found,
 		Version:    table.Version(),
-		Timeout:    timeout,
+		Timeout:    remaining,
 		Head:       s.codec.AppendHead(nil, &ctx.Request.Header, len(body)),
 		Body:       body,
 		HeadOnly:   ctx.Request.Header.IsHead(),
@@ -158,6 +167,18 @@
 	})
 }
 
+// remainingTimeout returns how long a caller still waits, 0 if that is unknown, and a negative time if it does not wait any more.
+func remainingTimeout(timeout, elapsed time.Duration) time.Duration {
+	switch {
+	case timeout <= 0:
+		return 0
+	case elapsed >= timeout:
+		return -1
+	default:
+		return timeout - max(elapsed, 0)
+	}
+}
+
 // exceededLimit returns the reason for the operator's limit that a request exceeds, or REASON_UNSPECIFIED.
 func exceededLimit(request *fasthttp.Request, limits route.Limits) wire.Reason {
 	switch {
