Read on for a moment after any answer that leaves a body unread

A refusal that doesn't depend on the body, such as one for an unknown route or from a stopping node, is answered before the body is read. The library discards 256 KiB of the rest and closes the connection, so that a caller that still sent got a reset instead of the answer. Such a connection now lingers, as it did after a body over the limit or without memory.

--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -111,7 +111,8 @@
 
 func (noLog) Printf(string, ...any) {}
 
-// startServer starts a server that answers with the length of the body, or with 413, 503 or 400 for its error. It answers GET with a long body.
+// startServer starts a server that answers with the length of the body, or with 413, 503 or 400 for its error. It answers GET with a long body,
+// and PUT with 404 without reading the body.
 func startServer(t *testing.T, limit int64) (*Guard, string) {
 	t.Helper()
 	g := New(limit, events.Discard(), reason.NewCounters(metrics.NewRegistry(), "reasons"), time.Now)
@@ -120,6 +121,10 @@
 			ctx.Response.SetBodyRaw(make([]byte, 16<<20))
 			return
 		}
+		if ctx.IsPut() {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
 		body, err := ReadBody(ctx, testBodyBytes)
 		switch {
 		case errors.Is(err, ErrTooLong):
@@ -282,3 +287,28 @@
 		t.Errorf("got %d bytes written and error %v, want none and %v", n, err, net.ErrClosed)
 	}
 }
+
+// Guards against an answer that is lost because the connection is reset while the caller still sends a body that nobody reads.
+func TestAnswerWithoutReadingTheBody(t *testing.T) {
+	const chunk = 1 << 20
+	_, address := startServer(t, 1<<20)
+	for range 3 {
+		conn, err := net.DialTimeout("tcp", address, testTimeout)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(testTimeout))
+		head := fmt.Sprintf("PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", chunk)
+		for _, part := range []string{head + strings.Repeat("x", chunk/2), strings.Repeat("x", chunk/4), strings.Repeat("x", chunk/4)} {
+			if _, err = io.WriteString(conn, part); err != nil {
+				t.Fatalf("sending the body: %v", err)
+			}
+			// The server has answered by now, and has given up reading.
+			time.Sleep(lingerTime / 20)
+		}
+		if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || response.StatusCode != fasthttp.StatusNotFound {
+			t.Fatalf("got %v, %v, want an answer with status 404", response, err)
+		}
+		_ = conn.Close()
+	}
+}
--- a/internal/guard/server.go
+++ b/internal/guard/server.go
@@ -52,6 +52,9 @@
 		}
 		if length := ctx.Request.Header.ContentLength(); length == 0 || length == identity {
 			c.enter(g.clock(), running)
+		} else if limit != nil {
+			// The handler may answer without reading the body.
+			c.linger.Store(true)
 		}
 		next(ctx)
 		c.enter(g.clock(), sending)
@@ -75,9 +78,6 @@
 			return fasthttp.StatusContinue
 		}
 		server.Handler(ctx)
-		if c := From(ctx.Conn()); c != nil {
-			c.linger.Store(true)
-		}
 		return ctx.Response.StatusCode()
 	}
 }
@@ -104,6 +104,7 @@
 		c.linger.Store(errors.IsAny(err, ErrTooLong, ErrNoMemory))
 		return nil, err
 	}
+	c.linger.Store(false)
 	c.enter(c.listener.guard.clock(), running)
 	return body, nil
 }
