--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -111,7 +111,8 @@
 
 func (noLog) Printf(string, ...any) {}
 
-// startServer starts a server that answers with the length of the body, or with 413, 503 or 400 for its error. It answers GET with a long body.
+// startServer starts a server that answers with the length of the body, or with 413, 503 or 400 for its error. It answers GET with a long body,
+// and PUT with 404 without reading the body.
 func startServer(t *testing.T, limit int64) (*Guard, string) {
 	t.Helper()
 	g := New(limit, events.Discard(), reason.NewCounters(metrics.NewRegistry(), "reasons"), time.Now)
@@ -120,6 +121,10 @@
 			ctx.Response.SetBodyRaw(make([]byte, 16<<20))
 			return
 		}
+		if ctx.IsPut() {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
 		body, err := ReadBody(ctx, testBodyBytes)
 		switch {
 		case errors.Is(err, ErrTooLong):
@@ -238,3 +243,72 @@
 		}
 	}
 }
+
+// Guards against a body that is taken as empty because the limit was lower when its head arrived.
+func TestLimitRaisedWhileRefusing(t *testing.T) {
+	calls := 0
+	got := errors.New("not handled")
+	server := &fasthttp.Server{StreamRequestBody: true, Logger: noLog{}, Handler: func(ctx *fasthttp.RequestCtx) {
+		_, got = ReadBody(ctx, testBodyBytes)
+	}}
+	now := time.Now()
+	newGuard(1<<20, &now).Attach(server, func() int {
+		// The server asks once when the head has arrived, and once before it hands the request to the handler.
+		if calls++; calls > 2 {
+			return testBodyBytes
+		}
+		return 0
+	})
+	near, far := net.Pipe()
+	go func() {
+		_, _ = io.WriteString(far, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n")
+		_, _ = io.Copy(io.Discard, far)
+	}()
+	if err := server.ServeConn(near); err != nil {
+		t.Fatal(err)
+	}
+	_ = far.Close()
+	if !errors.Is(got, ErrTooLong) {
+		t.Errorf("got %v for a body that was not read, want %v", got, ErrTooLong)
+	}
+}
+
+// Guards against an answer on a connection that was given up before its request was handled, such as an empty one with status 200.
+func TestNothingIsWrittenOnceGivenUp(t *testing.T) {
+	now := time.Now()
+	g := newGuard(1<<20, &now)
+	near, far := net.Pipe()
+	defer near.Close()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	c := &Conn{Conn: near, listener: g.Listen(nil, Class{})}
+	// The guard closes the connection itself only afterwards.
+	c.closed.Store(true)
+	if n, err := c.Write([]byte("x")); n != 0 || !errors.Is(err, net.ErrClosed) {
+		t.Errorf("got %d bytes written and error %v, want none and %v", n, err, net.ErrClosed)
+	}
+}
+
+// Guards against an answer that is lost because the connection is reset while the caller still sends a body that nobody reads.
+func TestAnswerWithoutReadingTheBody(t *testing.T) {
+	const chunk = 1 << 20
+	_, address := startServer(t, 1<<20)
+	for range 3 {
+		conn, err := net.DialTimeout("tcp", address, testTimeout)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(testTimeout))
+		head := fmt.Sprintf("PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", chunk)
+		for _, part := range []string{head + strings.Repeat("x", chunk/2), strings.Repeat("x", chunk/4), strings.Repeat("x", chunk/4)} {
+			if _, err = io.WriteString(conn, part); err != nil {
+				t.Fatalf("sending the body: %v", err)
+			}
+			// The server has answered by now, and has given up reading.
+			time.Sleep(lingerTime / 20)
+		}
+		if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || response.StatusCode != fasthttp.StatusNotFound {
+			t.Fatalf("got %v, %v, want an answer with status 404", response, err)
+		}
+		_ = conn.Close()
+	}
+}
