--- a/internal/cmd/status.go
+++ b/internal/cmd/status.go
@@ -40,17 +40,26 @@
 }
 
 func printStatus(w io.Writer, uri string) error {
+	body, err := readAdmin(uri, "status")
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(w, string(body))
+	return nil
+}
+
+// readAdmin returns the response of a node's administration address; what names it in errors.
+func readAdmin(uri, what string) ([]byte, error) {
 	var code int
 	var body []byte
 	var err error
 	client := fasthttp.Client{Transport: strict.NewTransport(maxStatusBytes)}
 	defer client.CloseIdleConnections()
 	if code, body, err = client.GetTimeout(nil, uri, statusTimeout); err != nil {
-		return errors.Wrap(err, "read status")
+		return nil, errors.Wrapf(err, "read %s", what)
 	}
 	if code != fasthttp.StatusOK {
-		return errors.Newf("node responded with status %d: %s", code, body)
+		return nil, errors.Newf("node responded with status %d: %s", code, body)
 	}
-	fmt.Fprintln(w, string(body))
-	return nil
+	return body, nil
 }
--- a/internal/cmd/where.go
+++ b/internal/cmd/where.go
@@ -12,10 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
-	"github.com/valyala/fasthttp"
 
 	"github.com/fireflylanding/fireflylanding/internal/relay"
-	"github.com/fireflylanding/fireflylanding/internal/strict"
 	"github.com/fireflylanding/fireflylanding/internal/tier"
 )
 
@@ -44,16 +42,9 @@
 
 // printPlacement prints the report at a URI, as text or as it is.
 func printPlacement(w io.Writer, uri string, raw bool) error {
-	var code int
-	var body []byte
-	var err error
-	client := fasthttp.Client{Transport: strict.NewTransport(maxStatusBytes)}
-	defer client.CloseIdleConnections()
-	if code, body, err = client.GetTimeout(nil, uri, statusTimeout); err != nil {
-		return errors.Wrap(err, "read the placement")
-	}
-	if code != fasthttp.StatusOK {
-		return errors.Newf("node responded with status %d: %s", code, body)
+	body, err := readAdmin(uri, "the placement")
+	if err != nil {
+		return err
 	}
 	if raw {
 		fmt.Fprintln(w, string(body))
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -135,8 +135,8 @@
 	return true
 }
 
-// makeRoomForAnswer closes connections other than c until at most limit bytes are in use. An answer that is ready takes its memory already, so that answers
-// which others have not read yet are given up even before sendGrace.
+// makeRoomForAnswer closes connections other than c until at most limit bytes are in use. An answer that is ready takes its memory already, so
+// that answers which others have not read yet are given up even before sendGrace.
 func (g *Guard) makeRoomForAnswer(now time.Time, c *Conn, limit int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/guard/server.go
+++ b/internal/guard/server.go
@@ -89,7 +89,8 @@
 )
 
 // ReadBody reads the body of a request of a server that streams bodies. Its memory grows with the bytes that arrive, and draws on the budget
-// until the answer is written. The body isn't used again by the server. The caller of ReadBody counts its refusal. It returns ErrTooLong, ErrNoMemory, or the error of the connection.
+// until the answer is written. The body isn't used again by the server. The caller of ReadBody counts its refusal. It returns ErrTooLong,
+// ErrNoMemory, or the error of the connection.
 func ReadBody(ctx *fasthttp.RequestCtx, limit int) ([]byte, error) {
 	c := From(ctx.Conn())
 	body, err := readBody(ctx, c, limit)
--- a/internal/pace/pacer.go
+++ b/internal/pace/pacer.go
@@ -1,6 +1,6 @@
 // Package pace keeps requests within what a searcher asks for in its replies: a limit on the requests of all nodes together, and a time in
-// which it wants none from this node. It also limits the requests to a searcher that warms up. Each node takes a share of a limit that it computes from the limit and from the nodes that it knows, so
-// that nodes need not agree on it by messages.
+// which it wants none from this node. It also limits the requests to a searcher that warms up. Each node takes a share of a limit that it
+// computes from the limit and from the nodes that it knows, so that nodes need not agree on it by messages.
 package pace
 
 import (
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -133,8 +133,8 @@
 // SetBudget changes the share and the allowance of extra attempts; the window stays.
 func (e *Engine) SetBudget(b Budget) { e.budget.Store(&b) }
 
-// Tick closes expired idle connections, adapts this node's shares of limits, gives up unconfirmed crashes, estimates its reach, and opens connections in advance on a node
-// that callers are routed to.
+// Tick closes expired idle connections, adapts this node's shares of limits, gives up unconfirmed crashes, estimates its reach, logs changes of
+// overload and of cold searchers, and opens connections in advance on a node that callers are routed to.
 func (e *Engine) Tick(ctx context.Context, now time.Time) {
 	e.balancer.maintain(now)
 	e.observeCold(now)
--- a/internal/soak/scarce.go
+++ b/internal/soak/scarce.go
@@ -36,8 +36,8 @@
 // announcingReply announces a long chunk and sends little of it.
 var announcingReply = stand.EndlessReply{Start: "%sTransfer-Encoding: chunked\r\n\r\n7ffff0\r\n", Repeat: "x", Pause: 20 * time.Millisecond}
 
-// checkShortages uses up the descriptors of a node, lets searchers announce much more than they send, or sends bodies far over the operator's limit, by
-// the draw of the round. The node must serve again afterwards, and no node may exceed its memory.
+// checkShortages uses up the descriptors of a node, lets searchers announce much more than they send, or sends bodies far over the operator's
+// limit, by the draw of the round. The node must serve again afterwards, and no node may exceed its memory.
 func (r *runner) checkShortages(ctx context.Context, random *rand.Rand) {
 	switch random.IntN(3) {
 	case 0:
