--- a/internal/relay/homes_test.go
+++ b/internal/relay/homes_test.go
@@ -303,7 +303,12 @@
 	for range searchers {
 		requests.Go(func() { f.engine.Serve(time.Now(), f.request()) })
 	}
-	time.Sleep(50 * time.Millisecond)
+	// All requests must wait for a connection before the evacuation begins.
+	for deadline := time.Now().Add(10 * time.Second); f.engine.attempts.Count() < searchers; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("got %d requests that wait, want %d", f.engine.attempts.Count(), searchers)
+		}
+	}
 	f.registry.SetEvacuated([]string{"near-a"})
 	f.register(append(zone, placed{id: "b", zone: "near-b"})...)
 	requests.Wait()
