Give up an attempt that is not sent in one place

Five causes returned the connection and built the same result each on its own. The checks after the wait for a connection are one function now.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/fireflylanding/fireflylanding/internal/health"
 	"github.com/fireflylanding/fireflylanding/internal/pool"
+	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/strict"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -129,30 +130,18 @@
 		return result{reason: connectReason(err), waited: waited}
 	}
 	a.attachConn(conn)
-	now := e.clock()
-	if a.endpoint.pacer.Paused(now) {
-		// The searcher asked for it while the attempt waited for the connection.
+	unsent := func(r wire.Reason) result {
 		a.detachConn()
-		a.endpoint.pool.Put(conn, now, 0)
-		return result{reason: wire.Reason_REASON_SEARCHER_PAUSED, waited: waited}
-	}
-	if !a.endpoint.pacer.MaySend(now, a.sentAt) {
-		// Requests that have waited for a connection would arrive at a cold searcher together.
-		a.detachConn()
-		a.endpoint.pool.Put(conn, now, 0)
-		return result{reason: wire.Reason_REASON_SEARCHER_COLD, waited: waited}
+		a.endpoint.pool.Put(conn, e.clock(), 0)
+		return result{reason: r, waited: waited}
 	}
-	if !e.balancer.homes(request.Route).Allow(e.balancer.location.Regions[a.endpoint.searcher.Zone()]) {
-		// The route got its home regions while the attempt waited for the connection.
-		a.detachConn()
-		a.endpoint.pool.Put(conn, now, 0)
-		return result{reason: wire.Reason_REASON_HOME_REGION, waited: waited}
+	now := e.clock()
+	if r := e.withheld(now, a, request.Route); r != wire.Reason_REASON_UNSPECIFIED {
+		return unsent(r)
 	}
 	size := int64(len(request.Head) + len(request.Body))
 	if !a.endpoint.load.take(size) {
-		a.detachConn()
-		a.endpoint.pool.Put(conn, now, 0)
-		return result{reason: wire.Reason_REASON_MEMORY, waited: waited}
+		return unsent(wire.Reason_REASON_MEMORY)
 	}
 	defer a.endpoint.load.release(size)
 	remaining := a.deadline.Sub(now)
@@ -162,9 +151,7 @@
 		message, ok = a.beginSending(func() []byte { return e.attemptMessage(a, request, remaining) })
 	}
 	if !ok {
-		a.detachConn()
-		a.endpoint.pool.Put(conn, e.clock(), 0)
-		return result{reason: wire.Reason_REASON_EXPIRED, waited: waited}
+		return unsent(wire.Reason_REASON_EXPIRED)
 	}
 	// A searcher may reply before it has read a long body, so the reply is read even after a failed write.
 	_, writeErr := conn.Write(message)
@@ -180,6 +167,21 @@
 	return r
 }
 
+// withheld returns why an attempt must not be sent any more that has waited for its connection, or REASON_UNSPECIFIED.
+func (e *Engine) withheld(now time.Time, a *attempt, r *route.Route) wire.Reason {
+	switch {
+	case a.endpoint.pacer.Paused(now):
+		return wire.Reason_REASON_SEARCHER_PAUSED
+	case !a.endpoint.pacer.MaySend(now, a.sentAt):
+		// Requests that have waited for a connection would arrive at a cold searcher together.
+		return wire.Reason_REASON_SEARCHER_COLD
+	case !e.balancer.homes(r).Allow(e.balancer.location.Regions[a.endpoint.searcher.Zone()]):
+		return wire.Reason_REASON_HOME_REGION
+	default:
+		return wire.Reason_REASON_UNSPECIFIED
+	}
+}
+
 // attemptMessage returns the bytes of the request as the attempt sends them, without a body that is sent by itself.
 func (e *Engine) attemptMessage(a *attempt, request *Request, remaining time.Duration) []byte {
 	message := make([]byte, 0, len(request.Head)+min(len(request.Body), maxCopiedBody)+attemptHeadBytes)
