Describe a request to the retry schedule by its ticket, and derive what a ticket need not hold

The rank was clamped in three places, and the schedule was given six values of a ticket one by one. The room that a request holds is its cost, and whether it missed its goal follows from its index. The longest retry delay that callers follow, a third of the time left, stood in intake, relay and edge; all call intake.LongestReturn now.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/guard"
+	"github.com/fireflylanding/fireflylanding/internal/intake"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/relay"
 	"github.com/fireflylanding/fireflylanding/internal/route"
@@ -237,13 +238,12 @@
 // refusalRetryAfter is the delay that callers are told to wait after a refusal by the server itself.
 const refusalRetryAfter = 100 * time.Millisecond
 
-// refusalDelay returns the retry delay for a caller that waits for the given time, 0 if unknown: callers do not follow a longer delay than a third
-// of the time that they have left.
+// refusalDelay returns the retry delay for a caller that waits for the given time, 0 if unknown.
 func refusalDelay(timeout time.Duration) time.Duration {
 	if timeout <= 0 {
 		return refusalRetryAfter
 	}
-	return min(refusalRetryAfter, timeout/3)
+	return min(refusalRetryAfter, intake.LongestReturn(timeout))
 }
 
 // answer writes an answer to the response.
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -102,12 +102,10 @@
 	until    time.Time
 	decision Decision
 	// ready is closed when a waiting request is decided on; it is nil for requests that were decided on immediately.
-	ready chan struct{}
-	// held is the room that the request takes while it runs. index is its position among the running requests, -1 once it missed its goal.
-	held    float64
+	ready   chan struct{}
 	started time.Time
-	index   int
-	late    bool
+	// index is the position of a running request among those that have not missed their goal, -1 for any other.
+	index int
 }
 
 // New returns a limiter that has learned nothing yet, with the given limit in requests of the costliest route.
@@ -144,9 +142,10 @@
 func (l *Limiter) Preview(now time.Time, r Request) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := l.judge(now, l.newTicket(now, r))
+	t := l.newTicket(now, r)
+	d := l.judge(now, t)
 	if refuse, ok := d.(Refuse); ok {
-		refuse.After = l.returns.peek(now, r, min(max(r.Rank, 0), numRanks-1), l.service(r.Route))
+		refuse.After = l.returns.peek(now, t)
 		return refuse
 	}
 	return d
@@ -184,7 +183,8 @@
 	defer l.mu.Unlock()
 	used := l.used()
 	l.countOverdue(now)
-	if t.index >= 0 {
+	counted := t.index < 0
+	if !counted {
 		heap.Remove(&l.overdue, t.index)
 	}
 	took := now.Sub(t.started)
@@ -193,7 +193,7 @@
 		l.works.learn(t.request.Route, took, used)
 		l.control.record(t.rank, false, took)
 	case Late:
-		if t.late {
+		if counted {
 			l.control.recordLatency(took)
 		} else {
 			l.control.record(t.rank, true, took)
@@ -202,7 +202,7 @@
 	if used {
 		l.control.adjust()
 	}
-	l.hold(t, 0)
+	l.addWork(t.rank, -t.cost)
 	l.running--
 	l.advance(now)
 }
@@ -230,7 +230,6 @@
 	for len(l.overdue) > 0 && l.overdue[0].request.Goal.Before(now) {
 		t := heap.Pop(&l.overdue).(*Ticket)
 		used := l.used()
-		t.late = true
 		l.control.record(t.rank, true, t.request.Goal.Sub(t.started))
 		if used {
 			l.control.adjust()
@@ -267,7 +266,7 @@
 
 func (l *Limiter) start(now time.Time, t *Ticket) {
 	t.decision, t.started = Run{}, now
-	l.hold(t, t.cost)
+	l.addWork(t.rank, t.cost)
 	l.running++
 	heap.Push(&l.overdue, t)
 	for rank := t.rank + 1; rank < numRanks; rank++ {
@@ -276,23 +275,22 @@
 	l.floor[t.rank] = max(l.floor[t.rank]-t.cost, 0)
 }
 
-// hold changes the room that a request takes.
-func (l *Limiter) hold(t *Ticket, held float64) {
-	l.inFlight = max(l.inFlight+held-t.held, 0)
-	l.byRank[t.rank] = max(l.byRank[t.rank]+held-t.held, 0)
-	t.held = held
+// addWork adds work in flight of a rank. The sums do not fall below 0 by rounding.
+func (l *Limiter) addWork(rank int, work float64) {
+	l.inFlight = max(l.inFlight+work, 0)
+	l.byRank[rank] = max(l.byRank[rank]+work, 0)
 }
 
 func (l *Limiter) refuse(now time.Time, t *Ticket, r wire.Reason) {
 	l.refusedAt, l.strainedAt = now, now
-	t.decision = Refuse{Reason: r, After: l.returns.next(now, t.request, t.rank, t.cost, l.rate(), l.service(t.request.Route))}
+	t.decision = Refuse{Reason: r, After: l.returns.next(now, t, l.rate())}
 }
 
 // RetryAfter returns when the caller of a request should come back that was refused for lack of room after it was admitted.
 func (l *Limiter) RetryAfter(now time.Time, r Request) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.returns.next(now, r, min(max(r.Rank, 0), numRanks-1), l.works.cost(r.Route), l.rate(), l.service(r.Route))
+	return l.returns.next(now, l.newTicket(now, r), l.rate())
 }
 
 // rate returns the work that ends per millisecond, by Little's law from the work in flight and the recent latency.
@@ -412,6 +410,3 @@
 	t.index = -1
 	return t
 }
-
-// service returns the time that a request of a route takes when it does not queue, 0 while unknown.
-func (l *Limiter) service(route string) time.Duration { return duration(l.works.byRoute[route]) }
--- a/internal/intake/returns.go
+++ b/internal/intake/returns.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// maxReturnShare is the fraction of the time left beyond which callers do not follow a retry delay.
-	maxReturnShare = 1.0 / 3
+	// maxReturnPart is the part of the time left, a third, beyond which callers do not follow a retry delay.
+	maxReturnPart = 3
 	// returnRateShare is the fraction of the rate at which work ends that is expected to be free for callers that come back.
 	returnRateShare = 0.5
 	// minReturn is the least retry delay: what was refused now would be refused again at once.
@@ -23,25 +23,25 @@
 	spread float64
 }
 
-// next returns the retry delay for a refused request.
-func (r *returns) next(now time.Time, request Request, rank int, cost, rate float64, service time.Duration) time.Duration {
-	at := r.earliest(now, rank).Add(duration(cost / (rate * returnRateShare)))
-	useful, most := usefulReturn(now, request, service), longestReturn(now, request)
+// next returns the retry delay for a refused request, while work ends at a rate.
+func (r *returns) next(now time.Time, t *Ticket, rate float64) time.Duration {
+	at := r.earliest(now, t.rank).Add(duration(t.cost / (rate * returnRateShare)))
+	useful, most := usefulReturn(now, t), LongestReturn(t.request.Deadline.Sub(now))
 	if after := at.Sub(now); after <= useful {
-		r.nextAt[rank] = at
+		r.nextAt[t.rank] = at
 		return after
 	}
 	// The callers that are due already take all room that is expected before an answer is late. This one comes back behind them.
-	if behind := now.Add(useful); behind.After(r.nextAt[rank]) {
-		r.nextAt[rank] = behind
+	if behind := now.Add(useful); behind.After(r.nextAt[t.rank]) {
+		r.nextAt[t.rank] = behind
 	}
 	r.spread = math.Mod(r.spread+spreadStep, 1)
 	return useful + time.Duration(float64(most-useful)*r.spread)
 }
 
 // peek returns about what next would return.
-func (r *returns) peek(now time.Time, request Request, rank int, service time.Duration) time.Duration {
-	return min(r.earliest(now, rank).Sub(now), usefulReturn(now, request, service))
+func (r *returns) peek(now time.Time, t *Ticket) time.Duration {
+	return min(r.earliest(now, t.rank).Sub(now), usefulReturn(now, t))
 }
 
 // earliest returns when the callers of a rank and of more urgent ones that were refused before are back.
@@ -55,16 +55,15 @@
 	return at
 }
 
-// longestReturn returns the longest retry delay that callers follow.
-func longestReturn(now time.Time, request Request) time.Duration {
-	return max(time.Duration(float64(request.Deadline.Sub(now))*maxReturnShare), 0)
-}
+// LongestReturn returns the longest retry delay that a caller follows which has so much time left.
+func LongestReturn(left time.Duration) time.Duration { return max(left, 0) / maxReturnPart }
 
-// usefulReturn returns the longest retry delay after which a caller can still be served in time, or longestReturn if that is shorter or if it is too
-// late.
-func usefulReturn(now time.Time, request Request, service time.Duration) time.Duration {
-	if useful := request.Goal.Sub(now) - service; useful > minReturn {
-		return min(useful, longestReturn(now, request))
+// usefulReturn returns the longest retry delay after which a caller can still be served in time, or the longest that it follows if that is shorter
+// or if it is too late.
+func usefulReturn(now time.Time, t *Ticket) time.Duration {
+	longest := LongestReturn(t.request.Deadline.Sub(now))
+	if useful := t.request.Goal.Sub(now) - t.service; useful > minReturn {
+		return min(useful, longest)
 	}
-	return longestReturn(now, request)
+	return longest
 }
--- a/internal/intake/rules_test.go
+++ b/internal/intake/rules_test.go
@@ -213,8 +213,8 @@
 			t.Errorf("got %d of %d callers back within %v from %v on, want at most the %.0f that end", count, callers, bucketLength, bucket*bucketLength, ending)
 		}
 	}
-	urgent := l.returns.peek(now, request(now, 0), 0, 0)
-	if least := l.returns.peek(now, request(now, 2), 2, 0); urgent >= least {
+	urgent := l.returns.peek(now, l.newTicket(now, request(now, 0)))
+	if least := l.returns.peek(now, l.newTicket(now, request(now, 2))); urgent >= least {
 		t.Errorf("got %v for an urgent caller, want less than the %v of the least urgent", urgent, least)
 	}
 }
@@ -274,12 +274,12 @@
 func TestRefusalWithoutTimeLeftKeepsTheOthersApart(t *testing.T) {
 	var r returns
 	now := playStart
-	long := request(now, 1)
+	long := &Ticket{request: request(now, 1), rank: 1, cost: 10}
 	for range 3 {
-		r.next(now, long, 1, 10, 1, 0)
+		r.next(now, long, 1)
 	}
 	before := r.nextAt[1]
-	r.next(now, Request{Rank: 1, Goal: now, Deadline: now}, 1, 10, 1, 0)
+	r.next(now, &Ticket{request: Request{Rank: 1, Goal: now, Deadline: now}, rank: 1, cost: 10}, 1)
 	if got := r.nextAt[1]; got.Before(before) {
 		t.Errorf("got next return %v earlier than before", before.Sub(got))
 	}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fireflylanding/fireflylanding/internal/intake"
 	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -104,9 +105,6 @@
 	}
 }
 
-// maxReturnPart is the part of the time left beyond which callers do not follow a retry delay.
-const maxReturnPart = 3
-
 func (f *fanout) refused(r wire.Reason) Refused {
 	f.engine.countReason(r)
 	now, after := f.engine.clock(), retryAfter
@@ -118,8 +116,7 @@
 	case r == wire.Reason_REASON_SEARCHER_SHED:
 		after = max(retryAfter, f.limiter.RetryAfter(now, f.engine.intakeRequest(f.request.Route, f.started, f.end())))
 	}
-	// Callers do not follow a longer delay than a third of the time that they have left.
-	after = min(after, max(f.end().Sub(now)/maxReturnPart, 0))
+	after = min(after, intake.LongestReturn(f.end().Sub(now)))
 	// Parts with a reply have run, even if the answer does not use it.
 	return Refused{Reason: r, NotRun: !f.mayHaveRun && f.succeeded == 0, RetryAfter: after}
 }
