Count the outcome of a request alone when its goal passes before its release

A request that was answered in time and released a moment later counted as late and as in time. TestAnswerInTimeIsNotLate got a late share of 0.047 before, want 0.

--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -182,11 +182,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	used := l.used()
-	l.countOverdue(now)
 	counted := t.index < 0
 	if !counted {
+		// Its outcome counts, even if its goal has passed since.
 		heap.Remove(&l.overdue, t.index)
 	}
+	l.countOverdue(now)
 	took := now.Sub(t.started)
 	switch outcome.(type) {
 	case InTime:
--- a/internal/intake/rules_test.go
+++ b/internal/intake/rules_test.go
@@ -304,3 +304,13 @@
 		}
 	}
 }
+
+// Guards against a request that was answered in time and released a moment after its goal, and that counts as late too.
+func TestAnswerInTimeIsNotLate(t *testing.T) {
+	l, now := learned()
+	ticket := l.Ask(now, request(now, 0))
+	l.Release(now.Add(goal+time.Millisecond), ticket, InTime{})
+	if got := l.State(now).LateShare; got != 0 {
+		t.Errorf("got late share %v, want 0", got)
+	}
+}
