Log ignored fields of the store in one place

The node and the follower each remembered the fields that they had logged, and unknown availability zones had a list of their own. The node went through all routes at each change of a searcher; the follower does it once for each version. TestUnknownHomeIsLoggedOnce covers what had no test.

--- a/internal/follow/evacuation_test.go
+++ b/internal/follow/evacuation_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/fireflylanding/fireflylanding/internal/epoch"
 	"github.com/fireflylanding/fireflylanding/internal/events"
+	"github.com/fireflylanding/fireflylanding/internal/route"
 )
 
 func evacuation(zone string, revision epoch.Revision) Entry {
@@ -112,3 +113,28 @@
 		t.Errorf("got %d lines that name the zone, want 1:\n%s", got, log.String())
 	}
 }
+
+// Guards against a log that fills with a home region that is no region at each version of the routes, or that does not name it.
+func TestUnknownHomeIsLoggedOnce(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	f, _ := newFollower(&scriptedSource{}, true, &now)
+	var log bytes.Buffer
+	var err error
+	if f.logger, err = events.New(&log, "info"); err != nil {
+		t.Fatal(err)
+	}
+	r, err := route.NewRoute("lookup", "h", "/", route.Single{Service: "s"}, route.Policy{Homes: route.NewHomes("r", "atlantis")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for version := range uint64(3) {
+		table, err := route.New(version+1, []*route.Route{r}, []route.Service{route.NewService("s", 1)}, route.Limits{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.installRoutes(table)
+	}
+	if got := strings.Count(log.String(), "atlantis"); got != 1 {
+		t.Errorf("got %d lines that name the region, want 1:\n%s", got, log.String())
+	}
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -109,8 +110,8 @@
 type Settings struct {
 	// ApplyWithin is the time within which a change of the source must be in force.
 	ApplyWithin time.Duration
-	// Zones are the availability zones that may be evacuated.
-	Zones []string
+	// Regions maps each availability zone to its region. Others are not believed in evacuations and home regions.
+	Regions map[string]string
 }
 
 // Hooks connect a follower to its node.
@@ -140,10 +141,9 @@
 
 	mu      sync.Mutex
 	entries *entries
-	// evacuations holds the evacuated availability zones. unknownZones holds the others whose evacuation was asked for.
-	evacuations  evacuations
-	unknownZones map[string]bool
-	// ignoredFields holds the fields of registrations that were logged as ignored, without their values, which may change at each registration.
+	// evacuations holds the evacuated availability zones.
+	evacuations evacuations
+	// ignoredFields holds the fields that were logged as ignored.
 	ignoredFields map[route.IgnoredField]bool
 	// sourceDown is set while calls to the source fail.
 	sourceDown bool
@@ -156,16 +156,15 @@
 // New returns a follower. Run starts it.
 func New(source Source, registry *fleet.Registry, settings Settings, hooks Hooks, logger *events.Logger, clock func() time.Time) *Follower {
 	return &Follower{
-		source:       source,
-		registry:     registry,
-		settings:     settings,
-		hooks:        hooks,
-		logger:       logger,
-		clock:        clock,
-		entries:      newEntries(),
-		evacuations:  newEvacuations(),
-		unknownZones: make(map[string]bool),
-		needsList:    true,
+		source:      source,
+		registry:    registry,
+		settings:    settings,
+		hooks:       hooks,
+		logger:      logger,
+		clock:       clock,
+		entries:     newEntries(),
+		evacuations: newEvacuations(),
+		needsList:   true,
 
 		ignoredFields: make(map[route.IgnoredField]bool),
 	}
@@ -444,7 +443,10 @@
 			tables = append(tables, change.Table)
 		case Searcher:
 			registered = append(registered, change.Searcher)
-			f.logIgnoredFields(change.Ignored)
+			for _, field := range change.Ignored {
+				// The value may change with each registration.
+				f.logIgnoredField(field, route.IgnoredField{Item: field.Item, Field: field.Field})
+			}
 		case Removed:
 			removed = append(removed, change.ID)
 		case Evacuated:
@@ -476,16 +478,27 @@
 // maxIgnoredFields bounds the ignored fields that are remembered, so that each is logged once.
 const maxIgnoredFields = 256
 
-// logIgnoredFields logs the fields of a registration that are not used. The caller must hold mu.
-func (f *Follower) logIgnoredFields(fields []route.IgnoredField) {
-	for _, field := range fields {
-		known := route.IgnoredField{Item: field.Item, Field: field.Field}
-		if f.ignoredFields[known] || len(f.ignoredFields) >= maxIgnoredFields {
-			continue
+// logIgnoredField logs a field of an entry that is not used, unless known was logged before. The caller must hold mu.
+func (f *Follower) logIgnoredField(field, known route.IgnoredField) {
+	if f.ignoredFields[known] || len(f.ignoredFields) >= maxIgnoredFields {
+		return
+	}
+	f.ignoredFields[known] = true
+	f.logger.Log(wire.Event_EVENT_FIELD_IGNORED, zap.String("item", field.Item), zap.String("field", field.Field), zap.String("value", field.Value))
+}
+
+// ignoredInRoutes returns the fields of a version of the routes that are not used, and home regions that have no availability zone.
+func (f *Follower) ignoredInRoutes(table *route.Table) []route.IgnoredField {
+	regions := slices.Collect(maps.Values(f.settings.Regions))
+	ignored := slices.Clone(table.Ignored())
+	for _, r := range table.Routes() {
+		for _, home := range r.Policy().Homes.Regions() {
+			if !slices.Contains(regions, home) {
+				ignored = append(ignored, route.IgnoredField{Item: r.Name(), Field: "homes", Value: home})
+			}
 		}
-		f.ignoredFields[known] = true
-		f.logger.Log(wire.Event_EVENT_FIELD_IGNORED, zap.String("item", field.Item), zap.String("field", field.Field), zap.String("value", field.Value))
 	}
+	return ignored
 }
 
 // installRoutes puts a version of the routes in force unless the current one is as late or later.
@@ -495,16 +508,17 @@
 		return
 	}
 	f.table.Store(table)
+	for _, field := range f.ignoredInRoutes(table) {
+		f.logIgnoredField(field, field)
+	}
 	f.logger.Log(wire.Event_EVENT_ROUTES_IN_FORCE, zap.Uint64("version", table.Version()), zap.Int("routes", len(table.Routes())))
 }
 
 // beginEvacuation takes the searchers of a zone out of use. The caller must hold mu.
 func (f *Follower) beginEvacuation(zone string) {
-	if !slices.Contains(f.settings.Zones, zone) {
-		if !f.unknownZones[zone] && len(f.unknownZones) < maxUnknownZones {
-			f.unknownZones[zone] = true
-			f.logger.Log(wire.Event_EVENT_FIELD_IGNORED, zap.String("item", "evacuation"), zap.String("field", "availability_zone"), zap.String("value", zone))
-		}
+	if _, ok := f.settings.Regions[zone]; !ok {
+		field := route.IgnoredField{Item: "evacuation", Field: "availability_zone", Value: zone}
+		f.logIgnoredField(field, field)
 		return
 	}
 	if f.evacuations.begin(zone) {
@@ -513,9 +527,6 @@
 	f.registry.SetEvacuated(f.evacuations.zones())
 }
 
-// maxUnknownZones bounds the unknown zones that are remembered, so that each is logged once.
-const maxUnknownZones = 64
-
 // endEvacuation uses the searchers of a zone again, at holdUntil at the earliest. The caller must hold mu.
 func (f *Follower) endEvacuation(now time.Time, zone string, holdUntil time.Time) {
 	if f.evacuations.end(now, zone, holdUntil) {
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -97,7 +97,7 @@
 func newFollower(source Source, reader bool, now *time.Time) (*Follower, *fleet.Registry) {
 	registry := fleet.New()
 	hooks := Hooks{IsReader: func() bool { return reader }, OnChange: func() {}, OnNewRevision: func() {}}
-	settings := Settings{ApplyWithin: 3 * time.Second, Zones: []string{"y", "z"}}
+	settings := Settings{ApplyWithin: 3 * time.Second, Regions: map[string]string{"y": "r", "z": "r"}}
 	return New(source, registry, settings, hooks, events.Discard(), func() time.Time { return *now }), registry
 }
 
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -10,7 +10,6 @@
 	"github.com/fireflylanding/fireflylanding/internal/pace"
 	"github.com/fireflylanding/fireflylanding/internal/relay"
 	"github.com/fireflylanding/fireflylanding/internal/roster"
-	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
@@ -76,7 +75,6 @@
 		return
 	}
 	t.engineUpdates.Lock()
-	t.logIgnored(table)
 	t.fleet.SetServices(table.ServiceNames())
 	t.engine.Update(t.fleet.Snapshot(), table)
 	t.engineUpdates.Unlock()
@@ -87,32 +85,6 @@
 	}
 }
 
-// maxIgnoredFields bounds the ignored fields that are remembered, so that each is logged once.
-const maxIgnoredFields = 256
-
-// logIgnored logs the fields of the operator's configuration that are not used, and home regions that have no availability zone.
-func (t *Tier) logIgnored(table *route.Table) {
-	regions := make(map[string]bool)
-	for _, region := range t.settings.Load().Regions {
-		regions[region] = true
-	}
-	ignored := slices.Clone(table.Ignored())
-	for _, r := range table.Routes() {
-		for _, home := range r.Policy().Homes.Regions() {
-			if !regions[home] {
-				ignored = append(ignored, route.IgnoredField{Item: r.Name(), Field: "homes", Value: home})
-			}
-		}
-	}
-	for _, field := range ignored {
-		if t.ignoredFields[field] || len(t.ignoredFields) >= maxIgnoredFields {
-			continue
-		}
-		t.ignoredFields[field] = true
-		t.logger.Log(wire.Event_EVENT_FIELD_IGNORED, zap.String("item", field.Item), zap.String("field", field.Field), zap.String("value", field.Value))
-	}
-}
-
 // nodeCounts counts the nodes that share the searchers' connections and the budget of retries and hedges.
 func (t *Tier) nodeCounts(now time.Time) relay.NodeCounts {
 	self := t.roster.Self()
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -4,11 +4,9 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"runtime"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,7 +31,6 @@
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/relay"
 	"github.com/fireflylanding/fireflylanding/internal/roster"
-	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/wake"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -102,8 +99,6 @@
 	// urgent holds the states by node that the next tick passes on.
 	urgentMu sync.Mutex
 	urgent   map[string]roster.State
-	// ignoredFields holds the fields of the operator's configuration that were logged as ignored; engineUpdates guards it.
-	ignoredFields map[route.IgnoredField]bool
 	// engineUpdates serializes updates of the engine's searchers, routes and node counts.
 	engineUpdates sync.Mutex
 }
@@ -132,8 +127,6 @@
 		repair:    quar.NewRepair(),
 		startedAt: clock(),
 		urgent:    make(map[string]roster.State),
-
-		ignoredFields: make(map[route.IgnoredField]bool),
 	}
 	t.settings.Store(&settings)
 	t.counters = reason.NewCounters(t.registry, "reasons")
@@ -148,7 +141,7 @@
 	}, roster.Settings{})
 	location := relay.Location{Zone: settings.Zone, Region: settings.Region, Regions: settings.Regions}
 	t.engine = relay.New(adapter.Codec, settings.budget(), location, adapter.Dial, t.logger, t.counters, t.registry, clock)
-	t.follower = follow.New(adapter.Source, t.fleet, follow.Settings{ApplyWithin: settings.ApplyWithin, Zones: slices.Sorted(maps.Keys(settings.Regions))}, follow.Hooks{
+	t.follower = follow.New(adapter.Source, t.fleet, follow.Settings{ApplyWithin: settings.ApplyWithin, Regions: settings.Regions}, follow.Hooks{
 		IsReader:      t.isReader,
 		OnChange:      t.rebuild,
 		OnNewRevision: t.propagateState,
