Decide in one place which searchers a request may not use

The check before a request repeated the conditions of the choice, so that a new cause would have to be added to both. A searcher that is cold and paused counts as cold in both now.

--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -103,10 +103,10 @@
 		return excludedLeaving
 	case slices.Contains(d.tried, ep):
 		return excludedTried
-	case ep.pacer.Paused(now):
-		return excludedPaused
 	case !ep.pacer.ColdRoom(now):
 		return excludedCold
+	case ep.pacer.Paused(now):
+		return excludedPaused
 	case !ep.pacer.Available(now):
 		return excludedLimited
 	default:
@@ -238,12 +238,11 @@
 	table := b.current.Load()
 	missing := absence{restricted: homes.Restricted(), evacuated: table.hasEvacuated(service, homes)}
 	for _, ep := range table.byService[service] {
-		switch {
-		case !homes.Allow(b.location.Regions[ep.searcher.Zone()]) || ep.replaced.Load() || ep.leaving.Load():
-		case !ep.pacer.ColdRoom(now):
-			missing.excluded[excludedCold]++
-		default:
+		switch x := b.exclude(now, ep, demand{homes: homes}); x {
+		case notExcluded, excludedPaused, excludedLimited:
 			return wire.Reason_REASON_UNSPECIFIED
+		default:
+			missing.excluded[x]++
 		}
 	}
 	return missing.exclusionReason()
