Begin a query of serve once its body is complete

The time that a caller took to send its body counted as time of the query. TestQueryBeginsAfterItsBody failed before: the query began a minute too early.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -88,7 +88,6 @@
 var decodeOptions = protojson.UnmarshalOptions{DiscardUnknown: false, RecursionLimit: 16}
 
 func (s *Server) query(c fiber.Ctx) error {
-	now := s.clock()
 	query := &wire.Query{}
 	body, err := guard.ReadBody(c.RequestCtx(), s.maxBody)
 	if err != nil {
@@ -97,7 +96,7 @@
 	if err := decodeOptions.Unmarshal(body, query); err != nil {
 		return s.refuse(c, reason.New(wire.Reason_REASON_BAD_REQUEST, err.Error()))
 	}
-	answer := s.querier.Query(c.Context(), now, query)
+	answer := s.querier.Query(c.Context(), s.clock(), query)
 	return s.reply(c, statusCode(answer), answer)
 }
 
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,13 +44,19 @@
 
 // startServer starts a server and returns its address and its counters.
 func startServer(t testing.TB) (string, *reason.Counters) {
+	t.Helper()
+	counters := reason.NewCounters(metrics.NewRegistry(), "reasons")
+	return startServerAt(t, fakeBackend{}, guard.New(testMemoryBytes, events.Discard(), counters, time.Now), counters, time.Now), counters
+}
+
+// startServerAt starts a server with a clock and returns its address.
+func startServerAt(t testing.TB, querier Querier, g *guard.Guard, counters *reason.Counters, clock func() time.Time) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	counters := reason.NewCounters(metrics.NewRegistry(), "reasons")
-	s := New(fakeBackend{}, fakeBackend{}, counters, guard.New(testMemoryBytes, events.Discard(), counters, time.Now), testBodyBytes, time.Now)
+	s := New(querier, fakeBackend{}, counters, g, testBodyBytes, clock)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -61,7 +68,53 @@
 		_ = s.Shutdown(ctx)
 		<-done
 	})
-	return listener.Addr().String(), counters
+	return listener.Addr().String()
+}
+
+// timeQuerier answers with the time at which a query began.
+type timeQuerier struct{ fakeBackend }
+
+func (timeQuerier) Query(_ context.Context, now time.Time, _ *wire.Query) *wire.Answer {
+	return wire.Answer_builder{Run: wire.RunState_RUN_STATE_RUN, Detail: now.String()}.Build()
+}
+
+// Guards against a query whose time runs while its caller still sends the body.
+func TestQueryBeginsAfterItsBody(t *testing.T) {
+	counters := reason.NewCounters(metrics.NewRegistry(), "reasons")
+	g := guard.New(testMemoryBytes, events.Discard(), counters, time.Now)
+	begun := time.Unix(1_700_000_000, 0)
+	var elapsed atomic.Int64
+	address := startServerAt(t, timeQuerier{}, g, counters, func() time.Time { return begun.Add(time.Duration(elapsed.Load())) })
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(callTimeout))
+	if _, err := io.WriteString(conn, "POST /v1/query HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(callTimeout); g.Used() <= connBytes; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the server does not read the body")
+		}
+	}
+	elapsed.Store(int64(time.Minute))
+	if _, err := io.WriteString(conn, "1\r\n}\r\n0\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := begun.Add(time.Minute).String(); !strings.Contains(string(body), want) {
+		t.Errorf("got answer %s, want a query that began at %s", body, want)
+	}
 }
 
 // sendRaw sends raw bytes on a new connection and returns the status code and the answer.
