--- a/internal/cmd/crowd_test.go
+++ b/internal/cmd/crowd_test.go
@@ -261,19 +261,10 @@
 	binary := buildProgram(t)
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			addresses := make(map[string]string)
-			for _, listener := range []string{"callers", "administration", "store"} {
-				address, err := stand.FreeAddress("tcp")
-				if err != nil {
-					t.Fatal(err)
-				}
-				addresses[listener] = address
-			}
+			addresses := serveAddresses(t)
 			memoryMB := cmp.Or(test.memoryMB, crowdMemoryMB)
 			node := startServe(t, binary, addresses, memoryMB, test.limited)
-			answers := func() bool {
-				return get200(t, "http://"+addresses["administration"]+"/v1/status") && get(t.Context(), "http://"+addresses["callers"]+"/v1/entries") != 0
-			}
+			answers := func() bool { return serveAnswers(t, addresses) }
 			awaitSignalled(t, "the node has started", answers)
 			descriptors := test.play(t, addresses[test.listener], node.Process.Pid)
 			awaitSignalled(t, "both listeners answer", answers)
@@ -290,6 +281,25 @@
 // maxDescriptors is more than the largest crowd needs.
 const maxDescriptors = 4096
 
+// serveAddresses returns free addresses for the listeners of the command serve, and of a configuration service that does not run.
+func serveAddresses(t *testing.T) map[string]string {
+	t.Helper()
+	addresses := make(map[string]string)
+	for _, listener := range []string{"callers", "administration", "store"} {
+		address, err := stand.FreeAddress("tcp")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addresses[listener] = address
+	}
+	return addresses
+}
+
+// serveAnswers reports whether both listeners of the command serve answer.
+func serveAnswers(t *testing.T, addresses map[string]string) bool {
+	return get200(t, "http://"+addresses["administration"]+"/v1/status") && get(t.Context(), "http://"+addresses["callers"]+"/v1/entries") != 0
+}
+
 // startServe starts the command serve, whose machine has memoryMB of memory. With limited set it has descriptorLimit descriptors.
 func startServe(t *testing.T, binary string, addresses map[string]string, memoryMB int, limited bool) *exec.Cmd {
 	t.Helper()
--- a/internal/cmd/descriptors_test.go
+++ b/internal/cmd/descriptors_test.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"testing"
 	"time"
-
-	"github.com/fireflylanding/fireflylanding/platform/stand"
 )
 
 const (
@@ -92,19 +90,9 @@
 	for _, exhausted := range []string{"callers", "administration"} {
 		t.Run(exhausted, func(t *testing.T) {
 			t.Parallel()
-			addresses := make(map[string]string)
-			for _, listener := range []string{"callers", "administration", "store"} {
-				address, err := stand.FreeAddress("tcp")
-				if err != nil {
-					t.Fatal(err)
-				}
-				addresses[listener] = address
-			}
+			addresses := serveAddresses(t)
 			startServe(t, binary, addresses, crowdMemoryMB, true)
-			answers := func() bool {
-				return get(t.Context(), "http://"+addresses["administration"]+"/v1/status") == http.StatusOK &&
-					get(t.Context(), "http://"+addresses["callers"]+"/v1/entries") != 0
-			}
+			answers := func() bool { return serveAnswers(t, addresses) }
 			awaitSignalled(t, "the node has started", answers)
 			exhaustDescriptors(t, addresses[exhausted])
 			awaitSignalled(t, "both listeners answer", answers)
