Count the nodes for cold searchers only where a service limits warm-ups

Each node sorted the ids of all nodes four times a second, on every deployment. Deployments without warmup_per_s do not use the result. TestColdSearchersAreNotOverrun passes.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -292,7 +292,7 @@
 	Discovering bool
 	// Members are the nodes by id, nil while unknown.
 	Members *pace.Members
-	// Census holds all known nodes.
+	// Census holds all known nodes, none unless some service limits the requests to searchers that warm up.
 	Census pace.Census
 }
 
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -163,6 +163,16 @@
 	return r.policy.Homes
 }
 
+// LimitsWarmups reports whether some service limits the requests to searchers that warm up.
+func (t *Table) LimitsWarmups() bool {
+	for _, service := range t.services {
+		if service.warmup.PerSecond > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Limits returns the limits for callers.
 func (t *Table) Limits() Limits { return t.limits }
 
--- a/internal/tier/lifecycle.go
+++ b/internal/tier/lifecycle.go
@@ -93,7 +93,9 @@
 		ByRegion:    make(map[string]int, len(sharing)),
 		Discovering: t.discovering(now),
 		Members:     pace.NewMembers(self.ID, sharing),
-		Census:      t.census(now),
+	}
+	if table := t.follower.Table(); table != nil && table.LimitsWarmups() {
+		nodes.Census = t.census(now)
 	}
 	for region, ids := range sharing {
 		nodes.ByRegion[region] = len(ids)
