Show that a crash of all searchers of a service has a popular request refused

Cause: the platform path counts each end of a searcher process against the requests that ran there, also when several processes end at once.

--- /dev/null
+++ b/review/stand2/cases_test.go
@@ -0,0 +1,185 @@
+//go:build review
+
+package stand2
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+)
+
+var zones = []string{"perth-a", "bunbury-a", "geraldton-a"}
+
+// TestGone has callers of a route that may not be repeated leave early while many come at once.
+func TestGone(t *testing.T) {
+	w := newWorld(t)
+	for i, zone := range zones {
+		w.startSearcher(fmt.Sprintf("i-%d", i+1), "dispatch", zone, 2, 12, 90*time.Millisecond)
+	}
+	w.configure([]route{{"name": "orders", "host": testHost, "prefix": "/orders/", "kind": "unsafe", "timeout_ms": 2500, "latency_goal_ms": 800,
+		"priority": 2, "service": "dispatch", "max_attempts": 2}}, map[string]int{"dispatch": 25})
+	w.startNodes(zones...)
+	const deadline, leave = 2500 * time.Millisecond, 400 * time.Millisecond
+	var c calls
+	send := func(i int) {
+		n := w.nodes[i%len(w.nodes)]
+		after := time.Duration(0)
+		if w.trouble && rand.Float64() < 0.3 {
+			after = leave
+		}
+		c.start(func() answer {
+			return w.call(n, http.MethodPost, fmt.Sprintf("/orders/%d", i), "one lamp", deadline, after)
+		})
+	}
+	interval := time.Second / 45
+	every(interval, 5*time.Second, send)
+	if w.trouble {
+		w.log("trouble: 2.5 times as many callers for 5.9 s")
+		every(interval*2/5, 5900*time.Millisecond, send)
+	}
+	every(interval, 5*time.Second, send)
+	answers := c.done()
+	time.Sleep(time.Second)
+	left := make(map[string]time.Time)
+	for _, a := range answers {
+		if !a.gone.IsZero() {
+			left[a.id] = a.gone
+		}
+	}
+	late := 0
+	for _, s := range w.searchers {
+		for _, got := range s.all() {
+			if at, ok := left[got.id]; ok && got.at.Sub(at) > 500*time.Millisecond {
+				late++
+				w.log("late: %s reaches %s %d ms after its caller left, ran %v", got.id, s.id, got.at.Sub(at).Milliseconds(), got.ran)
+			}
+		}
+	}
+	// "More than a few": ten.
+	verdict := "held"
+	if late > 10 {
+		verdict = "broken"
+	}
+	w.finish(verdict, "%d requests reached a searcher over 500 ms after their caller had left, of %d left and %d sent; answers %s", late, len(left), len(answers), counts(answers))
+}
+
+// TestPopular has all searchers of a service crash once while they run the same harmless request, and come back after 4.5 s. The board is a page that
+// many callers ask for at the same path; the lookups each have a path of their own and other searchers.
+func TestPopular(t *testing.T) {
+	const (
+		interval = 30 * time.Millisecond
+		before   = 6 * time.Second
+		down     = 4500 * time.Millisecond
+		after    = 50 * time.Second
+	)
+	w := newWorld(t)
+	var board []*searcher
+	for i, zone := range zones {
+		board = append(board, w.startSearcher(fmt.Sprintf("b-%d", i+1), "dispatch-board", zone, 6, 24, 220*time.Millisecond))
+		w.startSearcher(fmt.Sprintf("l-%d", i+1), "rider-sizing", zone, 6, 24, 60*time.Millisecond)
+	}
+	policy := func(name, service string) route {
+		return route{"name": name, "host": testHost, "prefix": "/" + name + "/", "kind": "safe", "timeout_ms": 3000, "latency_goal_ms": 600,
+			"priority": 1, "service": service, "max_attempts": 2}
+	}
+	w.configure([]route{policy("board", "dispatch-board"), policy("lookup", "rider-sizing")}, map[string]int{"dispatch-board": 51, "rider-sizing": 51})
+	w.startNodes(zones...)
+	var boards, lookups calls
+	send := func(i int) {
+		n := w.nodes[i%len(w.nodes)]
+		boards.start(func() answer { return w.call(n, http.MethodGet, "/board/open", "", 3*time.Second, 0) })
+		lookups.start(func() answer { return w.call(n, http.MethodGet, fmt.Sprintf("/lookup/%d", i), "", 3*time.Second, 0) })
+	}
+	every(interval, before, send)
+	back := time.Now().Add(down)
+	if w.trouble {
+		for _, s := range board {
+			s.crash()
+		}
+		time.AfterFunc(down, func() {
+			for _, s := range board {
+				s.restart()
+			}
+		})
+	}
+	every(interval, down+after, send)
+	served := func(answers []answer) (n int) {
+		for _, a := range answers {
+			if a.status == http.StatusOK {
+				n++
+			}
+		}
+		return n
+	}
+	b, l := boards.done(), lookups.done()
+	var later []answer
+	for _, a := range b {
+		if a.sent.After(back) {
+			later = append(later, a)
+		}
+	}
+	verdict := "held"
+	if 4*float64(served(b))/float64(len(b)) < float64(served(b)+served(l))/float64(len(b)+len(l)) {
+		verdict = "broken"
+	}
+	w.finish(verdict, "board: %d of %d served (%s), sent after the searchers were back: %s; lookup: %d of %d served", served(b), len(b), counts(b),
+		counts(later), served(l), len(l))
+}
+
+// TestPause has a searcher ask for no requests for 12 s, and miss its pings for a while.
+func TestPause(t *testing.T) {
+	w := newWorld(t)
+	for i, zone := range zones {
+		w.startSearcher(fmt.Sprintf("i-%d", i+1), "dispatch", zone, 6, 24, 60*time.Millisecond)
+	}
+	w.configure([]route{{"name": "lookup", "host": testHost, "prefix": "/lookup/", "kind": "safe", "timeout_ms": 2500, "latency_goal_ms": 600,
+		"priority": 1, "service": "dispatch", "max_attempts": 2}}, map[string]int{"dispatch": 51})
+	w.startNodes(zones[0])
+	x, n := w.searchers[0], w.nodes[0]
+	const pause = 12 * time.Second
+	var c calls
+	send := func(i int) {
+		c.start(func() answer { return w.call(n, http.MethodGet, fmt.Sprintf("/lookup/%d", i), "", 2*time.Second, 0) })
+	}
+	const interval = 20 * time.Millisecond
+	every(interval, 4*time.Second, send)
+	var asked time.Time
+	x.mu.Lock()
+	x.reject = func(now time.Time) (string, bool) {
+		if asked.IsZero() {
+			asked = now
+		}
+		// It asks for as long in each answer, and is able to serve again afterwards.
+		left := pause - now.Sub(asked)
+		return fmt.Sprintf("%.1f", max(left, 0).Seconds()), now.Sub(asked) < 500*time.Millisecond
+	}
+	x.mu.Unlock()
+	if w.trouble {
+		x.silent.Store(true)
+		time.AfterFunc(3*heartbeat, func() {
+			w.store.Remove("servers/" + x.id)
+			w.log("store: the entry of %s has lapsed", x.id)
+		})
+		time.AfterFunc(5*time.Second, func() {
+			x.silent.Store(false)
+			x.register()
+			w.log("store: %s is registered again", x.id)
+		})
+	}
+	every(interval, 14*time.Second, send)
+	answers := c.done()
+	reached := 0
+	for _, got := range x.all() {
+		if since := got.at.Sub(asked); since > 500*time.Millisecond && since < pause {
+			reached++
+			w.log("within the pause: %s reaches %s %d ms after it asked", got.id, x.id, since.Milliseconds())
+		}
+	}
+	verdict := "held"
+	if reached > 2 {
+		verdict = "broken"
+	}
+	w.finish(verdict, "%d requests reached the searcher between 0.5 and 12 s after it had asked for 12 s without; answers %s", reached, counts(answers))
+}
