--- a/review/stand2/cases_test.go
+++ b/review/stand2/cases_test.go
@@ -10,17 +10,15 @@
 	"time"
 )
 
-var zones = []string{"perth-a", "bunbury-a", "geraldton-a"}
-
 // TestGone has callers of a route that may not be repeated leave early while many come at once.
 func TestGone(t *testing.T) {
-	w := newWorld(t)
-	for i, zone := range zones {
+	w := newWorld(t, swanline)
+	for i, zone := range w.zones {
 		w.startSearcher(fmt.Sprintf("i-%d", i+1), "dispatch", zone, 2, 12, 90*time.Millisecond)
 	}
 	w.configure([]route{{"name": "orders", "host": testHost, "prefix": "/orders/", "kind": "unsafe", "timeout_ms": 2500, "latency_goal_ms": 800,
 		"priority": 2, "service": "dispatch", "max_attempts": 2}}, map[string]int{"dispatch": 25})
-	w.startNodes(zones...)
+	w.startNodes(w.zones...)
 	const deadline, leave = 2500 * time.Millisecond, 400 * time.Millisecond
 	var c calls
 	send := func(i int) {
@@ -74,9 +72,9 @@
 		down     = 4500 * time.Millisecond
 		after    = 50 * time.Second
 	)
-	w := newWorld(t)
+	w := newWorld(t, swanline)
 	var board []*searcher
-	for i, zone := range zones {
+	for i, zone := range w.zones {
 		board = append(board, w.startSearcher(fmt.Sprintf("b-%d", i+1), "dispatch-board", zone, 6, 24, 220*time.Millisecond))
 		w.startSearcher(fmt.Sprintf("l-%d", i+1), "rider-sizing", zone, 6, 24, 60*time.Millisecond)
 	}
@@ -85,7 +83,7 @@
 			"priority": 1, "service": service, "max_attempts": 2}
 	}
 	w.configure([]route{policy("board", "dispatch-board"), policy("lookup", "rider-sizing")}, map[string]int{"dispatch-board": 51, "rider-sizing": 51})
-	w.startNodes(zones...)
+	w.startNodes(w.zones...)
 	var boards, lookups calls
 	send := func(i int) {
 		n := w.nodes[i%len(w.nodes)]
@@ -130,13 +128,13 @@
 
 // TestPause has a searcher ask for no requests for 12 s, and miss its pings for a while.
 func TestPause(t *testing.T) {
-	w := newWorld(t)
-	for i, zone := range zones {
+	w := newWorld(t, swanline)
+	for i, zone := range w.zones {
 		w.startSearcher(fmt.Sprintf("i-%d", i+1), "dispatch", zone, 6, 24, 60*time.Millisecond)
 	}
 	w.configure([]route{{"name": "lookup", "host": testHost, "prefix": "/lookup/", "kind": "safe", "timeout_ms": 2500, "latency_goal_ms": 600,
 		"priority": 1, "service": "dispatch", "max_attempts": 2}}, map[string]int{"dispatch": 51})
-	w.startNodes(zones[0])
+	w.startNodes(w.zones[0])
 	x, n := w.searchers[0], w.nodes[0]
 	const pause = 12 * time.Second
 	var c calls
--- a/review/stand2/world_test.go
+++ b/review/stand2/world_test.go
@@ -28,21 +28,37 @@
 
 const (
 	heartbeat = 1200 * time.Millisecond
-	// Bounds of swanline-search.
-	drainMS, graceS, configApplyMS, contactMS = 4000, 6, 4000, 5000
-	testHost                                  = "leno12.example"
+	contact   = 5 * time.Second
+	testHost  = "leno12.example"
+)
+
+// site is a small deployment of the pages: its bounds, and its availability zones by region.
+type site struct {
+	drainMS, configApplyMS, retrySlack int
+	zones                              []string
+	regions                            map[string]string
+}
+
+var (
+	swanline = site{4000, 4000, 56, []string{"perth-a", "bunbury-a", "geraldton-a"},
+		map[string]string{"perth-a": "perth", "bunbury-a": "bunbury", "geraldton-a": "geraldton"}}
+	nyx = site{3000, 3000, 52, []string{"attica-a", "makedonia-a", "kriti-a"},
+		map[string]string{"attica-a": "attica", "makedonia-a": "makedonia", "kriti-a": "kriti"}}
 )
 
 // world is one small deployment on loopback addresses: a store, searchers, and the settings of the nodes.
 type world struct {
-	t         *testing.T
-	store     *stand.Store
-	trouble   bool
-	dir       string
-	started   time.Time
-	version   int
-	searchers []*searcher
-	nodes     []*node
+	site
+	t     *testing.T
+	store *stand.Store
+	// storeAddress is where the nodes reach the store.
+	storeAddress string
+	trouble      bool
+	dir          string
+	started      time.Time
+	version      int
+	searchers    []*searcher
+	nodes        []*node
 
 	mu     sync.Mutex
 	record *bufio.Writer
@@ -56,8 +72,8 @@
 func (n node) ready() string { return n.ip + ":8227" }
 
 // newWorld starts the store. The environment variables CASE_DIR, CASE_RECORD and TROUBLE come from the script.
-func newWorld(t *testing.T) *world {
-	w := &world{t: t, trouble: os.Getenv("TROUBLE") != "0", dir: os.Getenv("CASE_DIR"), started: time.Now()}
+func newWorld(t *testing.T, s site) *world {
+	w := &world{site: s, t: t, trouble: os.Getenv("TROUBLE") != "0", dir: os.Getenv("CASE_DIR"), started: time.Now()}
 	if w.dir == "" {
 		t.Skip("run by a script of review/")
 	}
@@ -69,6 +85,7 @@
 	if w.store, err = stand.StartStore(); err != nil {
 		w.impossible("store: %v", err)
 	}
+	w.storeAddress = w.store.Address()
 	return w
 }
 
@@ -115,7 +132,6 @@
 // startNodes writes the settings of the nodes, which the script then starts, and waits until they are ready.
 func (w *world) startNodes(zones ...string) {
 	net1, net2 := 64+rand.IntN(60), 1+rand.IntN(250)
-	regions := map[string]string{"perth-a": "perth", "bunbury-a": "bunbury", "geraldton-a": "geraldton"}
 	var seeds []string
 	for i, zone := range zones {
 		n := &node{name: fmt.Sprintf("front-%s-%d", zone, i+1), ip: fmt.Sprintf("127.%d.%d.%d", net1, net2, i+1), zone: zone}
@@ -127,17 +143,17 @@
 	for _, n := range w.nodes {
 		data, _ := json.Marshal(map[string]any{
 			"node_name": n.name, "role": "node", "machine_class": "front", "serves": []string{"front", "control", "directory"}, "ip": n.ip,
-			"zone": n.zone, "region": regions[n.zone], "zones": regions,
+			"zone": n.zone, "region": w.regions[n.zone], "zones": w.regions,
 			"listen":         map[string]string{"front": n.front(), "ready": n.ready(), "control": n.ip + ":8224", "directory": n.ip + ":8225"},
 			"internal_ports": []int{7740, 7755}, "seeds": seeds, "bootstrap": true, "counts_as_loss": false,
 			"limits":   map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
 			"data_dir": nil, "discovery": "platform", "entry": "directory", "heartbeat_ms": heartbeat.Milliseconds(),
 			"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "scatter", "platform"},
 			"fault_tolerance": map[string]int{"machines": 2, "zones": 0, "regions": 0},
-			"bounds": map[string]any{"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": contactMS, "ack_ms": 6000, "catch_up_s": 4, "drain_ms": drainMS,
-				"grace_s": graceS, "loss_slack_ms": 200, "config_apply_ms": configApplyMS, "rollback_slack_ms": 250, "max_skew_ms": 15000,
-				"retry_budget_ratio": 0.2, "retry_window_s": 10, "retry_slack": 56, "recovery_s": 12, "ttl_max_s": 5},
-			"platform": map[string]any{"address": w.store.Address(), "form": "read", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20,
+			"bounds": map[string]any{"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": contact.Milliseconds(), "ack_ms": 6000, "catch_up_s": 4, "drain_ms": w.drainMS,
+				"grace_s": 6, "loss_slack_ms": 200, "config_apply_ms": w.configApplyMS, "rollback_slack_ms": 250, "max_skew_ms": 15000,
+				"retry_budget_ratio": 0.2, "retry_window_s": 10, "retry_slack": w.retrySlack, "recovery_s": 12, "ttl_max_s": 5},
+			"platform": map[string]any{"address": w.storeAddress, "form": "read", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20,
 				"value_bytes": 1048576, "min_ttl_ms": 1000},
 		})
 		if err := os.WriteFile(filepath.Join(w.dir, n.name+".tmp"), data, 0o644); err != nil {
@@ -187,6 +203,8 @@
 	held              atomic.Int64
 	work              atomic.Int64 // time.Duration
 	born              int64
+	// removed is when the store accepted the removal of the searcher's entry, in Unix nanoseconds.
+	removed atomic.Int64
 	// silent is set while the searcher writes no entry to the store.
 	silent atomic.Bool
 	// reject, if it returns true, has the searcher turn a request away with 503 and the given Retry-After.
