--- a/review/stand2/lib.sh
+++ b/review/stand2/lib.sh
@@ -24,7 +24,7 @@
     [ -e "$settings" ] || continue
     FIREFLYLANDING_SETTINGS=$settings target/fireflylanding platform >"${settings%.json}.log" 2>&1 &
     started+=("$!")
-    echo "$!" >"${settings%.json}.pid"
+    disown "$!"
   done
   wait "$stand"
   grep -E '^(held|broken|impossible):' "$dir/stand.log"
