Log what a searcher's end was concluded from, and the answers that contradict it

The logs can't tell the hypotheses apart:

Both losses are counted before any answer: quarantined, and no later answer takes that back. 2. An answer comes between the two losses and clears the first. 3. An answer comes between the broken connection and the check of the searcher, so that the second loss is never counted. 4. Only one of the searchers was running the request at that moment.

Change: event 408 when a searcher answers a request that was running when searchers ended: the processes, the broken connections not yet confirmed, and whether the request stays refused. Event 401 names the process and the evidence (unreachable, unregistered, replaced); event 404 names the processes.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -101,11 +101,33 @@
 
 // acquit drops the suspicions against a request that a searcher has answered. A request that crashes searchers crashes each one that runs it,
 // while a request over many shards is often running on several of those that a common cause took away.
-func (c *crashTracker) acquit(now time.Time, fingerprint uint64) {
+func (c *crashTracker) acquit(now time.Time, fingerprint uint64) acquittal {
+	a := acquittal{searchers: c.marks.searchers(now, fingerprint)}
 	c.marks.clear(now, fingerprint)
+	a.refused = c.marks.quarantined(now, fingerprint)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	before := len(c.suspicions)
 	c.suspicions = slices.DeleteFunc(c.suspicions, func(s suspicion) bool { return s.fingerprint == fingerprint })
+	a.unconfirmed = before - len(c.suspicions)
+	return a
+}
+
+// acquittal is what was known against a request when a searcher answered it.
+type acquittal struct {
+	// searchers are the processes that ended while they ran the request, unconfirmed is the number of those of which it was not known yet.
+	searchers   []string
+	unconfirmed int
+	// refused is set if the request stays quarantined.
+	refused bool
+}
+
+// acquit drops the suspicions against a request that a searcher has answered, and logs them.
+func (e *Engine) acquit(now time.Time, fingerprint uint64) {
+	if a := e.crashes.acquit(now, fingerprint); len(a.searchers)+a.unconfirmed > 0 {
+		e.logger.Log(wire.Event_EVENT_CRASH_EVIDENCE_ANSWERED, zap.String("fingerprint", formatFingerprint(fingerprint)),
+			zap.Strings("searchers", a.searchers), zap.Int("unconfirmed", a.unconfirmed), zap.Bool("refused", a.refused))
+	}
 }
 
 // expire drops the suspicions that were not confirmed in time and returns their fingerprints by searcher.
@@ -185,7 +207,7 @@
 		// Replies that left their searchers before the connection broke may still have arrived until the probe.
 		since := brokeAt.Add(probeDelay)
 		if e.balancer.reachedOther(since, ep) || e.crossCheck(since, ep) {
-			e.searcherEnded(e.clock(), ep.searcher.Key())
+			e.searcherEnded(e.clock(), ep.searcher.Key(), unreachable)
 		}
 	})
 }
@@ -203,18 +225,30 @@
 	return e.balancer.reachedOther(since, ep)
 }
 
+// endEvidence is what showed that a searcher process has ended, as log lines state it.
+type endEvidence string
+
+const (
+	// unreachable is a connection that failed while another searcher was reached. The searcher may live on beyond lost links.
+	unreachable endEvidence = "unreachable"
+	// unregistered and replaced are the end of the process's registration, and another process at its address.
+	unregistered endEvidence = "unregistered"
+	replaced     endEvidence = "replaced"
+)
+
 // searcherEnded records that a searcher process has ended, and tells other nodes of the requests that they should know.
-func (e *Engine) searcherEnded(now time.Time, searcher fleet.Key) {
+func (e *Engine) searcherEnded(now time.Time, searcher fleet.Key, evidence endEvidence) {
 	confirmed := e.crashes.confirmCrash(now, searcher)
 	if len(confirmed) == 0 {
 		return
 	}
-	e.logger.Log(wire.Event_EVENT_SEARCHER_LOST, zap.String("searcher", searcher.ID), zap.Int("requests", len(confirmed)),
+	e.logger.Log(wire.Event_EVENT_SEARCHER_LOST, zap.String("searcher", searcher.String()), zap.String("evidence", string(evidence)), zap.Int("requests", len(confirmed)),
 		zap.Strings("fingerprints", formatFingerprints(confirmed)))
 	for _, fingerprint := range confirmed {
 		changed := e.crashes.marks.record(now, fingerprint, searcher, len(confirmed))
 		if e.crashes.marks.quarantined(now, fingerprint) {
-			e.logger.Log(wire.Event_EVENT_QUARANTINED, zap.String("fingerprint", formatFingerprint(fingerprint)))
+			e.logger.Log(wire.Event_EVENT_QUARANTINED, zap.String("fingerprint", formatFingerprint(fingerprint)),
+				zap.Strings("searchers", e.crashes.marks.searchers(now, fingerprint)))
 		}
 		if changed {
 			e.announceMark(now, fingerprint)
--- a/internal/relay/crash_marks.go
+++ b/internal/relay/crash_marks.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -83,6 +84,17 @@
 	}
 }
 
+// searchers returns the processes that ended while they ran a request.
+func (m *crashMarks) searchers(now time.Time, fingerprint uint64) []string {
+	known := m.shared.Mark(now, fingerprint).GetSearchers()
+	for _, searcher := range m.private.Mark(now, fingerprint).GetSearchers() {
+		if !slices.Contains(known, searcher) {
+			known = append(known, searcher)
+		}
+	}
+	return known
+}
+
 // suspected reports whether a request was running on a searcher that crashed.
 func (m *crashMarks) suspected(now time.Time, fingerprint uint64) bool {
 	return m.private.Check(now, fingerprint) != (quar.Clear{}) || m.shared.Check(now, fingerprint) != (quar.Clear{})
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -62,7 +62,7 @@
 				for j := range unrelated {
 					e.crashes.suspect(now, uint64(100+100*i+j), searcherKey(i))
 				}
-				e.searcherEnded(now, searcherKey(i))
+				e.searcherEnded(now, searcherKey(i), unreachable)
 			}
 			if test.repeated {
 				e.announceRepeated(now, poison)
@@ -80,7 +80,7 @@
 	for born := range int64(2) {
 		process := fleet.Key{ID: "i-0", Address: "10.0.0.1:80", Started: born}
 		e.crashes.suspect(start, 1, process)
-		e.searcherEnded(start, process)
+		e.searcherEnded(start, process, unreachable)
 	}
 	if !e.crashes.marks.quarantined(start, 1) {
 		t.Error("after two processes under one id have crashed: request is not quarantined, want it quarantined")
@@ -124,7 +124,7 @@
 		e.crashes.suspect(start, uint64(100+i), searcherKey(i))
 	}
 	e.crashes.suspect(start, 1, searcherKey(0))
-	e.searcherEnded(start, searcherKey(0))
+	e.searcherEnded(start, searcherKey(0), unreachable)
 	if !e.crashes.marks.suspected(start, 1) {
 		t.Error("request that was running when the searcher ended is not marked, want a mark")
 	}
@@ -136,7 +136,7 @@
 	e.OnQuarantineMarks(func(marks []*wire.QuarantineMark) { other.MergeMarks(start, "first", marks) })
 	for i := range 2 {
 		e.crashes.suspect(start, 1, searcherKey(i))
-		e.searcherEnded(start, searcherKey(i))
+		e.searcherEnded(start, searcherKey(i), unreachable)
 		e.announceRepeated(start, 1)
 		if got, want := other.crashes.marks.quarantined(start, 1), i == 1; got != want {
 			t.Errorf("after %d crashes: got quarantined %v at the other node, want %v", i+1, got, want)
@@ -165,7 +165,7 @@
 				for fingerprint := range test.candidates {
 					e.crashes.suspect(start, uint64(1+fingerprint), searcherKey(i))
 				}
-				e.searcherEnded(start, searcherKey(i))
+				e.searcherEnded(start, searcherKey(i), unreachable)
 				if test.repeated {
 					e.announceRepeated(start, 1)
 				}
@@ -188,7 +188,7 @@
 				for fingerprint := range candidates {
 					e.crashes.suspect(start, uint64(1+fingerprint), searcherKey(i))
 				}
-				e.searcherEnded(start, searcherKey(i))
+				e.searcherEnded(start, searcherKey(i), unreachable)
 				if i == 0 {
 					e.crashes.acquit(start, 1)
 				}
@@ -207,7 +207,7 @@
 	a, b := newEngine(func() time.Time { return start }), newEngine(func() time.Time { return start })
 	for i := range 2 {
 		a.crashes.suspect(start, 1, searcherKey(i))
-		a.searcherEnded(start, searcherKey(i))
+		a.searcherEnded(start, searcherKey(i), unreachable)
 	}
 	marks := []*wire.QuarantineMark{a.crashes.marks.shared.Mark(start, 1)}
 	if got := len(b.MergeMarks(start.Add(30*time.Millisecond), "a", marks)); got != 1 {
@@ -313,7 +313,7 @@
 				answer()
 			}
 			for _, ep := range lost {
-				e.searcherEnded(start, ep.searcher.Key())
+				e.searcherEnded(start, ep.searcher.Key(), unreachable)
 			}
 			if got := e.crashes.marks.quarantined(start, f.fingerprint); got != test.wantQuarantined {
 				t.Errorf("got quarantined %v, want %v", got, test.wantQuarantined)
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -118,8 +118,11 @@
 // Update installs the searchers of a snapshot and the services of a route table.
 func (e *Engine) Update(snapshot *fleet.Snapshot, table *route.Table) {
 	e.pruneLimiters(table)
-	for _, ended := range append(e.balancer.update(snapshot, table), snapshot.Replaced()...) {
-		e.searcherEnded(e.clock(), ended)
+	for _, ended := range e.balancer.update(snapshot, table) {
+		e.searcherEnded(e.clock(), ended, unregistered)
+	}
+	for _, ended := range snapshot.Replaced() {
+		e.searcherEnded(e.clock(), ended, replaced)
 	}
 }
 
--- a/internal/relay/fanout.go
+++ b/internal/relay/fanout.go
@@ -260,7 +260,7 @@
 	if r == wire.Reason_REASON_UNSPECIFIED {
 		f.succeeded++
 		if f.succeeded == 1 {
-			f.engine.crashes.acquit(f.engine.clock(), f.fingerprint)
+			f.engine.acquit(f.engine.clock(), f.fingerprint)
 		}
 	}
 	if f.pending == 0 || !f.coverageReachable() || (f.coverageMet() && !f.engine.clock().Before(f.partialAt)) {
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -132,7 +132,7 @@
 	a.endpoint.tracker.End(now, a.ticket, healthOutcome(r))
 	if r.reason == wire.Reason_REASON_WRONG_SEARCHER {
 		a.endpoint.replaced.Store(true)
-		f.engine.searcherEnded(now, a.endpoint.searcher.Key())
+		f.engine.searcherEnded(now, a.endpoint.searcher.Key(), replaced)
 	}
 	switch {
 	case r.response != nil:
