End the quarantine of a request that a searcher answers, at all nodes

Cause: two losses quarantine a request, and an answer that came later took nothing back: the table ignored completions of quarantined requests, and a mark could only grow.

Change: a mark has a generation. An answer to a request that some node may refuse begins the next one, without losses; a higher generation takes the place of lower ones in every merge. Nodes push it like any mark, and compare it when a message was lost. Versions of the program without generations ignore the field and keep the hash of marks that have none; their marks count as generation 0, so that they bring no loss back. Event 410 tells when and by whom a quarantine was ended.

--- a/internal/quar/compare.go
+++ b/internal/quar/compare.go
@@ -55,17 +55,25 @@
 
 // Lacking returns this node's marks in the differing buckets that another node, which has sent its marks in them, does not have.
 func (t *Table) Lacking(now time.Time, buckets int, differing []uint32, theirs []*wire.QuarantineMark) []*wire.QuarantineMark {
-	known := make(map[uint64][]string, len(theirs))
+	known := make(map[uint64]*wire.QuarantineMark, len(theirs))
 	for _, mark := range theirs {
-		// Even a mark without searchers is known.
-		known[mark.GetFingerprint()] = append([]string{}, mark.GetSearchers()...)
+		known[mark.GetFingerprint()] = mark
 	}
 	return slices.DeleteFunc(inBuckets(t.Export(now), buckets, differing), func(mark *wire.QuarantineMark) bool {
-		searchers, ok := known[mark.GetFingerprint()]
-		return ok && !slices.ContainsFunc(mark.GetSearchers(), func(searcher string) bool { return !slices.Contains(searchers, searcher) })
+		other, ok := known[mark.GetFingerprint()]
+		return ok && !addsTo(other, mark)
 	})
 }
 
+// addsTo reports whether a mark holds something that another mark of the request lacks.
+func addsTo(other, mark *wire.QuarantineMark) bool {
+	if mark.GetGeneration() != other.GetGeneration() {
+		return mark.GetGeneration() > other.GetGeneration()
+	}
+	return mark.GetTrials() > other.GetTrials() || mark.GetAnswered() && !other.GetAnswered() ||
+		slices.ContainsFunc(mark.GetSearchers(), func(searcher string) bool { return !slices.Contains(other.GetSearchers(), searcher) })
+}
+
 // inBuckets returns the marks of some buckets.
 func inBuckets(marks []*wire.QuarantineMark, buckets int, wanted []uint32) []*wire.QuarantineMark {
 	return slices.DeleteFunc(marks, func(mark *wire.QuarantineMark) bool {
--- a/internal/quar/mark.go
+++ b/internal/quar/mark.go
@@ -46,10 +46,20 @@
 
 func (e lossRecord) shared(now time.Time) bool { return !e.private && !now.Before(e.withheldUntil) }
 
-// mark is what is known of one fingerprint. The shared searchers and the expiry are replicated; the rest is local to this node.
+// mark is what is known of one fingerprint. The shared searchers, the expiry, the generation, the trials and answered are replicated; the rest is
+// local to this node.
 type mark struct {
 	expires   time.Time
 	searchers map[string]lossRecord
+	// generation is the number of answers that ended a quarantine of the request. The searchers and trials are those since the latest of them.
+	generation uint64
+	// trials is the number of trials that ended without an answer.
+	trials uint32
+	// answered is set if a node remembers an answer from before the losses.
+	answered bool
+	// grownAt is when this node last learned of a loss or of a trial. The next trial is due some time after that.
+	grownAt time.Time
+	trial   trial
 	// suspected is set once a loss was recorded or merged.
 	suspected bool
 	// cleared is set when the request completed alone after the mark was created, and reset by the next loss.
@@ -81,11 +91,12 @@
 func (m *mark) quarantined() bool { return m.countedLosses() >= quarantineThreshold }
 
 // recordLoss counts a loss that this node observed. It returns false when the searcher was already counted.
-func (m *mark) recordLoss(searcher string, e lossRecord) bool {
+func (m *mark) recordLoss(now time.Time, searcher string, e lossRecord) bool {
 	known, ok := m.searchers[searcher]
 	if ok && known.status == lossCounted {
 		return false
 	}
+	m.grownAt = now
 	if ok && !known.private {
 		// A loss that was shared remains shared.
 		e = lossRecord{}
@@ -110,7 +121,7 @@
 
 // recordExclusiveLoss counts the loss of an attempt that ran alone, and with it the request's losses in bursts. When another node made
 // the request suspect without naming a searcher, that loss counts as unknownSearcher.
-func (m *mark) recordExclusiveLoss(searcher string) {
+func (m *mark) recordExclusiveLoss(now time.Time, searcher string) {
 	for name, e := range m.searchers {
 		if e.status != lossDismissed {
 			m.searchers[name] = lossRecord{}
@@ -119,7 +130,7 @@
 	if m.suspected && !m.cleared && m.countedLosses() == 0 {
 		m.searchers[unknownSearcher] = lossRecord{}
 	}
-	m.recordLoss(searcher, lossRecord{})
+	m.recordLoss(now, searcher, lossRecord{})
 }
 
 // dismissLosses stops counting all losses of the request for good. A loss that was never shared is removed.
@@ -134,6 +145,40 @@
 	}
 }
 
+// advance drops what is known against the request up to an answer, which begins a generation.
+func (m *mark) advance(generation uint64) {
+	clear(m.searchers)
+	m.generation, m.trials, m.answered, m.trial = generation, 0, false, trial{}
+	m.suspected, m.cleared = false, true
+}
+
+// wasAnswered reports whether some searcher has answered the request, as far as this node knows.
+func (m *mark) wasAnswered() bool { return m.answered || m.generation > 0 }
+
+// merge adds what another node knows of the request, and reports whether that changed what nodes exchange, except for the expiry. A mark of a lower
+// generation is older than an answer.
+func (m *mark) merge(now time.Time, incoming *wire.QuarantineMark) bool {
+	generation := incoming.GetGeneration()
+	if generation < m.generation {
+		return false
+	}
+	changed := generation > m.generation
+	if changed {
+		m.advance(generation)
+	}
+	m.suspected = true
+	before := m.replicated(now)
+	m.mergeSearchers(now, incoming.GetSearchers())
+	m.trim(now)
+	changed = changed || !slices.Equal(before, m.replicated(now)) || incoming.GetTrials() > m.trials || incoming.GetAnswered() && !m.answered
+	m.trials = max(m.trials, incoming.GetTrials())
+	m.answered = m.answered || incoming.GetAnswered()
+	if changed {
+		m.grownAt = now
+	}
+	return changed
+}
+
 // mergeSearchers marks the searchers that another node reported as shared. A new searcher makes the shared losses in bursts count here, as
 // they do on the other nodes; otherwise this node would run a request that the others quarantine.
 func (m *mark) mergeSearchers(now time.Time, searchers []string) {
@@ -194,6 +239,9 @@
 		Fingerprint: fingerprint,
 		Searchers:   m.replicated(now),
 		Remaining:   durationpb.New(m.expires.Sub(now)),
+		Generation:  m.generation,
+		Trials:      m.trials,
+		Answered:    m.answered,
 	}.Build()
 }
 
@@ -207,5 +255,16 @@
 	for _, searcher := range m.replicated(now) {
 		writeField(&digest, searcher)
 	}
+	// Versions of the program that know searchers only must find the same hash as long as there is nothing else.
+	if m.generation > 0 || m.trials > 0 || m.answered {
+		binary.LittleEndian.PutUint64(number[:], m.generation)
+		_, _ = digest.Write(number[:])
+		binary.LittleEndian.PutUint32(number[:4], m.trials)
+		number[4] = 0
+		if m.answered {
+			number[4] = 1
+		}
+		_, _ = digest.Write(number[:5])
+	}
 	return digest.Sum64()
 }
--- a/internal/quar/table.go
+++ b/internal/quar/table.go
@@ -1,5 +1,6 @@
 // Package quar quarantines requests that crash the searchers that run them. Nodes exchange their marks. Merging is idempotent,
-// commutative and associative, so the order and repetition of exchanges do not matter.
+// commutative and associative, so the order and repetition of exchanges do not matter. An answer shows that a request crashes nothing: it ends the
+// quarantine and begins a generation of the mark, which takes the place of earlier generations at all nodes.
 package quar
 
 import (
@@ -105,17 +106,16 @@
 	if t.disabled() {
 		return
 	}
-	t.completed.remove(fingerprint)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.pruneRecent(now)
 	t.lastLoss[searcher] = now
 	m := t.getOrCreateMark(now, fingerprint)
-	t.extend(now, m)
+	t.extend(now, fingerprint, m)
 	if len(t.lastLoss) >= burstSearchers {
 		t.discountRecent(now)
 		m.recordBurstLoss(searcher)
-	} else if m.recordLoss(searcher, lossRecord{withheldUntil: now.Add(burstWindow)}) {
+	} else if m.recordLoss(now, searcher, lossRecord{withheldUntil: now.Add(burstWindow)}) {
 		t.recent = append(t.recent, loss{at: now, fingerprint: fingerprint, searcher: searcher})
 	}
 	m.trim(now)
@@ -129,13 +129,12 @@
 	if t.disabled() {
 		return
 	}
-	t.completed.remove(fingerprint)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.recent = slices.DeleteFunc(t.recent, func(l loss) bool { return l.fingerprint == fingerprint })
 	m := t.getOrCreateMark(now, fingerprint)
-	m.recordExclusiveLoss(searcher)
-	t.extend(now, m)
+	m.recordExclusiveLoss(now, searcher)
+	t.extend(now, fingerprint, m)
 	m.trim(now)
 	t.evict(now)
 }
@@ -146,7 +145,9 @@
 }
 
 // extend renews the mark of a request that just lost a searcher.
-func (t *Table) extend(now time.Time, m *mark) {
+func (t *Table) extend(now time.Time, fingerprint uint64, m *mark) {
+	m.answered = m.answered || t.completed.has(fingerprint)
+	t.completed.remove(fingerprint)
 	m.expires = later(m.expires, now.Add(t.settings.Expiry))
 	m.suspected = true
 	m.cleared = false
@@ -183,30 +184,37 @@
 	return m.verdict()
 }
 
-// RecordCompletion records that the request completed on a searcher. After a single loss, a completion that ran alone (exclusive) clears
-// the request on this node. A concurrent completion says nothing about a marked request, since it may have begun before the loss.
-func (t *Table) RecordCompletion(now time.Time, fingerprint uint64, exclusive bool) {
+// RecordCompletion records that the request completed on a searcher. A completion that ran alone (exclusive) clears the request on this node, and
+// on all nodes if they may have quarantined it: a request that crashes searchers completes on none. It reports whether other nodes should be told.
+// A concurrent completion says nothing about a marked request, since it may have begun before the loss.
+func (t *Table) RecordCompletion(now time.Time, fingerprint uint64, exclusive bool) bool {
 	if t.Check(now, fingerprint) == (Clear{}) {
 		t.completed.add(fingerprint)
-		return
+		return false
 	}
-	if exclusive && t.clearSuspicion(now, fingerprint) {
-		t.completed.add(fingerprint)
+	if !exclusive {
+		return false
 	}
+	t.completed.add(fingerprint)
+	return t.clearSuspicion(now, fingerprint)
 }
 
-// clearSuspicion clears the request unless it is quarantined, and reports whether it did.
+// clearSuspicion clears the request, and reports whether other nodes should be told.
 func (t *Table) clearSuspicion(now time.Time, fingerprint uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.marks[fingerprint]
 	if !ok {
-		return true
+		return false
 	}
-	if m.quarantined() {
+	// Other nodes count the losses that they know, also those that this node has dismissed.
+	if !m.quarantined() && len(m.replicated(now)) < quarantineThreshold {
+		m.dismissLosses(now)
 		return false
 	}
-	m.dismissLosses(now)
+	m.advance(m.generation + 1)
+	// The mark must outlast those of earlier generations at other nodes.
+	m.expires = later(m.expires, now.Add(t.settings.Expiry))
 	return true
 }
 
@@ -283,11 +291,8 @@
 	expires := now.Add(remaining)
 	isNew := !now.Before(m.expires) || expires.Sub(m.expires) > expirySlack
 	m.expires = later(m.expires, expires)
-	m.suspected = true
-	before := m.replicated(now)
-	m.mergeSearchers(now, incoming.GetSearchers())
-	m.trim(now)
-	return isNew || !slices.Equal(before, m.replicated(now))
+	changed := m.merge(now, incoming)
+	return isNew || changed
 }
 
 // Hash returns an order-independent hash of the replicated state, as exchanged in digests, without the expiry. It also changes without a
--- /dev/null
+++ b/internal/quar/trial.go
@@ -0,0 +1,143 @@
+package quar
+
+import "time"
+
+// Trials begin some time after the latest loss or trial, the longer the more of them ended without an answer. The delays of eager trials are for
+// requests that are likely harmless.
+var (
+	trialDelays      = [...]time.Duration{3 * time.Second, time.Minute, 10 * time.Minute, time.Hour}
+	eagerTrialDelays = [...]time.Duration{0, 2 * time.Second, 10 * time.Second, time.Minute, 10 * time.Minute, time.Hour}
+)
+
+const (
+	// trialStagger is the delay from one node in the order of a trial to the next, in which the outcome reaches the nodes. It is shorter for the first
+	// eager trial, so that the callers of a node need not wait for callers of the nodes before it.
+	trialStagger      = time.Second
+	firstTrialStagger = 100 * time.Millisecond
+	// trialRetryDelay is the delay after a trial that no searcher ran.
+	trialRetryDelay = 250 * time.Millisecond
+)
+
+// trial is the state of this node's trials of a request in the current generation.
+type trial struct {
+	running bool
+	// retryAt is the earliest time of the next trial after one that did not run.
+	retryAt time.Time
+}
+
+// Turn returns the number of nodes before this one in the order of nodes for a key, and whether this node knows the others.
+type Turn func(key uint64) (rank int, ok bool)
+
+// BeginTrial reports whether a quarantined request may run once on one searcher, to find out whether it still crashes it. If so, EndTrial must be
+// called after it. contested is set if each loss is also blamed on another request. The order of nodes keeps all but one from a trial at a time
+// without an agreement: a node whose turn passes unused leaves it to the next.
+func (t *Table) BeginTrial(now time.Time, fingerprint uint64, contested bool, turn Turn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := t.marks[fingerprint]
+	if !ok || !now.Before(m.expires) || !m.quarantined() {
+		return false
+	}
+	if m.expires.Sub(now) < t.settings.Expiry/2 {
+		// A request that comes again is not forgotten between two trials.
+		m.expires = now.Add(t.settings.Expiry)
+	}
+	if due, ok := m.trialDue(now, fingerprint, contested || t.completed.has(fingerprint), turn); !ok || now.Before(due) {
+		return false
+	}
+	m.trial.running = true
+	return true
+}
+
+// TrialDue returns when this node may try a quarantined request.
+func (t *Table) TrialDue(now time.Time, fingerprint uint64, contested bool, turn Turn) (time.Time, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	m, ok := t.marks[fingerprint]
+	if !ok {
+		return time.Time{}, false
+	}
+	return m.trialDue(now, fingerprint, contested || t.completed.has(fingerprint), turn)
+}
+
+// trialDue returns when this node may begin the next trial, unless one is running or the other nodes are unknown. likelyHarmless is set on evidence
+// that the mark doesn't hold.
+func (m *mark) trialDue(now time.Time, fingerprint uint64, likelyHarmless bool, turn Turn) (time.Time, bool) {
+	if m.trial.running {
+		return time.Time{}, false
+	}
+	delays, stagger := trialDelays[:], trialStagger
+	if m.wasAnswered() || likelyHarmless {
+		delays = eagerTrialDelays[:]
+		if m.trials == 0 {
+			stagger = firstTrialStagger
+		}
+	}
+	due := later(m.grownAt.Add(delays[min(int(m.trials), len(delays)-1)]), m.trial.retryAt)
+	if now.Before(due) {
+		return due, true
+	}
+	rank, ok := turn(fingerprint + uint64(m.trials))
+	return due.Add(time.Duration(rank) * stagger), ok
+}
+
+// EndTrial ends a trial. ran is set if a searcher may have run the request. It reports whether other nodes should be told. An answer is recorded by
+// RecordCompletion before.
+func (t *Table) EndTrial(now time.Time, fingerprint uint64, ran bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := t.marks[fingerprint]
+	if !ok || !m.trial.running {
+		return false
+	}
+	m.trial = trial{}
+	if !ran {
+		m.trial.retryAt = now.Add(trialRetryDelay)
+		return false
+	}
+	m.trials++
+	m.grownAt = now
+	return true
+}
+
+// Trials returns the number of trials of a request that ended without an answer, in the current generation.
+func (t *Table) Trials(fingerprint uint64) int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if m, ok := t.marks[fingerprint]; ok {
+		return int(m.trials)
+	}
+	return 0
+}
+
+// Generation returns the generation of the mark of a request, 0 if there is none.
+func (t *Table) Generation(fingerprint uint64) uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if m, ok := t.marks[fingerprint]; ok {
+		return m.generation
+	}
+	return 0
+}
+
+// Blames reports whether a searcher was lost under a request other than the given one.
+func (t *Table) Blames(now time.Time, except uint64, searcher string) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for fingerprint, m := range t.marks {
+		if _, ok := m.searchers[searcher]; ok && fingerprint != except && now.Before(m.expires) {
+			return true
+		}
+	}
+	return false
+}
+
+// Contested reports whether each loss of a request is also blamed on another request.
+func (t *Table) Contested(now time.Time, fingerprint uint64) bool {
+	for _, searcher := range t.Mark(now, fingerprint).GetSearchers() {
+		if !t.Blames(now, fingerprint, searcher) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -99,17 +99,14 @@
 	return latest, ok
 }
 
-// acquit drops the suspicions against a request that a searcher has answered. A request that crashes searchers crashes each one that runs it,
-// while a request over many shards is often running on several of those that a common cause took away.
+// acquit drops what is known against a request that a searcher has answered. A request that crashes searchers crashes each one that runs it, while
+// a request that many callers send, or that goes to many shards, is often running on several of those that a common cause took away.
 func (c *crashTracker) acquit(now time.Time, fingerprint uint64) acquittal {
-	a := acquittal{searchers: c.marks.searchers(now, fingerprint)}
-	c.marks.clear(now, fingerprint)
-	a.refused = c.marks.quarantined(now, fingerprint)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	before := len(c.suspicions)
-	c.suspicions = slices.DeleteFunc(c.suspicions, func(s suspicion) bool { return s.fingerprint == fingerprint })
-	a.unconfirmed = before - len(c.suspicions)
+	a := acquittal{unconfirmed: c.dropSuspicions(fingerprint)}
+	if c.marks.suspected(now, fingerprint) {
+		a.searchers, a.wasQuarantined = c.marks.searchers(now, fingerprint), c.marks.quarantined(now, fingerprint)
+	}
+	a.announce = c.marks.recordAnswer(now, fingerprint)
 	return a
 }
 
@@ -118,15 +115,32 @@
 	// searchers are the processes that ended while they ran the request, unconfirmed is the number of those of which it was not known yet.
 	searchers   []string
 	unconfirmed int
-	// refused is set if the request stays quarantined.
-	refused bool
+	// wasQuarantined is set if this node refused the request, announce if other nodes may do so.
+	wasQuarantined bool
+	announce       bool
 }
 
-// acquit drops the suspicions against a request that a searcher has answered, and logs them.
+// dropSuspicions drops the suspicions against a request and returns their number.
+func (c *crashTracker) dropSuspicions(fingerprint uint64) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := len(c.suspicions)
+	c.suspicions = slices.DeleteFunc(c.suspicions, func(s suspicion) bool { return s.fingerprint == fingerprint })
+	return before - len(c.suspicions)
+}
+
+// acquit drops what is known against a request that a searcher has answered, logs it, and tells other nodes if they may refuse the request.
 func (e *Engine) acquit(now time.Time, fingerprint uint64) {
-	if a := e.crashes.acquit(now, fingerprint); len(a.searchers)+a.unconfirmed > 0 {
+	a := e.crashes.acquit(now, fingerprint)
+	switch {
+	case a.wasQuarantined:
+		e.logger.Log(wire.Event_EVENT_QUARANTINE_ENDED, zap.String("fingerprint", formatFingerprint(fingerprint)), zap.Strings("searchers", a.searchers))
+	case len(a.searchers)+a.unconfirmed > 0:
 		e.logger.Log(wire.Event_EVENT_CRASH_EVIDENCE_ANSWERED, zap.String("fingerprint", formatFingerprint(fingerprint)),
-			zap.Strings("searchers", a.searchers), zap.Int("unconfirmed", a.unconfirmed), zap.Bool("refused", a.refused))
+			zap.Strings("searchers", a.searchers), zap.Int("unconfirmed", a.unconfirmed))
+	}
+	if a.announce {
+		e.announceMark(now, fingerprint)
 	}
 }
 
@@ -312,14 +326,34 @@
 func (e *Engine) MergeMarks(now time.Time, from string, marks []*wire.QuarantineMark) []*wire.QuarantineMark {
 	var changed []*wire.QuarantineMark
 	for _, mark := range marks {
-		if !e.crashes.marks.merge(now, mark) {
-			continue
-		}
-		e.logger.Log(wire.Event_EVENT_MARK_LEARNED, zap.String("fingerprint", formatFingerprint(mark.GetFingerprint())),
-			zap.Strings("searchers", mark.GetSearchers()), zap.String("from", from))
-		if merged := e.crashes.marks.shared.Mark(now, mark.GetFingerprint()); merged != nil {
-			changed = append(changed, merged)
+		if e.mergeMark(now, from, mark) {
+			if merged := e.crashes.marks.shared.Mark(now, mark.GetFingerprint()); merged != nil {
+				changed = append(changed, merged)
+			}
 		}
 	}
 	return changed
 }
+
+// mergeMark merges the mark of another node and reports whether other nodes may lack it.
+func (e *Engine) mergeMark(now time.Time, from string, mark *wire.QuarantineMark) bool {
+	fingerprint := mark.GetFingerprint()
+	known, generation := e.crashes.marks.searchers(now, fingerprint), e.crashes.marks.shared.Generation(fingerprint)
+	wasQuarantined := e.crashes.marks.quarantined(now, fingerprint)
+	if mark.GetGeneration() > generation {
+		// Another node had an answer after what this node suspects.
+		e.crashes.dropSuspicions(fingerprint)
+		e.crashes.marks.private.Forget(fingerprint)
+	}
+	if !e.crashes.marks.merge(now, mark) {
+		return false
+	}
+	quarantined := e.crashes.marks.quarantined(now, fingerprint)
+	if wasQuarantined && !quarantined {
+		e.logger.Log(wire.Event_EVENT_QUARANTINE_ENDED, zap.String("fingerprint", formatFingerprint(fingerprint)), zap.Strings("searchers", known), zap.String("from", from))
+	} else {
+		e.logger.Log(wire.Event_EVENT_MARK_LEARNED, zap.String("fingerprint", formatFingerprint(fingerprint)), zap.Strings("searchers", mark.GetSearchers()),
+			zap.Uint32("trials", mark.GetTrials()), zap.Bool("refused", quarantined), zap.String("from", from))
+	}
+	return true
+}
--- a/internal/relay/crash_marks.go
+++ b/internal/relay/crash_marks.go
@@ -41,14 +41,18 @@
 	return m.share(now, fingerprint)
 }
 
-// share makes what this node has kept to itself of a request known to all nodes, unless they refuse the request already. It reports whether other
-// nodes should be told.
+// share makes what this node has kept to itself of a request known to all nodes, unless they refuse the request already. It
+// reports whether other nodes should be told.
 func (m *crashMarks) share(now time.Time, fingerprint uint64) bool {
 	if m.quarantined(now, fingerprint) {
 		return false
 	}
 	mark := m.private.Mark(now, fingerprint)
-	return mark != nil && m.shared.Merge(now, []*wire.QuarantineMark{mark})
+	if mark == nil {
+		return false
+	}
+	mark.SetGeneration(m.shared.Generation(fingerprint))
+	return m.shared.Merge(now, []*wire.QuarantineMark{mark})
 }
 
 // merge merges the mark of another node. It reports whether other nodes should be told.
@@ -76,12 +80,12 @@
 	return h.value
 }
 
-// clear drops the suspicion of a request that a searcher has answered, unless it is quarantined.
-func (m *crashMarks) clear(now time.Time, fingerprint uint64) {
-	if m.suspected(now, fingerprint) {
+// recordAnswer records that a searcher has answered a request, and drops what is known against it. It reports whether other nodes should be told.
+func (m *crashMarks) recordAnswer(now time.Time, fingerprint uint64) bool {
+	if m.private.Check(now, fingerprint) != (quar.Clear{}) {
 		m.private.Forget(fingerprint)
-		m.shared.RecordCompletion(now, fingerprint, true)
 	}
+	return m.shared.RecordCompletion(now, fingerprint, true)
 }
 
 // searchers returns the processes that ended while they ran a request.
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
@@ -321,3 +322,168 @@
 		})
 	}
 }
+
+// crashFleet is nodes that tell each other their marks, on a virtual clock.
+type crashFleet struct {
+	now   time.Time
+	nodes []*Engine
+	// delay is the time that messages take. pending are the deliveries that are under way, in the order of their times.
+	delay   time.Duration
+	pending []func(now time.Time) bool
+	// cut holds the nodes that exchange nothing with the others, disturbed the time of the latest start or end of a cut of a node.
+	cut       map[int]bool
+	disturbed map[int]time.Time
+}
+
+func newCrashFleet(n int) *crashFleet {
+	f := &crashFleet{now: start, cut: make(map[int]bool), disturbed: make(map[int]time.Time)}
+	for range n {
+		f.add(n)
+	}
+	return f
+}
+
+// add starts a node of a fleet of n.
+func (f *crashFleet) add(n int) {
+	ids := make([]string, n)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("n%d", i)
+	}
+	number := len(f.nodes)
+	e := newEngine(func() time.Time { return f.now })
+	e.SetNodes(NodeCounts{Active: n, SelfActive: true, Members: pace.NewMembers(ids[number%n], map[string][]string{"r": ids})})
+	e.OnQuarantineMarks(func(marks []*wire.QuarantineMark) { f.push(number, marks) })
+	f.nodes = append(f.nodes, e)
+}
+
+func (f *crashFleet) push(from int, marks []*wire.QuarantineMark) {
+	due := f.now.Add(f.delay)
+	f.pending = append(f.pending, func(now time.Time) bool {
+		if now.Before(due) {
+			return false
+		}
+		for i, e := range f.nodes {
+			if i != from && !f.cut[i] && !f.cut[from] {
+				e.MergeMarks(now, fmt.Sprintf("n%d", from), marks)
+			}
+		}
+		return true
+	})
+	f.advance(0)
+}
+
+// advance lets time pass and delivers what is due.
+func (f *crashFleet) advance(d time.Duration) {
+	f.now = f.now.Add(d)
+	for len(f.pending) > 0 && f.pending[0](f.now) {
+		f.pending = f.pending[1:]
+	}
+}
+
+// join ends the cut of a node, which compares its marks with those of the first one.
+func (f *crashFleet) join(i int) {
+	delete(f.cut, i)
+	f.disturbed[i] = f.now
+	f.push(0, f.nodes[0].Marks(f.now))
+	f.push(i, f.nodes[i].Marks(f.now))
+}
+
+// lose lets a searcher end while requests run on it for a node.
+func (f *crashFleet) lose(node int, searcher fleet.Key, requests ...uint64) {
+	e := f.nodes[node]
+	for _, request := range requests {
+		e.crashes.suspect(f.now, request, searcher)
+	}
+	e.searcherEnded(f.now, searcher, unreachable)
+}
+
+// ask sends a request to a node and reports whether it is served.
+func (f *crashFleet) ask(node int, request uint64) bool {
+	e := f.nodes[node]
+	if e.crashes.marks.quarantined(f.now, request) {
+		return false
+	}
+	e.acquit(f.now, request)
+	return true
+}
+
+// Guards against a harmless request that many callers send and that nodes refuse for minutes, since it was running on searchers that ended or were
+// cut off for another reason.
+func TestPopularRequestIsServedAgain(t *testing.T) {
+	const popular = uint64(1)
+	a, b, c := searcherKey(0), searcherKey(1), searcherKey(2)
+	loseAll := func(f *crashFleet) {
+		f.lose(0, a, popular)
+		f.lose(0, b, popular)
+		f.lose(1, c, popular)
+	}
+	// earlier is a mark as versions of the program send it that know searchers only.
+	earlier := wire.QuarantineMark_builder{Fingerprint: popular, Searchers: []string{a.String(), b.String()}, Remaining: durationpb.New(time.Minute)}.Build()
+	tests := map[string]struct {
+		// known is set if searchers have answered the request before.
+		known bool
+		play  func(f *crashFleet)
+		// within is the time in which all nodes serve the request that comes to them.
+		within time.Duration
+	}{
+		"answered between two losses": {play: func(f *crashFleet) {
+			f.lose(0, a, popular)
+			f.nodes[0].acquit(f.now, popular)
+			f.lose(0, b, popular)
+		}},
+		"answered after two losses": {play: func(f *crashFleet) {
+			f.lose(0, a, popular)
+			f.lose(0, b, popular)
+			f.nodes[0].acquit(f.now, popular)
+		}},
+		"answered at another node": {play: func(f *crashFleet) {
+			f.lose(0, a, popular)
+			f.lose(1, b, popular)
+			f.nodes[2].acquit(f.now, popular)
+		}},
+		"answered, then learned": {play: func(f *crashFleet) {
+			loseAll(f)
+			f.nodes[2].acquit(f.now, popular)
+			f.nodes[0].MergeMarks(f.now, "old", []*wire.QuarantineMark{earlier})
+		}},
+		"one ends again and again": {known: true, play: func(f *crashFleet) {
+			for i := range 20 {
+				f.lose(i%3, searcherKey(i), popular)
+				f.ask((i+1)%3, popular)
+				f.now = f.now.Add(time.Second)
+			}
+		}},
+		"a node was cut off meanwhile": {known: true, play: func(f *crashFleet) {
+			loseAll(f)
+			f.cut[2] = true
+			f.nodes[0].acquit(f.now, popular)
+			f.join(2)
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newCrashFleet(3)
+			for _, e := range f.nodes {
+				if test.known {
+					e.acquit(f.now, popular)
+				}
+			}
+			test.play(f)
+			unserved := func() (nodes []int) {
+				for i := range f.nodes {
+					if !f.ask(i, popular) {
+						nodes = append(nodes, i)
+					}
+				}
+				return nodes
+			}
+			refused := unserved()
+			for until := f.now.Add(test.within); len(refused) > 0 && f.now.Before(until); refused = unserved() {
+				f.now = f.now.Add(100 * time.Millisecond)
+			}
+			if len(refused) > 0 {
+				t.Errorf("got the request refused by nodes %v after %v, want it served by all", refused, test.within)
+			}
+		})
+	}
+}
