Try quarantined requests on one searcher from time to time

Cause: the quarantine can't tell a common cause from a crashing request, and what it refuses can't be answered, so that nothing showed the error for ten minutes.

Ruled out: not to count losses of several searchers at once (a request sent to all nodes at once looks the same, and two of three are no burst); to trust earlier answers alone (a request may begin to crash searchers); an exemption for frequent requests (a crashing request may be frequent).

Change: a quarantined request runs again as a trial: one attempt, on one searcher, without hedges, of a query over shards one part before all others. The order of the nodes, by rendezvous hashing of the request and the number of its trials, leaves each trial to one node; a node that takes no turn leaves it to the next after a second (after 0.1 s at first). A trial without an answer delays the next: 3 s, 1 min, 10 min, 1 h. For a request that searchers have answered before, or each of whose losses is blamed on others too: 0, 2 s, 10 s, 1 min, 10 min, 1 h. A trial that no searcher ran doesn't count. Refusals state the searchers in their log line and when the node may try again in Retry-After; event 409 logs a trial.

--- a/internal/pace/members.go
+++ b/internal/pace/members.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -72,6 +73,11 @@
 	}
 }
 
+// Rank returns the number of members before this node in the order for a key, and whether the members are known.
+func (m *Members) Rank(key uint64) (rank int, ok bool) {
+	return m.rank(strconv.FormatUint(key, 16), ""), m.count > 0
+}
+
 // rank returns the number of members before this node: those of the searcher's region come first, and the order within it and within the
 // others differs from searcher to searcher, so that each node shares the limits of other searchers. A node that is no member comes last.
 func (m *Members) rank(searcher, region string) int {
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -144,6 +144,28 @@
 	}
 }
 
+// beginTrial reports whether a quarantined request may run as a trial.
+func (e *Engine) beginTrial(now time.Time, fingerprint uint64) bool {
+	if !e.crashes.marks.beginTrial(now, fingerprint, e.turn) {
+		return false
+	}
+	e.logger.Log(wire.Event_EVENT_QUARANTINE_TRIAL, zap.String("fingerprint", formatFingerprint(fingerprint)),
+		zap.Int("failed", e.crashes.marks.shared.Trials(fingerprint)), zap.Strings("searchers", e.crashes.marks.searchers(now, fingerprint)))
+	return true
+}
+
+// endTrial ends a trial and tells other nodes if a searcher may have run the request without an answer.
+func (e *Engine) endTrial(f *fanout) {
+	if now := e.clock(); e.crashes.marks.shared.EndTrial(now, f.fingerprint, f.ran()) {
+		e.announceMark(now, f.fingerprint)
+	}
+}
+
+// turn is this node's place in the order of the nodes for a trial.
+func (e *Engine) turn(key uint64) (rank int, ok bool) {
+	return e.balancer.nodes.Load().Members.Rank(key)
+}
+
 // expire drops the suspicions that were not confirmed in time and returns their fingerprints by searcher.
 func (c *crashTracker) expire(now time.Time) map[fleet.Key][]uint64 {
 	c.mu.Lock()
--- a/internal/relay/crash_marks.go
+++ b/internal/relay/crash_marks.go
@@ -41,10 +41,10 @@
 	return m.share(now, fingerprint)
 }
 
-// share makes what this node has kept to itself of a request known to all nodes, unless they refuse the request already. It
+// share makes what this node has kept to itself of a request known to all nodes, unless they refuse the request already and have not tried it. It
 // reports whether other nodes should be told.
 func (m *crashMarks) share(now time.Time, fingerprint uint64) bool {
-	if m.quarantined(now, fingerprint) {
+	if m.quarantined(now, fingerprint) && m.shared.Trials(fingerprint) == 0 {
 		return false
 	}
 	mark := m.private.Mark(now, fingerprint)
@@ -88,6 +88,26 @@
 	return m.shared.RecordCompletion(now, fingerprint, true)
 }
 
+// beginTrial reports whether a quarantined request may run as a trial. Requests that ran with it on the searchers that ended are as likely the cause.
+func (m *crashMarks) beginTrial(now time.Time, fingerprint uint64, turn quar.Turn) bool {
+	return m.shared.BeginTrial(now, fingerprint, m.contested(now, fingerprint), turn)
+}
+
+// untilTrial returns the time until this node may try a quarantined request, 0 if that is not known.
+func (m *crashMarks) untilTrial(now time.Time, fingerprint uint64, turn quar.Turn) time.Duration {
+	if due, ok := m.shared.TrialDue(now, fingerprint, m.contested(now, fingerprint), turn); ok {
+		return max(due.Sub(now), 0)
+	}
+	return 0
+}
+
+// contested reports whether each loss of a request is also blamed on another request.
+func (m *crashMarks) contested(now time.Time, fingerprint uint64) bool {
+	return !slices.ContainsFunc(m.shared.Mark(now, fingerprint).GetSearchers(), func(searcher string) bool {
+		return !m.shared.Blames(now, fingerprint, searcher) && !m.private.Blames(now, fingerprint, searcher)
+	})
+}
+
 // searchers returns the processes that ended while they ran a request.
 func (m *crashMarks) searchers(now time.Time, fingerprint uint64) []string {
 	known := m.shared.Mark(now, fingerprint).GetSearchers()
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -333,6 +333,8 @@
 	// cut holds the nodes that exchange nothing with the others, disturbed the time of the latest start or end of a cut of a node.
 	cut       map[int]bool
 	disturbed map[int]time.Time
+	// lost is the number of searchers lost under crashing requests.
+	lost int
 }
 
 func newCrashFleet(n int) *crashFleet {
@@ -388,6 +390,17 @@
 	f.push(i, f.nodes[i].Marks(f.now))
 }
 
+// restart replaces a node at a time by one that has compared its marks with the first one.
+func (f *crashFleet) restart(i int, at time.Duration) {
+	if at == 10*time.Second {
+		e := f.nodes[i]
+		f.disturbed[i] = f.now
+		f.nodes[i] = newEngine(func() time.Time { return f.now })
+		f.nodes[i].balancer.nodes.Store(e.balancer.nodes.Load())
+		f.push(0, f.nodes[0].Marks(f.now))
+	}
+}
+
 // lose lets a searcher end while requests run on it for a node.
 func (f *crashFleet) lose(node int, searcher fleet.Key, requests ...uint64) {
 	e := f.nodes[node]
@@ -397,10 +410,26 @@
 	e.searcherEnded(f.now, searcher, unreachable)
 }
 
+// crash sends a request that crashes the searchers that run it to a node. others run there as well. It reports whether it ran.
+func (f *crashFleet) crash(node int, request uint64, others ...uint64) bool {
+	e := f.nodes[node]
+	trial := e.crashes.marks.quarantined(f.now, request)
+	if trial && !e.beginTrial(f.now, request) {
+		return false
+	}
+	if trial {
+		e.crashes.marks.shared.EndTrial(f.now, request, true)
+		e.announceMark(f.now, request)
+	}
+	f.lost++
+	f.lose(node, searcherKey(1000+f.lost), append(others, request)...)
+	return true
+}
+
 // ask sends a request to a node and reports whether it is served.
 func (f *crashFleet) ask(node int, request uint64) bool {
 	e := f.nodes[node]
-	if e.crashes.marks.quarantined(f.now, request) {
+	if e.crashes.marks.quarantined(f.now, request) && !e.beginTrial(f.now, request) {
 		return false
 	}
 	e.acquit(f.now, request)
@@ -410,7 +439,7 @@
 // Guards against a harmless request that many callers send and that nodes refuse for minutes, since it was running on searchers that ended or were
 // cut off for another reason.
 func TestPopularRequestIsServedAgain(t *testing.T) {
-	const popular = uint64(1)
+	const popular, crasher = uint64(1), uint64(2)
 	a, b, c := searcherKey(0), searcherKey(1), searcherKey(2)
 	loseAll := func(f *crashFleet) {
 		f.lose(0, a, popular)
@@ -426,26 +455,22 @@
 		// within is the time in which all nodes serve the request that comes to them.
 		within time.Duration
 	}{
-		"answered between two losses": {play: func(f *crashFleet) {
-			f.lose(0, a, popular)
-			f.nodes[0].acquit(f.now, popular)
-			f.lose(0, b, popular)
-		}},
-		"answered after two losses": {play: func(f *crashFleet) {
-			f.lose(0, a, popular)
-			f.lose(0, b, popular)
-			f.nodes[0].acquit(f.now, popular)
-		}},
-		"answered at another node": {play: func(f *crashFleet) {
-			f.lose(0, a, popular)
-			f.lose(1, b, popular)
-			f.nodes[2].acquit(f.now, popular)
-		}},
+		"answered between two losses": {play: func(f *crashFleet) { f.lose(0, a, popular); f.nodes[0].acquit(f.now, popular); f.lose(0, b, popular) }},
+		"answered after two losses":   {play: func(f *crashFleet) { f.lose(0, a, popular); f.lose(0, b, popular); f.nodes[0].acquit(f.now, popular) }},
+		"answered at another node":    {play: func(f *crashFleet) { f.lose(0, a, popular); f.lose(1, b, popular); f.nodes[2].acquit(f.now, popular) }},
 		"answered, then learned": {play: func(f *crashFleet) {
 			loseAll(f)
 			f.nodes[2].acquit(f.now, popular)
 			f.nodes[0].MergeMarks(f.now, "old", []*wire.QuarantineMark{earlier})
 		}},
+		"lost at an earlier version":      {known: true, play: func(f *crashFleet) { f.nodes[0].MergeMarks(f.now, "old", []*wire.QuarantineMark{earlier}) }, within: time.Second},
+		"all searchers end":               {known: true, play: loseAll, within: time.Second},
+		"all searchers end, first answer": {play: loseAll, within: 6 * time.Second},
+		"all searchers end twice": {known: true, play: func(f *crashFleet) {
+			loseAll(f)
+			f.crash(0, popular)
+			f.now = f.now.Add(time.Second)
+		}, within: 4 * time.Second},
 		"one ends again and again": {known: true, play: func(f *crashFleet) {
 			for i := range 20 {
 				f.lose(i%3, searcherKey(i), popular)
@@ -453,12 +478,23 @@
 				f.now = f.now.Add(time.Second)
 			}
 		}},
+		"the answer reaches no other node": {known: true, play: func(f *crashFleet) {
+			loseAll(f)
+			f.cut[1], f.cut[2] = true, true
+			f.nodes[0].acquit(f.now, popular)
+		}, within: time.Second},
 		"a node was cut off meanwhile": {known: true, play: func(f *crashFleet) {
 			loseAll(f)
 			f.cut[2] = true
 			f.nodes[0].acquit(f.now, popular)
 			f.join(2)
 		}},
+		"a node starts meanwhile": {known: true, play: func(f *crashFleet) { loseAll(f); f.add(3); f.push(0, f.nodes[0].Marks(f.now)) }, within: time.Second},
+		"a crashing request beside": {play: func(f *crashFleet) {
+			f.crash(0, crasher, popular)
+			f.crash(1, crasher, popular)
+			f.crash(2, crasher, popular)
+		}, within: time.Second},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -487,3 +523,61 @@
 		})
 	}
 }
+
+// Guards against trials and answers that let a crashing request go on: three retries are allowed later than 5 s after its third crash, at nodes that
+// have been undisturbed for as long.
+func TestCrashingRequestIsSeldomTried(t *testing.T) {
+	const crasher = uint64(2)
+	tests := map[string]struct {
+		nodes int
+		// known is set if searchers answered the request until it began to crash them, others are requests that run beside it.
+		known  bool
+		others []uint64
+		during func(f *crashFleet, at time.Duration)
+	}{
+		"at one node":         {nodes: 1},
+		"at eight nodes":      {nodes: 8},
+		"beside others":       {nodes: 8, others: []uint64{3, 4}},
+		"it was harmless":     {nodes: 8, known: true},
+		"a node starts again": {nodes: 8, during: func(f *crashFleet, at time.Duration) { f.restart(1, at) }},
+		"nodes were cut off": {nodes: 8, during: func(f *crashFleet, at time.Duration) {
+			f.cut[6] = at < time.Second
+			if at == time.Second {
+				f.join(6)
+			}
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newCrashFleet(test.nodes)
+			f.delay = 300 * time.Millisecond
+			for _, e := range f.nodes {
+				if test.known {
+					e.acquit(f.now, crasher)
+				}
+			}
+			var third time.Time
+			late := 0
+			for f.now.Before(start.Add(20 * time.Minute)) {
+				if test.during != nil {
+					test.during(f, f.now.Sub(start))
+				}
+				for i := range f.nodes {
+					if !f.crash(i, crasher, test.others...) {
+						continue
+					}
+					if f.lost == 3 {
+						third = f.now
+					}
+					if !third.IsZero() && f.now.Sub(third) > 5*time.Second && f.now.Sub(f.disturbed[i]) > 5*time.Second {
+						late++
+					}
+				}
+				f.advance(100 * time.Millisecond)
+			}
+			if late > 3 {
+				t.Errorf("got %d retries that reached searchers later than 5s after the third crash, want at most 3", late)
+			}
+		})
+	}
+}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -215,7 +215,12 @@
 	f := newFanout(e, now, request)
 	e.announceRepeated(now, f.fingerprint)
 	if e.crashes.marks.quarantined(now, f.fingerprint) {
-		return f.reject(wire.Reason_REASON_QUARANTINED)
+		if !e.beginTrial(now, f.fingerprint) {
+			f.retryAfter = e.crashes.marks.untilTrial(now, f.fingerprint, e.turn)
+			return f.reject(wire.Reason_REASON_QUARANTINED, zap.Strings("searchers", e.crashes.marks.searchers(now, f.fingerprint)), zap.Duration("retry_after", f.retryAfter))
+		}
+		f.trial = true
+		defer e.endTrial(f)
 	}
 	if r := f.refusal(now); r != wire.Reason_REASON_UNSPECIFIED {
 		return f.reject(r, zap.Float64("share", e.Reach().Share()))
--- a/internal/relay/fanout.go
+++ b/internal/relay/fanout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -62,6 +63,8 @@
 	// mayHaveRun is set once a searcher may have run a part without its reply being used.
 	mayHaveRun bool
 	callerGone bool
+	// trial is set while the request is quarantined and runs as a trial, on one part that is sent before all others.
+	trial bool
 	// linksLost is set when the request ends early, since the searchers that it needs are not reached any more.
 	linksLost bool
 	// retryAfter is the retry delay that the limiter decided on, 0 if it did not.
@@ -117,7 +120,11 @@
 	now := f.engine.clock()
 	for i := range f.parts {
 		f.engine.budgetWindow(f.parts[i].service).RecordFirst(now)
-		f.startAttempt(now, &f.parts[i], wire.Reason_REASON_UNSPECIFIED)
+	}
+	if f.trial {
+		f.startAttempt(now, &f.parts[rand.IntN(len(f.parts))], wire.Reason_REASON_UNSPECIFIED)
+	} else {
+		f.startUnsettled(now)
 	}
 	f.mu.Unlock()
 	timer := time.NewTimer(disconnectPollInterval)
@@ -136,6 +143,34 @@
 	}
 }
 
+// startUnsettled sends the first attempt of each part that is not settled.
+func (f *fanout) startUnsettled(now time.Time) {
+	for i := range f.parts {
+		if !f.parts[i].settled {
+			f.startAttempt(now, &f.parts[i], wire.Reason_REASON_UNSPECIFIED)
+		}
+	}
+}
+
+// endTrialPart goes on with the other parts once the part of a trial is settled: they are sent after an answer, and given up otherwise.
+func (f *fanout) endTrialPart(answered bool) {
+	f.trial = false
+	if answered {
+		f.startUnsettled(f.engine.clock())
+		return
+	}
+	for i := range f.parts {
+		f.settle(&f.parts[i], wire.Reason_REASON_QUARANTINED)
+	}
+}
+
+// ran reports whether a searcher may have run the request.
+func (f *fanout) ran() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mayHaveRun || f.succeeded > 0
+}
+
 // advance checks for the end of the request and sends due hedges. It returns when to check again, or true when the request is over.
 func (f *fanout) advance(now time.Time) (time.Time, bool) {
 	if f.request.Route.Policy().Idempotent && now.Sub(f.started) >= disconnectPollInterval && f.request.CallerGone() {
@@ -263,6 +298,9 @@
 			f.engine.acquit(f.engine.clock(), f.fingerprint)
 		}
 	}
+	if f.trial {
+		f.endTrialPart(r == wire.Reason_REASON_UNSPECIFIED)
+	}
 	if f.pending == 0 || !f.coverageReachable() || (f.coverageMet() && !f.engine.clock().Before(f.partialAt)) {
 		f.wake()
 	}
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -81,7 +81,7 @@
 
 func (f *fanout) mayHedge(p *part) bool {
 	policy := f.request.Route.Policy()
-	return policy.Idempotent && p.inFlight == 1 && p.sent < policy.MaxAttempts
+	return !f.trial && policy.Idempotent && p.inFlight == 1 && p.sent < policy.MaxAttempts
 }
 
 // hedgeDelay returns how long to wait for a reply before a second attempt is worth its cost.
@@ -236,7 +236,8 @@
 		f.engine.countReason(wire.Reason_REASON_RETRY_ATTEMPTS)
 		return false
 	}
-	if f.engine.crashes.marks.quarantined(now, f.fingerprint) {
+	// A trial goes on until a searcher has run the request.
+	if f.engine.crashes.marks.quarantined(now, f.fingerprint) && (!f.trial || p.ran > 0) {
 		f.engine.countReason(wire.Reason_REASON_QUARANTINED)
 		return false
 	}
