Try quarantined queries of serve too

What callers would see: serve shares the quarantine table, so that a harmless query that lost two searchers, two of a rack for example, stayed refused for ten minutes at all nodes; a burst of three or more was excused before, two were not.

A quarantined query runs as a trial in exclusive mode, with a canary. An answer of one shard without a loss ends the quarantine, also while other shards are down. serve logs events 404, 409 and 410, which it did not before.

Evidence: the rows added to TestQuarantine fail without the change to entry: no attempt is made after a minute or five.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,12 +11,14 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
 
 	"github.com/fireflylanding/fireflylanding/internal/admit"
 	"github.com/fireflylanding/fireflylanding/internal/events"
 	"github.com/fireflylanding/fireflylanding/internal/hedge"
 	"github.com/fireflylanding/fireflylanding/internal/member"
 	"github.com/fireflylanding/fireflylanding/internal/picker"
+	"github.com/fireflylanding/fireflylanding/internal/place"
 	"github.com/fireflylanding/fireflylanding/internal/plans"
 	"github.com/fireflylanding/fireflylanding/internal/quar"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
@@ -207,20 +209,53 @@
 	}
 	fingerprint := quar.Fingerprint(plan.Name(), query.GetCollection(), query.GetQuery())
 	verdict := e.policies.Quarantine.Check(now, fingerprint)
-	if _, ok := verdict.(quar.Quarantined); ok {
+	_, quarantined := verdict.(quar.Quarantined)
+	if quarantined && !e.beginTrial(now, fingerprint) {
 		return e.refuse(reason.New(wire.Reason_REASON_QUARANTINED, ""))
 	}
+	f := newFanout(e, now, query, plan, snapshot, index, fingerprint)
+	if quarantined {
+		f.trial = true
+		defer e.endTrial(f)
+	}
 	grant, refusal := e.policies.Admission.Admit(now, query.GetCollection(), plan.Name(), use)
 	if refusal != nil {
 		return e.refuse(refusal)
 	}
-	answer := newFanout(e, now, query, plan, snapshot, index, fingerprint).run(ctx)
+	answer := f.run(ctx)
 	end := e.hooks.Clock()
 	grant.Release(end)
 	e.latency[plan.Rank()].Update(end.Sub(now).Microseconds())
 	return answer
 }
 
+// beginTrial reports whether a quarantined query may run as a trial.
+func (e *Entry) beginTrial(now time.Time, fingerprint uint64) bool {
+	quarantine := e.policies.Quarantine
+	turn := func(key uint64) (int, bool) { return place.Rank(e.self.ID(), key, e.hooks.Members(now).Live()), true }
+	if !quarantine.BeginTrial(now, fingerprint, quarantine.Contested(now, fingerprint), turn) {
+		return false
+	}
+	e.logQuarantine(wire.Event_EVENT_QUARANTINE_TRIAL, now, fingerprint, zap.Int("failed", quarantine.Trials(fingerprint)))
+	return true
+}
+
+// endTrial ends the trial of a query and tells other nodes if a searcher may have run it without an answer.
+func (e *Entry) endTrial(f *fanout) {
+	if e.policies.Quarantine.EndTrial(e.hooks.Clock(), f.fingerprint, f.mayHaveRun || f.reflected() > 0) {
+		e.hooks.QuarantineChanged()
+	}
+}
+
+// logQuarantine logs an event of a query that is quarantined, with the searchers that it lost.
+func (e *Entry) logQuarantine(event wire.Event, now time.Time, fingerprint uint64, fields ...zap.Field) {
+	e.logger.Log(event, append(fields, zap.String("fingerprint", formatFingerprint(fingerprint)),
+		zap.Strings("searchers", e.policies.Quarantine.Mark(now, fingerprint).GetSearchers()))...)
+}
+
+// formatFingerprint returns a fingerprint as log lines show it.
+func formatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
+
 // refuse counts a refusal and converts it to an answer.
 func (e *Entry) refuse(refusal *reason.Refusal) *wire.Answer {
 	e.counters.Add(refusal.Reason())
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -236,6 +236,23 @@
 		if len(h.sent) != before {
 			t.Errorf("resend: got %d attempts, want none", len(h.sent)-before)
 		}
+		// The searchers may have ended for another reason.
+		for i, test := range []struct {
+			wait         time.Duration
+			actions      map[string][]action
+			wantSent     int
+			wantAnswered bool
+		}{{time.Minute, forAllShards("ab", abruptLoss[0]), 1, false}, {2 * time.Second, nil, 0, false}, {5 * time.Minute, nil, 3, true}, {0, nil, 3, true}} {
+			time.Sleep(test.wait)
+			quarantine := h.policies.Quarantine
+			h = newHarness(t, map[uint64][][]string{1: replicaPairs(3)})
+			h.actions, h.policies.Quarantine = test.actions, quarantine
+			h.entry.policies = h.policies
+			answer, _ := h.execute(t, testQuery())
+			if got := len(h.sent); got != test.wantSent || (answer.GetCoverage().GetReflected() == 3) != test.wantAnswered {
+				t.Errorf("trial %d: got %d attempts and %v, want %d and answered %v", i, got, answer, test.wantSent, test.wantAnswered)
+			}
+		}
 	})
 }
 
--- a/internal/entry/fanout.go
+++ b/internal/entry/fanout.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"github.com/fireflylanding/fireflylanding/internal/member"
 	"github.com/fireflylanding/fireflylanding/internal/plans"
@@ -56,6 +57,8 @@
 	canary *part
 	// exclusive asks owners to run each attempt with no other at the searcher, since the query's fingerprint is suspect.
 	exclusive bool
+	// trial is set if the query is quarantined and runs as a trial.
+	trial bool
 	// anySent is set once an attempt was sent.
 	anySent   bool
 	lastHedge time.Time
@@ -204,7 +207,8 @@
 	// A canary of a previous snapshot is not among the new parts.
 	f.canary = nil
 	quarantine := f.entry.policies.Quarantine
-	_, f.exclusive = quarantine.Check(now, f.fingerprint).(quar.Suspect)
+	_, suspect := quarantine.Check(now, f.fingerprint).(quar.Suspect)
+	f.exclusive = suspect || f.trial
 	if f.exclusive || quarantine.NeedsCanary(now, f.fingerprint) {
 		f.canary = &f.parts[int(f.id%uint64(len(f.parts)))]
 	}
@@ -353,8 +357,15 @@
 	f.cancelAttempts(now, func(*attempt) bool { return true })
 	policies := f.entry.policies
 	policies.Admission.FeedbackForQuery(now, f.started, f.query.GetCollection(), f.plan.Name(), f.meanPressure, f.overloaded())
-	if f.reflected() == len(f.parts) {
-		policies.Quarantine.RecordCompletion(now, f.fingerprint, f.exclusive)
+	// A trial is about the query, not about shards that are down.
+	answeredTrial := f.trial && f.reflected() > 0 && f.lostAt.IsZero()
+	if f.reflected() != len(f.parts) && !answeredTrial {
+		return
+	}
+	lost := policies.Quarantine.Mark(now, f.fingerprint).GetSearchers()
+	if policies.Quarantine.RecordCompletion(now, f.fingerprint, f.exclusive) {
+		f.entry.hooks.QuarantineChanged()
+		f.entry.logger.Log(wire.Event_EVENT_QUARANTINE_ENDED, zap.String("fingerprint", formatFingerprint(f.fingerprint)), zap.Strings("searchers", lost))
 	}
 }
 
--- a/internal/entry/receive.go
+++ b/internal/entry/receive.go
@@ -174,6 +174,7 @@
 	f.lostAt = now
 	f.entry.hooks.QuarantineChanged()
 	if _, ok := quarantine.Check(now, f.fingerprint).(quar.Quarantined); ok {
+		f.entry.logQuarantine(wire.Event_EVENT_QUARANTINED, now, f.fingerprint)
 		f.settleAll(wire.Reason_REASON_QUARANTINED)
 		return true
 	}
--- a/internal/place/owners.go
+++ b/internal/place/owners.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 
@@ -101,3 +102,19 @@
 	}
 	return ""
 }
+
+// Rank returns the number of other VMs before a VM in the order for a key.
+func Rank(self string, key uint64, vms []shards.VM) int {
+	rank := 0
+	candidates := scoreVMs(vms, key, func(*shards.VM) bool { return true })
+	own := slices.IndexFunc(candidates, func(c scoredVM) bool { return c.vm.ID() == self })
+	if own < 0 {
+		return len(vms)
+	}
+	for _, other := range candidates {
+		if cmp.Or(cmp.Compare(other.score, candidates[own].score), cmp.Compare(other.vm.ID(), self)) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
