Soak a popular request whose searchers crash or are cut off

Cause: no soak sent the same harmless request again and again, so that a wrong quarantine was seen by nobody; the crashing requests of the soak alone were enough to cause one.

Change: a caller repeats one harmless request; in every second round its searchers crash or are cut off, together, one after the other, or all but one. In quiet phases it must be served three quarters as often as the other requests of its route.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -107,6 +107,7 @@
 	checkDrain(e, exchangeByID, report)
 	checkLimits(e, exchangeByID, report)
 	checkCrashers(e, exchangeByID, report)
+	checkPopular(e, report)
 	return found
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -219,6 +219,7 @@
 		r.recordFault(drills[i].name)
 		undo = append(undo, drills[i].inject(r))
 	}
+	r.losePopularSearchers(ctx)
 	n := 2 + r.random.IntN(3)
 	for range n {
 		f := faults[r.random.IntN(len(faults))]
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -28,12 +28,14 @@
 
 // proxy forwards TCP connections to a target and applies a fault to them on request. It is safe for concurrent use.
 type proxy struct {
-	listener net.Listener
-	target   string
+	at     string
+	target string
 
-	mu    sync.Mutex
-	fault LinkFault
-	links map[*link]struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	closed   bool
+	fault    LinkFault
+	links    map[*link]struct{}
 	// cutOff returns the id of the process that is cut off; it is nil if none is.
 	cutOff func() int
 }
@@ -50,12 +52,12 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, fault: Pass{}, links: make(map[*link]struct{})}
-	go p.accept()
+	p := &proxy{at: listener.Addr().String(), listener: listener, target: target, fault: Pass{}, links: make(map[*link]struct{})}
+	go p.accept(listener)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.at }
 
 // setFault changes the fault. Silence applies to the links that are open now, permanently; the other faults apply to all links until the
 // next of them is set.
@@ -104,13 +106,41 @@
 }
 
 func (p *proxy) close() {
+	p.mu.Lock()
+	p.closed = true
+	_ = p.listener.Close()
+	p.mu.Unlock()
+	p.resetLinks()
+}
+
+// refuse resets the open links and refuses new ones for a while.
+func (p *proxy) refuse(length time.Duration) {
+	p.mu.Lock()
 	_ = p.listener.Close()
+	p.mu.Unlock()
 	p.resetLinks()
+	time.AfterFunc(length, p.listenAgain)
+}
+
+func (p *proxy) listenAgain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listener, err := net.Listen("tcp", p.at)
+	if err != nil {
+		// Another process has the port now; the searcher stays cut off.
+		return
+	}
+	if p.closed {
+		_ = listener.Close()
+		return
+	}
+	p.listener = listener
+	go p.accept(listener)
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		caller, err := p.listener.Accept()
+		caller, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -72,6 +72,8 @@
 	scarceRandom *rand.Rand
 	// evacuationRandom selects the evacuations.
 	evacuationRandom *rand.Rand
+	// popularRandom selects the losses of the searchers of the popular request.
+	popularRandom *rand.Rand
 
 	mu           sync.Mutex
 	evidence     evidence
@@ -88,7 +90,7 @@
 // Run runs a soak and returns its report. It returns an error only if the fleet does not start.
 func Run(ctx context.Context, s Settings) (Report, error) {
 	r := &runner{settings: s, random: rand.New(rand.NewPCG(s.Seed, s.Seed)), drillRandom: rand.New(rand.NewPCG(s.Seed, drillStream)), scarceRandom: rand.New(rand.NewPCG(s.Seed, scarceStream)),
-		evacuationRandom: rand.New(rand.NewPCG(s.Seed, evacuationStream))}
+		evacuationRandom: rand.New(rand.NewPCG(s.Seed, evacuationStream)), popularRandom: rand.New(rand.NewPCG(s.Seed, popularStream))}
 	r.evidence.allowed = make(map[string][]string)
 	r.evidence.drainBound = drainBound
 	err := r.start(ctx)
@@ -106,6 +108,7 @@
 	for i := range crasherKinds {
 		tasks.Go(func() { r.runCrasher(callers, i) })
 	}
+	tasks.Go(func() { r.runPopular(callers) })
 	for range s.Rounds {
 		r.round(ctx)
 	}
