Decide about a trial in one call, and count trials

Cause: a refused request asked twice for the time of its next trial, and each time ordered all nodes under the lock of the table; an operator saw trials in the log only.

Change: BeginTrial returns the time too, and keeps a node's place in the order for a second. Counters quarantine_trials and quarantine_ended.

--- a/internal/quar/table_test.go
+++ b/internal/quar/table_test.go
@@ -455,10 +455,14 @@
 			}
 			var got []time.Duration
 			for d := time.Duration(0); len(got) < len(test.ran) && d < 2*time.Hour; d += 50 * time.Millisecond {
-				if !table.BeginTrial(at(d), testFingerprint, test.contested, turn) {
+				begun, after := table.BeginTrial(at(d), testFingerprint, test.contested, turn)
+				if !begun {
+					if at := d + after; after > 0 && len(got) < len(test.want) && at > test.want[len(got)] {
+						t.Errorf("after %v: got %v as the time of the next trial, want %v at most", d, at, test.want[len(got)])
+					}
 					continue
 				}
-				if table.BeginTrial(at(d), testFingerprint, test.contested, turn) {
+				if again, _ := table.BeginTrial(at(d), testFingerprint, test.contested, turn); again {
 					t.Errorf("during a trial: got a second one")
 				}
 				table.EndTrial(at(d), testFingerprint, test.ran[len(got)])
--- a/internal/quar/trial.go
+++ b/internal/quar/trial.go
@@ -23,51 +23,48 @@
 	running bool
 	// retryAt is the earliest time of the next trial after one that did not run.
 	retryAt time.Time
+	// rank is the place of this node in the order for the trial of a number, as of rankedAt.
+	rank     int
+	number   uint32
+	rankedAt time.Time
 }
 
+// rankAge is the age up to which a node's place in the order is used again, since large fleets take long to order.
+const rankAge = time.Second
+
 // Turn returns the number of nodes before this one in the order of nodes for a key, and whether this node knows the others.
 type Turn func(key uint64) (rank int, ok bool)
 
 // BeginTrial reports whether a quarantined request may run once on one searcher, to find out whether it still crashes it. If so, EndTrial must be
-// called after it. contested is set if each loss is also blamed on another request. The order of nodes keeps all but one from a trial at a time
-// without an agreement: a node whose turn passes unused leaves it to the next.
-func (t *Table) BeginTrial(now time.Time, fingerprint uint64, contested bool, turn Turn) bool {
+// called after it. Otherwise it returns the time after which to ask again, 0 if that is not known. contested is set if each loss is also blamed on
+// another request. The order of nodes keeps all but one from a trial at a time without an agreement: a node whose turn passes unused leaves it to the
+// next.
+func (t *Table) BeginTrial(now time.Time, fingerprint uint64, contested bool, turn Turn) (begun bool, after time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.marks[fingerprint]
 	if !ok || !now.Before(m.expires) || !m.quarantined() {
-		return false
+		return false, 0
 	}
 	if m.expires.Sub(now) < t.settings.Expiry/2 {
 		// A request that comes again is not forgotten between two trials.
 		m.expires = now.Add(t.settings.Expiry)
 	}
-	if due, ok := m.trialDue(now, fingerprint, contested || t.completed.has(fingerprint), turn); !ok || now.Before(due) {
-		return false
+	if m.trial.running {
+		return false, 0
 	}
-	m.trial.running = true
-	return true
-}
-
-// TrialDue returns when this node may try a quarantined request.
-func (t *Table) TrialDue(now time.Time, fingerprint uint64, contested bool, turn Turn) (time.Time, bool) {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	m, ok := t.marks[fingerprint]
-	if !ok {
-		return time.Time{}, false
+	due, ok := m.trialDue(now, fingerprint, m.wasAnswered() || contested || t.completed.has(fingerprint), turn)
+	if !ok || now.Before(due) {
+		return false, max(due.Sub(now), 0)
 	}
-	return m.trialDue(now, fingerprint, contested || t.completed.has(fingerprint), turn)
+	m.trial.running = true
+	return true, 0
 }
 
-// trialDue returns when this node may begin the next trial, unless one is running or the other nodes are unknown. likelyHarmless is set on evidence
-// that the mark doesn't hold.
+// trialDue returns when this node may begin the next trial, unless the other nodes are unknown.
 func (m *mark) trialDue(now time.Time, fingerprint uint64, likelyHarmless bool, turn Turn) (time.Time, bool) {
-	if m.trial.running {
-		return time.Time{}, false
-	}
 	delays, stagger := trialDelays[:], trialStagger
-	if m.wasAnswered() || likelyHarmless {
+	if likelyHarmless {
 		delays = eagerTrialDelays[:]
 		if m.trials == 0 {
 			stagger = firstTrialStagger
@@ -77,8 +74,14 @@
 	if now.Before(due) {
 		return due, true
 	}
-	rank, ok := turn(fingerprint + uint64(m.trials))
-	return due.Add(time.Duration(rank) * stagger), ok
+	if m.trial.number != m.trials || m.trial.rankedAt.IsZero() || now.Sub(m.trial.rankedAt) >= rankAge {
+		rank, ok := turn(fingerprint + uint64(m.trials))
+		if !ok {
+			return time.Time{}, false
+		}
+		m.trial.rank, m.trial.number, m.trial.rankedAt = rank, m.trials, now
+	}
+	return due.Add(time.Duration(m.trial.rank) * stagger), true
 }
 
 // EndTrial ends a trial. ran is set if a searcher may have run the request. It reports whether other nodes should be told. An answer is recorded by
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -134,6 +134,7 @@
 	a := e.crashes.acquit(now, fingerprint)
 	switch {
 	case a.wasQuarantined:
+		e.quarantinesEnded.Inc(1)
 		e.logger.Log(wire.Event_EVENT_QUARANTINE_ENDED, zap.String("fingerprint", formatFingerprint(fingerprint)), zap.Strings("searchers", a.searchers))
 	case len(a.searchers)+a.unconfirmed > 0:
 		e.logger.Log(wire.Event_EVENT_CRASH_EVIDENCE_ANSWERED, zap.String("fingerprint", formatFingerprint(fingerprint)),
@@ -144,14 +145,15 @@
 	}
 }
 
-// beginTrial reports whether a quarantined request may run as a trial.
-func (e *Engine) beginTrial(now time.Time, fingerprint uint64) bool {
-	if !e.crashes.marks.beginTrial(now, fingerprint, e.turn) {
-		return false
+// beginTrial reports whether a quarantined request may run as a trial, and otherwise the time after which to ask again, 0 if that is not known.
+func (e *Engine) beginTrial(now time.Time, fingerprint uint64) (begun bool, after time.Duration) {
+	if begun, after = e.crashes.marks.beginTrial(now, fingerprint, e.turn); !begun {
+		return false, after
 	}
+	e.trials.Inc(1)
 	e.logger.Log(wire.Event_EVENT_QUARANTINE_TRIAL, zap.String("fingerprint", formatFingerprint(fingerprint)),
 		zap.Int("failed", e.crashes.marks.shared.Trials(fingerprint)), zap.Strings("searchers", e.crashes.marks.searchers(now, fingerprint)))
-	return true
+	return true, 0
 }
 
 // endTrial ends a trial and tells other nodes if a searcher may have run the request without an answer.
--- a/internal/relay/crash_marks.go
+++ b/internal/relay/crash_marks.go
@@ -88,19 +88,11 @@
 	return m.shared.RecordCompletion(now, fingerprint, true)
 }
 
-// beginTrial reports whether a quarantined request may run as a trial. Requests that ran with it on the searchers that ended are as likely the cause.
-func (m *crashMarks) beginTrial(now time.Time, fingerprint uint64, turn quar.Turn) bool {
+// beginTrial reports whether a quarantined request may run as a trial, and otherwise the time after which to ask again. Requests that ran with it on the searchers that ended are as likely the cause.
+func (m *crashMarks) beginTrial(now time.Time, fingerprint uint64, turn quar.Turn) (begun bool, after time.Duration) {
 	return m.shared.BeginTrial(now, fingerprint, m.contested(now, fingerprint), turn)
 }
 
-// untilTrial returns the time until this node may try a quarantined request, 0 if that is not known.
-func (m *crashMarks) untilTrial(now time.Time, fingerprint uint64, turn quar.Turn) time.Duration {
-	if due, ok := m.shared.TrialDue(now, fingerprint, m.contested(now, fingerprint), turn); ok {
-		return max(due.Sub(now), 0)
-	}
-	return 0
-}
-
 // contested reports whether each loss of a request is also blamed on another request.
 func (m *crashMarks) contested(now time.Time, fingerprint uint64) bool {
 	return !slices.ContainsFunc(m.shared.Mark(now, fingerprint).GetSearchers(), func(searcher string) bool {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -413,11 +413,10 @@
 // crash sends a request that crashes the searchers that run it to a node. others run there as well. It reports whether it ran.
 func (f *crashFleet) crash(node int, request uint64, others ...uint64) bool {
 	e := f.nodes[node]
-	trial := e.crashes.marks.quarantined(f.now, request)
-	if trial && !e.beginTrial(f.now, request) {
-		return false
-	}
-	if trial {
+	if e.crashes.marks.quarantined(f.now, request) {
+		if begun, _ := e.beginTrial(f.now, request); !begun {
+			return false
+		}
 		e.crashes.marks.shared.EndTrial(f.now, request, true)
 		e.announceMark(f.now, request)
 	}
@@ -429,8 +428,10 @@
 // ask sends a request to a node and reports whether it is served.
 func (f *crashFleet) ask(node int, request uint64) bool {
 	e := f.nodes[node]
-	if e.crashes.marks.quarantined(f.now, request) && !e.beginTrial(f.now, request) {
-		return false
+	if e.crashes.marks.quarantined(f.now, request) {
+		if begun, _ := e.beginTrial(f.now, request); !begun {
+			return false
+		}
 	}
 	e.acquit(f.now, request)
 	return true
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -71,6 +71,9 @@
 	tasks    conc.WaitGroup
 	attempts metrics.Counter
 	hedges   metrics.Counter
+	// trials counts the runs of quarantined requests, quarantinesEnded the quarantines that an answer at this node ended.
+	trials           metrics.Counter
+	quarantinesEnded metrics.Counter
 	// coldSearchers is the number of searchers that warm up and are limited. invalidLoads counts the load figures that are not used.
 	coldSearchers metrics.Gauge
 	invalidLoads  metrics.Counter
@@ -96,6 +99,9 @@
 		attempts:  metrics.NewRegisteredCounter("relay.attempts", registry),
 		hedges:    metrics.NewRegisteredCounter("relay.hedges", registry),
 
+		trials:           metrics.NewRegisteredCounter("quarantine.trials", registry),
+		quarantinesEnded: metrics.NewRegisteredCounter("quarantine.ended", registry),
+
 		coldSearchers: metrics.NewRegisteredGauge("searchers.cold", registry),
 		invalidLoads:  metrics.NewRegisteredCounter("relay.invalid_loads", registry),
 	}
@@ -215,11 +221,9 @@
 	f := newFanout(e, now, request)
 	e.announceRepeated(now, f.fingerprint)
 	if e.crashes.marks.quarantined(now, f.fingerprint) {
-		if !e.beginTrial(now, f.fingerprint) {
-			f.retryAfter = e.crashes.marks.untilTrial(now, f.fingerprint, e.turn)
+		if f.trial, f.retryAfter = e.beginTrial(now, f.fingerprint); !f.trial {
 			return f.reject(wire.Reason_REASON_QUARANTINED, zap.Strings("searchers", e.crashes.marks.searchers(now, f.fingerprint)), zap.Duration("retry_after", f.retryAfter))
 		}
-		f.trial = true
 		defer e.endTrial(f)
 	}
 	if r := f.refusal(now); r != wire.Reason_REASON_UNSPECIFIED {
