Do not let an answered request share the blame for a crash

Cause: a quarantined request counted as likely harmless although the other requests that ran on its searchers had been answered since, so that a crashing request beside others was tried as early as a harmless one.

Change: losses that an answer dismissed blame no one.

--- a/internal/quar/trial.go
+++ b/internal/quar/trial.go
@@ -123,12 +123,12 @@
 	return 0
 }
 
-// Blames reports whether a searcher was lost under a request other than the given one.
+// Blames reports whether a request other than the given one is suspected of the loss of a searcher.
 func (t *Table) Blames(now time.Time, except uint64, searcher string) bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	for fingerprint, m := range t.marks {
-		if _, ok := m.searchers[searcher]; ok && fingerprint != except && now.Before(m.expires) {
+		if e, ok := m.searchers[searcher]; ok && e.status != lossDismissed && fingerprint != except && now.Before(m.expires) {
 			return true
 		}
 	}
