Show the end of a quarantine in explanations

Cause: explain showed the first 16 lines on crashes under a request, so that many trials hid how the quarantine ended.

Change: the first and the last eight. TestCrashesBeforeHoldsTheLatest fails without it.

--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -132,7 +132,7 @@
 // maxCrashLines is the maximum number of lines on crashes shown for each line of the request.
 const maxCrashLines = 16
 
-// crashesBefore returns the first lines of all nodes on crashes under the same request, whichever ids it had, before the line.
+// crashesBefore returns the first and the last lines of all nodes on crashes under the same request, whichever ids it had, before the line.
 func crashesBefore(lines []logLine, own logLine) []logLine {
 	var found []logLine
 	for _, l := range lines {
@@ -141,7 +141,11 @@
 			found = append(found, l)
 		}
 	}
-	return found[:min(len(found), maxCrashLines)]
+	if len(found) > maxCrashLines {
+		// The first lines show the cause, and the last ones the trials and the end of a quarantine.
+		found = slices.Delete(found, maxCrashLines/2, len(found)-maxCrashLines/2)
+	}
+	return found
 }
 
 func writeRequest(w io.Writer, own logLine, before, crashes []logLine) error {
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -69,3 +69,15 @@
 		t.Errorf("got error %v, want %v", err, ErrRequestNotFound)
 	}
 }
+
+// Guards against an explanation that leaves out the end of a quarantine after many trials.
+func TestCrashesBeforeHoldsTheLatest(t *testing.T) {
+	lines := make([]logLine, 3*maxCrashLines)
+	for i := range lines {
+		lines[i] = logLine{Fingerprint: "f", Event: i}
+	}
+	got := crashesBefore(lines, logLine{Fingerprint: "f"})
+	if first, last := got[0].Event, got[len(got)-1].Event; len(got) != maxCrashLines || first != 0 || last != len(lines)-1 {
+		t.Errorf("got %d lines from %d to %d, want %d from 0 to %d", len(got), first, last, maxCrashLines, len(lines)-1)
+	}
+}
