Let nodes that start in the tests of crashes tell others of their marks

Cause: a node that started again in TestCrashingRequestIsSeldomTried told no one of its trials, which real nodes do.

--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -339,25 +339,25 @@
 
 func newCrashFleet(n int) *crashFleet {
 	f := &crashFleet{now: start, cut: make(map[int]bool), disturbed: make(map[int]time.Time)}
-	for range n {
-		f.add(n)
+	for i := range n {
+		f.nodes = append(f.nodes, f.newNode(i, n))
 	}
 	return f
 }
 
-// add starts a node of a fleet of n.
-func (f *crashFleet) add(n int) {
+// newNode returns a node that has just started, in a fleet in which n nodes share the trials.
+func (f *crashFleet) newNode(number, n int) *Engine {
 	ids := make([]string, n)
 	for i := range ids {
 		ids[i] = fmt.Sprintf("n%d", i)
 	}
-	number := len(f.nodes)
 	e := newEngine(func() time.Time { return f.now })
-	e.SetNodes(NodeCounts{Active: n, SelfActive: true, Members: pace.NewMembers(ids[number%n], map[string][]string{"r": ids})})
+	e.SetNodes(NodeCounts{Active: n, SelfActive: true, Members: pace.NewMembers(fmt.Sprintf("n%d", number), map[string][]string{"r": ids})})
 	e.OnQuarantineMarks(func(marks []*wire.QuarantineMark) { f.push(number, marks) })
-	f.nodes = append(f.nodes, e)
+	return e
 }
 
+// push sends marks of a node to all others.
 func (f *crashFleet) push(from int, marks []*wire.QuarantineMark) {
 	due := f.now.Add(f.delay)
 	f.pending = append(f.pending, func(now time.Time) bool {
@@ -390,15 +390,11 @@
 	f.push(i, f.nodes[i].Marks(f.now))
 }
 
-// restart replaces a node at a time by one that has compared its marks with the first one.
-func (f *crashFleet) restart(i int, at time.Duration) {
-	if at == 10*time.Second {
-		e := f.nodes[i]
-		f.disturbed[i] = f.now
-		f.nodes[i] = newEngine(func() time.Time { return f.now })
-		f.nodes[i].balancer.nodes.Store(e.balancer.nodes.Load())
-		f.push(0, f.nodes[0].Marks(f.now))
-	}
+// restart replaces a node by one that compares its marks with those of the first one.
+func (f *crashFleet) restart(i int) {
+	f.disturbed[i] = f.now
+	f.nodes[i] = f.newNode(i, len(f.nodes))
+	f.push(0, f.nodes[0].Marks(f.now))
 }
 
 // lose lets a searcher end while requests run on it for a node.
@@ -456,9 +452,21 @@
 		// within is the time in which all nodes serve the request that comes to them.
 		within time.Duration
 	}{
-		"answered between two losses": {play: func(f *crashFleet) { f.lose(0, a, popular); f.nodes[0].acquit(f.now, popular); f.lose(0, b, popular) }},
-		"answered after two losses":   {play: func(f *crashFleet) { f.lose(0, a, popular); f.lose(0, b, popular); f.nodes[0].acquit(f.now, popular) }},
-		"answered at another node":    {play: func(f *crashFleet) { f.lose(0, a, popular); f.lose(1, b, popular); f.nodes[2].acquit(f.now, popular) }},
+		"answered between two losses": {play: func(f *crashFleet) {
+			f.lose(0, a, popular)
+			f.nodes[0].acquit(f.now, popular)
+			f.lose(0, b, popular)
+		}},
+		"answered after two losses": {play: func(f *crashFleet) {
+			f.lose(0, a, popular)
+			f.lose(0, b, popular)
+			f.nodes[0].acquit(f.now, popular)
+		}},
+		"answered at another node": {play: func(f *crashFleet) {
+			f.lose(0, a, popular)
+			f.lose(1, b, popular)
+			f.nodes[2].acquit(f.now, popular)
+		}},
 		"answered, then learned": {play: func(f *crashFleet) {
 			loseAll(f)
 			f.nodes[2].acquit(f.now, popular)
@@ -490,7 +498,11 @@
 			f.nodes[0].acquit(f.now, popular)
 			f.join(2)
 		}},
-		"a node starts meanwhile": {known: true, play: func(f *crashFleet) { loseAll(f); f.add(3); f.push(0, f.nodes[0].Marks(f.now)) }, within: time.Second},
+		"a node starts meanwhile": {known: true, play: func(f *crashFleet) {
+			loseAll(f)
+			f.nodes = append(f.nodes, f.newNode(3, 3))
+			f.push(0, f.nodes[0].Marks(f.now))
+		}, within: time.Second},
 		"a crashing request beside": {play: func(f *crashFleet) {
 			f.crash(0, crasher, popular)
 			f.crash(1, crasher, popular)
@@ -536,11 +548,15 @@
 		others []uint64
 		during func(f *crashFleet, at time.Duration)
 	}{
-		"at one node":         {nodes: 1},
-		"at eight nodes":      {nodes: 8},
-		"beside others":       {nodes: 8, others: []uint64{3, 4}},
-		"it was harmless":     {nodes: 8, known: true},
-		"a node starts again": {nodes: 8, during: func(f *crashFleet, at time.Duration) { f.restart(1, at) }},
+		"at one node":     {nodes: 1},
+		"at eight nodes":  {nodes: 8},
+		"beside others":   {nodes: 8, others: []uint64{3, 4}},
+		"it was harmless": {nodes: 8, known: true},
+		"a node starts again": {nodes: 8, during: func(f *crashFleet, at time.Duration) {
+			if at == 10*time.Second {
+				f.restart(1)
+			}
+		}},
 		"nodes were cut off": {nodes: 8, during: func(f *crashFleet, at time.Duration) {
 			f.cut[6] = at < time.Second
 			if at == time.Second {
