--- a/internal/cmd/signalled_node_test.go
+++ b/internal/cmd/signalled_node_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -59,28 +58,6 @@
 	return n
 }
 
-// freePorts returns ports that are free at the address of a node, of which the last is for UDP. They are held until all are found, so that none is
-// found twice.
-func freePorts(t *testing.T, ip string) [5]int {
-	t.Helper()
-	var ports [5]int
-	for i := range 4 {
-		listener, err := net.Listen("tcp", ip+":0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer listener.Close()
-		ports[i] = listener.Addr().(*net.TCPAddr).Port
-	}
-	socket, err := net.ListenPacket("udp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer socket.Close()
-	ports[4] = socket.LocalAddr().(*net.UDPAddr).Port
-	return ports
-}
-
 // newSignalledNode returns a node that is not started yet.
 func newSignalledNode(t *testing.T, binary string, configured bool) *signalledNode {
 	t.Helper()
@@ -100,8 +77,21 @@
 		store.Register(searcher, searcher.Address(), "z", "ready")
 		store.PutConfig(1, []stand.Route{{Host: "h", Prefix: "/a/", Service: "one", Unsafe: true, TimeoutMS: 5000, GoalMS: 4000}}, []string{"one"})
 	}
+	ports := make([]int, 5)
+	for i := range ports {
+		network := "tcp"
+		if i == len(ports)-1 {
+			network = "udp"
+		}
+		address, err := stand.FreeAddress(network)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if ports[i], err = strconv.Atoi(address[strings.LastIndex(address, ":")+1:]); err != nil {
+			t.Fatal(err)
+		}
+	}
 	ip := fmt.Sprintf("127.220.%d.%d", os.Getpid()%250, 1+nodesStarted.Add(1)%250)
-	ports := freePorts(t, ip)
 	config := stand.NodeConfig{
 		Node: "front-1", IP: ip, Zone: "z", Zones: map[string]string{"z": "r"}, CallerPort: ports[0], ReadyPort: ports[1], DirectoryPort: ports[2],
 		ControlPort: ports[3], PeerPort: ports[4], SeedIPs: []string{ip}, StoreAddress: store.Address(),
