Count the losses that are contested, not those that nodes exchange

Cause: two attempts of a query at once may lose their searchers while neither ran alone; serve keeps such losses to itself for a second. Contested looked at the losses that nodes exchange, of which there were none, and took the request for likely harmless: its first trial came at once instead of after a minute. Found by reading; the path of the platform shares all losses.

Change: each loss that counts must be blamed on another request. The table finds this out itself, once for serve and the platform, whose second table it is given; before, each had a copy.

Measured: TestTrials/lost_at_once got its trial at 0 s before, and wants it after 60 s. The other rows are unchanged.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -233,7 +233,7 @@
 func (e *Entry) beginTrial(now time.Time, fingerprint uint64) bool {
 	quarantine := e.policies.Quarantine
 	turn := func(key uint64) (int, bool) { return place.Rank(e.self.ID(), key, e.hooks.Members(now).Live()), true }
-	if begun, _ := quarantine.BeginTrial(now, fingerprint, quarantine.Contested(now, fingerprint), turn); !begun {
+	if begun, _ := quarantine.BeginTrial(now, fingerprint, turn); !begun {
 		return false
 	}
 	e.logQuarantine(wire.Event_EVENT_QUARANTINE_TRIAL, now, fingerprint, zap.Int("failed", quarantine.Trials(fingerprint)))
--- a/internal/quar/table_test.go
+++ b/internal/quar/table_test.go
@@ -427,7 +427,9 @@
 	first := func(uint64) (int, bool) { return 0, true }
 	tests := map[string]struct {
 		known, contested bool
-		turn             Turn
+		// atOnce is set if two attempts at once lost the searchers, so that the losses are not shared yet.
+		atOnce bool
+		turn   Turn
 		// ran holds for each trial whether a searcher ran the request. The trials begin as soon as they may.
 		ran []bool
 		// want are the times of the trials.
@@ -435,6 +437,7 @@
 	}{
 		"no answer":       {ran: []bool{true, true, true}, want: []time.Duration{60 * s, 660 * s, 4260 * s}},
 		"answered before": {known: true, ran: []bool{true, true, true, true}, want: []time.Duration{0, 2 * s, 12 * s, 72 * s}},
+		"lost at once":    {atOnce: true, ran: []bool{true}, want: []time.Duration{60 * s}},
 		"contested":       {contested: true, ran: []bool{true, true}, want: []time.Duration{0, 2 * s}},
 		"not run":         {ran: []bool{false, false, true, true}, want: []time.Duration{60 * s, 60250 * time.Millisecond, 60500 * time.Millisecond, 660500 * time.Millisecond}},
 		"third node":      {turn: func(uint64) (int, bool) { return 2, true }, ran: []bool{true}, want: []time.Duration{62 * s}},
@@ -447,22 +450,30 @@
 			if test.known {
 				table.RecordCompletion(at(0), testFingerprint, false)
 			}
-			table.RecordExclusiveLoss(at(0), testFingerprint, "a")
-			table.RecordExclusiveLoss(at(0), testFingerprint, "b")
+			for _, searcher := range []string{"a", "b"} {
+				if test.atOnce {
+					table.RecordLoss(at(0), testFingerprint, searcher)
+				} else {
+					table.RecordExclusiveLoss(at(0), testFingerprint, searcher)
+				}
+				if test.contested {
+					table.RecordExclusiveLoss(at(0), 7, searcher)
+				}
+			}
 			turn := first
 			if test.turn != nil {
 				turn = test.turn
 			}
 			var got []time.Duration
 			for d := time.Duration(0); len(got) < len(test.ran) && d < 2*time.Hour; d += 50 * time.Millisecond {
-				begun, after := table.BeginTrial(at(d), testFingerprint, test.contested, turn)
+				begun, after := table.BeginTrial(at(d), testFingerprint, turn)
 				if !begun {
 					if at := d + after; after > 0 && len(got) < len(test.want) && at > test.want[len(got)] {
 						t.Errorf("after %v: got %v as the time of the next trial, want %v at most", d, at, test.want[len(got)])
 					}
 					continue
 				}
-				if again, _ := table.BeginTrial(at(d), testFingerprint, test.contested, turn); again {
+				if again, _ := table.BeginTrial(at(d), testFingerprint, turn); again {
 					t.Errorf("during a trial: got a second one")
 				}
 				table.EndTrial(at(d), testFingerprint, test.ran[len(got)])
--- a/internal/quar/trial.go
+++ b/internal/quar/trial.go
@@ -1,6 +1,9 @@
 package quar
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Trials begin some time after the latest loss or trial, the longer the more of them ended without an answer. The delays of eager trials are for
 // requests that are likely harmless.
@@ -36,10 +39,10 @@
 type Turn func(key uint64) (rank int, ok bool)
 
 // BeginTrial reports whether a quarantined request may run once on one searcher, to find out whether it still crashes it. If so, EndTrial must be
-// called after it. Otherwise it returns the time after which to ask again, 0 if that is not known. contested is set if each loss is also blamed on
-// another request. The order of nodes keeps all but one from a trial at a time without an agreement: a node whose turn passes unused leaves it to the
-// next.
-func (t *Table) BeginTrial(now time.Time, fingerprint uint64, contested bool, turn Turn) (begun bool, after time.Duration) {
+// called after it. Otherwise it returns the time after which to ask again, 0 if that is not known. The order of nodes keeps all but one from a trial
+// at a time without an agreement: a node whose turn passes unused leaves it to the next. The requests in this and in other tables are also likely
+// causes of the losses that they share.
+func (t *Table) BeginTrial(now time.Time, fingerprint uint64, turn Turn, others ...*Table) (begun bool, after time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.marks[fingerprint]
@@ -53,7 +56,8 @@
 	if m.trial.running {
 		return false, 0
 	}
-	due, ok := m.trialDue(now, fingerprint, m.wasAnswered() || contested || t.completed.has(fingerprint), turn)
+	likelyHarmless := m.wasAnswered() || t.completed.has(fingerprint) || t.contested(now, fingerprint, m, others)
+	due, ok := m.trialDue(now, fingerprint, likelyHarmless, turn)
 	if !ok || now.Before(due) {
 		return false, max(due.Sub(now), 0)
 	}
@@ -123,24 +127,29 @@
 	return 0
 }
 
-// Blames reports whether a request other than the given one is suspected of the loss of a searcher.
-func (t *Table) Blames(now time.Time, except uint64, searcher string) bool {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	for fingerprint, m := range t.marks {
-		if e, ok := m.searchers[searcher]; ok && e.status != lossDismissed && fingerprint != except && now.Before(m.expires) {
-			return true
+// contested reports whether each loss that counts against a request is also blamed on another one, in this table or in others. The caller holds mu.
+func (t *Table) contested(now time.Time, fingerprint uint64, m *mark, others []*Table) bool {
+	for searcher, e := range m.searchers {
+		if e.status != lossCounted || t.blames(now, fingerprint, searcher) {
+			continue
+		}
+		if !slices.ContainsFunc(others, func(other *Table) bool {
+			other.mu.RLock()
+			defer other.mu.RUnlock()
+			return other.blames(now, fingerprint, searcher)
+		}) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
-// Contested reports whether each loss of a request is also blamed on another request.
-func (t *Table) Contested(now time.Time, fingerprint uint64) bool {
-	for _, searcher := range t.Mark(now, fingerprint).GetSearchers() {
-		if !t.Blames(now, fingerprint, searcher) {
-			return false
+// blames reports whether a request other than the given one is suspected of the loss of a searcher. The caller holds mu.
+func (t *Table) blames(now time.Time, except uint64, searcher string) bool {
+	for fingerprint, m := range t.marks {
+		if e, ok := m.searchers[searcher]; ok && e.status != lossDismissed && fingerprint != except && now.Before(m.expires) {
+			return true
 		}
 	}
-	return true
+	return false
 }
--- a/internal/relay/crash_marks.go
+++ b/internal/relay/crash_marks.go
@@ -90,14 +90,7 @@
 
 // beginTrial reports whether a quarantined request may run as a trial, and otherwise the time after which to ask again.
 func (m *crashMarks) beginTrial(now time.Time, fingerprint uint64, turn quar.Turn) (begun bool, after time.Duration) {
-	return m.shared.BeginTrial(now, fingerprint, m.contested(now, fingerprint), turn)
-}
-
-// contested reports whether each loss of a request is also blamed on another request, which may have caused it as well.
-func (m *crashMarks) contested(now time.Time, fingerprint uint64) bool {
-	return !slices.ContainsFunc(m.shared.Mark(now, fingerprint).GetSearchers(), func(searcher string) bool {
-		return !m.shared.Blames(now, fingerprint, searcher) && !m.private.Blames(now, fingerprint, searcher)
-	})
+	return m.shared.BeginTrial(now, fingerprint, turn, m.private)
 }
 
 // searchers returns the processes that ended while they ran a request.
