--- a/internal/relay/crash_marks.go
+++ b/internal/relay/crash_marks.go
@@ -38,15 +38,21 @@
 	if candidates > maxCandidates && !m.shared.Has(now, fingerprint) && m.private.Check(now, fingerprint) != (quar.Quarantined{}) {
 		return false
 	}
+	// The loss of a trial speaks against the request at all nodes.
+	if m.shared.Trials(fingerprint) > 0 {
+		return m.publish(now, fingerprint)
+	}
 	return m.share(now, fingerprint)
 }
 
-// share makes what this node has kept to itself of a request known to all nodes, unless they refuse the request already and have not tried it. It
-// reports whether other nodes should be told.
+// share makes what this node has kept to itself of a request known to all nodes, unless they refuse the request already. It reports whether other
+// nodes should be told.
 func (m *crashMarks) share(now time.Time, fingerprint uint64) bool {
-	if m.quarantined(now, fingerprint) && m.shared.Trials(fingerprint) == 0 {
-		return false
-	}
+	return !m.quarantined(now, fingerprint) && m.publish(now, fingerprint)
+}
+
+// publish adds what this node has kept to itself of a request to its shared mark. It reports whether other nodes should be told.
+func (m *crashMarks) publish(now time.Time, fingerprint uint64) bool {
 	mark := m.private.Mark(now, fingerprint)
 	if mark == nil {
 		return false
