Format fingerprints in one place

Cause: the entry of serve got a copy of the function of the engine. Change: quar.FormatFingerprint serves both. Measured: the packages' tests pass.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -249,13 +249,10 @@
 
 // logQuarantine logs an event of a query that is quarantined, with the searchers that it lost.
 func (e *Entry) logQuarantine(event wire.Event, now time.Time, fingerprint uint64, fields ...zap.Field) {
-	e.logger.Log(event, append(fields, zap.String("fingerprint", formatFingerprint(fingerprint)),
+	e.logger.Log(event, append(fields, zap.String("fingerprint", quar.FormatFingerprint(fingerprint)),
 		zap.Strings("searchers", e.policies.Quarantine.Mark(now, fingerprint).GetSearchers()))...)
 }
 
-// formatFingerprint returns a fingerprint as log lines show it.
-func formatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
-
 // refuse counts a refusal and converts it to an answer.
 func (e *Entry) refuse(refusal *reason.Refusal) *wire.Answer {
 	e.counters.Add(refusal.Reason())
--- a/internal/entry/fanout.go
+++ b/internal/entry/fanout.go
@@ -365,7 +365,7 @@
 	lost := policies.Quarantine.Mark(now, f.fingerprint).GetSearchers()
 	if policies.Quarantine.RecordCompletion(now, f.fingerprint, f.exclusive) {
 		f.entry.hooks.QuarantineChanged()
-		f.entry.logger.Log(wire.Event_EVENT_QUARANTINE_ENDED, zap.String("fingerprint", formatFingerprint(f.fingerprint)), zap.Strings("searchers", lost))
+		f.entry.logger.Log(wire.Event_EVENT_QUARANTINE_ENDED, zap.String("fingerprint", quar.FormatFingerprint(f.fingerprint)), zap.Strings("searchers", lost))
 	}
 }
 
--- a/internal/quar/fingerprint.go
+++ b/internal/quar/fingerprint.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -17,6 +18,9 @@
 	return digest.Sum64()
 }
 
+// FormatFingerprint returns a fingerprint as log lines show it.
+func FormatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
+
 // writeField adds the length and the bytes of a string to a hash. Writing to a Digest never fails.
 func writeField(digest *xxhash.Digest, field string) {
 	var length [8]byte
--- a/internal/relay/acquit.go
+++ b/internal/relay/acquit.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fireflylanding/fireflylanding/internal/quar"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
 
@@ -45,9 +46,9 @@
 	switch {
 	case a.wasQuarantined:
 		e.quarantinesEnded.Inc(1)
-		e.logger.Log(wire.Event_EVENT_QUARANTINE_ENDED, zap.String("fingerprint", formatFingerprint(fingerprint)), zap.Strings("searchers", a.searchers))
+		e.logger.Log(wire.Event_EVENT_QUARANTINE_ENDED, zap.String("fingerprint", quar.FormatFingerprint(fingerprint)), zap.Strings("searchers", a.searchers))
 	case len(a.searchers)+a.unconfirmed > 0:
-		e.logger.Log(wire.Event_EVENT_CRASH_EVIDENCE_ANSWERED, zap.String("fingerprint", formatFingerprint(fingerprint)),
+		e.logger.Log(wire.Event_EVENT_CRASH_EVIDENCE_ANSWERED, zap.String("fingerprint", quar.FormatFingerprint(fingerprint)),
 			zap.Strings("searchers", a.searchers), zap.Int("unconfirmed", a.unconfirmed))
 	}
 	if a.announce {
@@ -61,7 +62,7 @@
 		return false, after
 	}
 	e.trials.Inc(1)
-	e.logger.Log(wire.Event_EVENT_QUARANTINE_TRIAL, zap.String("fingerprint", formatFingerprint(fingerprint)),
+	e.logger.Log(wire.Event_EVENT_QUARANTINE_TRIAL, zap.String("fingerprint", quar.FormatFingerprint(fingerprint)),
 		zap.Int("failed", e.crashes.marks.shared.Trials(fingerprint)), zap.Strings("searchers", e.crashes.marks.searchers(now, fingerprint)))
 	return true, 0
 }
--- a/internal/relay/attempt_log.go
+++ b/internal/relay/attempt_log.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/fireflylanding/fireflylanding/internal/quar"
 	"github.com/fireflylanding/fireflylanding/internal/reason"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -123,7 +124,7 @@
 		return
 	}
 	if f.attemptLog.lostConnection() || f.engine.crashes.marks.suspected(now, f.fingerprint) {
-		fields = append(fields, zap.String("fingerprint", formatFingerprint(f.fingerprint)))
+		fields = append(fields, zap.String("fingerprint", quar.FormatFingerprint(f.fingerprint)))
 	}
 	f.engine.logger.Log(event, append(fields,
 		zap.String("request", f.request.ID),
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflylanding/fireflylanding/internal/fleet"
+	"github.com/fireflylanding/fireflylanding/internal/quar"
 	"github.com/fireflylanding/fireflylanding/internal/route"
 	"github.com/fireflylanding/fireflylanding/internal/wire"
 )
@@ -52,16 +52,13 @@
 	return digest.Sum64()
 }
 
-// formatFingerprint returns a fingerprint as log lines show it.
-func formatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
-
 // maxLoggedFingerprints bounds the fingerprints in a log line.
 const maxLoggedFingerprints = 16
 
 func formatFingerprints(fingerprints []uint64) []string {
 	formatted := make([]string, min(len(fingerprints), maxLoggedFingerprints))
 	for i := range formatted {
-		formatted[i] = formatFingerprint(fingerprints[i])
+		formatted[i] = quar.FormatFingerprint(fingerprints[i])
 	}
 	return formatted
 }
@@ -216,7 +213,7 @@
 	for _, fingerprint := range confirmed {
 		changed := e.crashes.marks.record(now, fingerprint, searcher, len(confirmed))
 		if e.crashes.marks.quarantined(now, fingerprint) {
-			e.logger.Log(wire.Event_EVENT_QUARANTINED, zap.String("fingerprint", formatFingerprint(fingerprint)),
+			e.logger.Log(wire.Event_EVENT_QUARANTINED, zap.String("fingerprint", quar.FormatFingerprint(fingerprint)),
 				zap.Strings("searchers", e.crashes.marks.searchers(now, fingerprint)))
 		}
 		if changed {
@@ -305,9 +302,9 @@
 	}
 	quarantined := e.crashes.marks.quarantined(now, fingerprint)
 	if wasQuarantined && !quarantined {
-		e.logger.Log(wire.Event_EVENT_QUARANTINE_ENDED, zap.String("fingerprint", formatFingerprint(fingerprint)), zap.Strings("searchers", known), zap.String("from", from))
+		e.logger.Log(wire.Event_EVENT_QUARANTINE_ENDED, zap.String("fingerprint", quar.FormatFingerprint(fingerprint)), zap.Strings("searchers", known), zap.String("from", from))
 	} else {
-		e.logger.Log(wire.Event_EVENT_MARK_LEARNED, zap.String("fingerprint", formatFingerprint(fingerprint)), zap.Strings("searchers", mark.GetSearchers()),
+		e.logger.Log(wire.Event_EVENT_MARK_LEARNED, zap.String("fingerprint", quar.FormatFingerprint(fingerprint)), zap.Strings("searchers", mark.GetSearchers()),
 			zap.Uint32("trials", mark.GetTrials()), zap.Bool("refused", quarantined), zap.String("from", from))
 	}
 	return true
