--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -83,6 +83,23 @@
 	}
 }
 
+// popular replaces the request by four popular ones, of which some are served, and four others of their route, which all are.
+func (e *evidence) popular(served int) {
+	e.quiet = []interval{{from: start.Add(-time.Minute), to: start.Add(time.Minute)}}
+	e.exchanges, e.runs[0].URI, e.allowed = nil, "/safe/other", map[string][]string{"/safe/": {"one"}}
+	for i := range 8 {
+		s := single().exchanges[0]
+		s.nonIdempotent, s.request.Path = false, "/safe/other"
+		if i < 4 {
+			s.request.Path = popularPath
+		}
+		if i < 4-served {
+			s.err = io.EOF
+		}
+		e.exchanges = append(e.exchanges, s)
+	}
+}
+
 // Guards against a soak that does not detect a violated promise: each kind of violation is injected into sound evidence.
 func TestCheckFindsPlantedViolations(t *testing.T) {
 	tests := map[string]struct {
@@ -128,8 +145,10 @@
 				e.exchanges[i].node = fmt.Sprintf("n%d", i)
 			}
 		}},
-		"beyond the limit":                {evidence: single, inject: func(e *evidence) { e.nameLimit(12) }, want: "limit"},
-		"crashing request, retried early": {evidence: single, inject: func(e *evidence) { e.crash(1, 2, 3, 4, contactTime) }},
+		"beyond the limit":                           {evidence: single, inject: func(e *evidence) { e.nameLimit(12) }, want: "limit"},
+		"popular request, served as often as others": {evidence: single, inject: func(e *evidence) { e.popular(3) }},
+		"popular request, served less often":         {evidence: single, inject: func(e *evidence) { e.popular(2) }, want: "popular"},
+		"crashing request, retried early":            {evidence: single, inject: func(e *evidence) { e.crash(1, 2, 3, 4, contactTime) }},
 		"crashing request, three late retries": {evidence: single, inject: func(e *evidence) {
 			e.crash(contactTime+1, contactTime+2, contactTime+3)
 		}},
