Log what other nodes report of a request only if it names searchers

Cause: an answer at another node brings a mark without searchers; a node that did not refuse the request logged it as event 406, with an empty list. The searchers were collected for each mark, also where none of them is logged.

Change: the list is collected for requests that were refused, and a mark without searchers is logged only as the end of a quarantine. Long calls are split, and the comment on the retry delay names both that set it.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -208,8 +208,8 @@
 	if len(confirmed) == 0 {
 		return
 	}
-	e.logger.Log(wire.Event_EVENT_SEARCHER_LOST, zap.String("searcher", searcher.String()), zap.String("evidence", string(evidence)), zap.Int("requests", len(confirmed)),
-		zap.Strings("fingerprints", formatFingerprints(confirmed)))
+	e.logger.Log(wire.Event_EVENT_SEARCHER_LOST, zap.String("searcher", searcher.String()), zap.String("evidence", string(evidence)),
+		zap.Int("requests", len(confirmed)), zap.Strings("fingerprints", formatFingerprints(confirmed)))
 	for _, fingerprint := range confirmed {
 		changed := e.crashes.marks.record(now, fingerprint, searcher, len(confirmed))
 		if e.crashes.marks.quarantined(now, fingerprint) {
@@ -290,9 +290,12 @@
 // mergeMark merges the mark of another node and reports whether other nodes may lack it.
 func (e *Engine) mergeMark(now time.Time, from string, mark *wire.QuarantineMark) bool {
 	fingerprint := mark.GetFingerprint()
-	known, generation := e.crashes.marks.searchers(now, fingerprint), e.crashes.marks.shared.Generation(fingerprint)
 	wasQuarantined := e.crashes.marks.quarantined(now, fingerprint)
-	if mark.GetGeneration() > generation {
+	var lost []string
+	if wasQuarantined {
+		lost = e.crashes.marks.searchers(now, fingerprint)
+	}
+	if mark.GetGeneration() > e.crashes.marks.shared.Generation(fingerprint) {
 		// Another node had an answer after what this node suspects.
 		e.crashes.dropSuspicions(fingerprint)
 		e.crashes.marks.private.Forget(fingerprint)
@@ -301,9 +304,11 @@
 		return false
 	}
 	quarantined := e.crashes.marks.quarantined(now, fingerprint)
-	if wasQuarantined && !quarantined {
-		e.logger.Log(wire.Event_EVENT_QUARANTINE_ENDED, zap.String("fingerprint", quar.FormatFingerprint(fingerprint)), zap.Strings("searchers", known), zap.String("from", from))
-	} else {
+	switch {
+	case wasQuarantined && !quarantined:
+		e.logger.Log(wire.Event_EVENT_QUARANTINE_ENDED, zap.String("fingerprint", quar.FormatFingerprint(fingerprint)), zap.Strings("searchers", lost),
+			zap.String("from", from))
+	case len(mark.GetSearchers()) > 0:
 		e.logger.Log(wire.Event_EVENT_MARK_LEARNED, zap.String("fingerprint", quar.FormatFingerprint(fingerprint)), zap.Strings("searchers", mark.GetSearchers()),
 			zap.Uint32("trials", mark.GetTrials()), zap.Bool("refused", quarantined), zap.String("from", from))
 	}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -222,7 +222,8 @@
 	e.announceRepeated(now, f.fingerprint)
 	if e.crashes.marks.quarantined(now, f.fingerprint) {
 		if f.trial, f.retryAfter = e.beginTrial(now, f.fingerprint); !f.trial {
-			return f.reject(wire.Reason_REASON_QUARANTINED, zap.Strings("searchers", e.crashes.marks.searchers(now, f.fingerprint)), zap.Duration("retry_after", f.retryAfter))
+			return f.reject(wire.Reason_REASON_QUARANTINED, zap.Strings("searchers", e.crashes.marks.searchers(now, f.fingerprint)),
+				zap.Duration("retry_after", f.retryAfter))
 		}
 		defer e.endTrial(f)
 	}
--- a/internal/relay/fanout.go
+++ b/internal/relay/fanout.go
@@ -67,7 +67,7 @@
 	trial bool
 	// linksLost is set when the request ends early, since the searchers that it needs are not reached any more.
 	linksLost bool
-	// retryAfter is the retry delay that the limiter decided on, 0 if it did not.
+	// retryAfter is the retry delay that the limiter or the quarantine decided on, 0 if neither did.
 	retryAfter time.Duration
 	// attemptLog holds the attempts for the log line of the request.
 	attemptLog attemptLog
