Prepare the fan-out of a query only once it is admitted

Cause: with the trials, serve made the state of a query before it asked admission, also for all queries that a flood has refused. Change: the state is made after admission, as before. Measured: the tests of the package pass; the cost was not timed.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -213,16 +213,19 @@
 	if quarantined && !e.beginTrial(now, fingerprint) {
 		return e.refuse(reason.New(wire.Reason_REASON_QUARANTINED, ""))
 	}
-	f := newFanout(e, now, query, plan, snapshot, index, fingerprint)
-	if quarantined {
-		f.trial = true
-		defer e.endTrial(f)
-	}
 	grant, refusal := e.policies.Admission.Admit(now, query.GetCollection(), plan.Name(), use)
 	if refusal != nil {
+		if quarantined {
+			e.endTrial(fingerprint, false)
+		}
 		return e.refuse(refusal)
 	}
+	f := newFanout(e, now, query, plan, snapshot, index, fingerprint)
+	f.trial = quarantined
 	answer := f.run(ctx)
+	if quarantined {
+		e.endTrial(fingerprint, f.mayHaveRun || f.reflected() > 0)
+	}
 	end := e.hooks.Clock()
 	grant.Release(end)
 	e.latency[plan.Rank()].Update(end.Sub(now).Microseconds())
@@ -241,8 +244,8 @@
 }
 
 // endTrial ends the trial of a query and tells other nodes if a searcher may have run it without an answer.
-func (e *Entry) endTrial(f *fanout) {
-	if e.policies.Quarantine.EndTrial(e.hooks.Clock(), f.fingerprint, f.mayHaveRun || f.reflected() > 0) {
+func (e *Entry) endTrial(fingerprint uint64, ran bool) {
+	if e.policies.Quarantine.EndTrial(e.hooks.Clock(), fingerprint, ran) {
 		e.hooks.QuarantineChanged()
 	}
 }
